--- /dev/null
+++ b/features/support/scenario-clock.ts
@@ -0,0 +1,13 @@
+import {readClock} from '../../src/config/read-clock.js';
+
+/** A clock that scenarios move ahead: the running clock plus what was added. */
+export class ScenarioClock {
+	private addedMs = 0;
+
+	readonly read = (): number => readClock() + this.addedMs;
+
+	/** Moves the clock ahead by `ms` milliseconds. */
+	advance(ms: number): void {
+		this.addedMs += ms;
+	}
+}
--- /dev/null
+++ b/features/support/send-request.ts
@@ -0,0 +1,40 @@
+import {request, type Dispatcher} from 'undici';
+import {type Reply} from './reply.js';
+import {tokens} from './tokens.js';
+
+type Sent = {
+	readonly port: number;
+	readonly path: string;
+	readonly method?: Dispatcher.HttpMethod;
+	readonly headers?: Readonly<Record<string, string>>;
+	readonly body?: string;
+	readonly signal?: AbortSignal;
+};
+
+/** Sends a request as a caller of the organisation `granite` and reads the answer as far as it goes. */
+export async function sendRequest(sent: Sent): Promise<Reply> {
+	let status = 0;
+	let headers = {};
+	let text = '';
+	try {
+		const answer = await request(`http://127.0.0.1:${sent.port}${sent.path}`, {
+			method: sent.method ?? 'POST',
+			headers: {authorization: `Bearer ${tokens.granite}`, ...sent.headers},
+			body: sent.body,
+			signal: sent.signal,
+		});
+		status = answer.statusCode;
+		({headers} = answer);
+		for await (const chunk of answer.body) {
+			text += String(chunk);
+		}
+
+		return {
+			status, headers, text, isWhole: true,
+		};
+	} catch {
+		return {
+			status, headers, text, isWhole: false,
+		};
+	}
+}
--- /dev/null
+++ b/features/support/verdict-formatter.ts
@@ -0,0 +1,58 @@
+import {Formatter, type IFormatterOptions} from '@cucumber/cucumber';
+import {type Envelope, TestStepResultStatus} from '@cucumber/messages';
+
+type Scenario = {name: string; failure: string | undefined};
+
+/** Prints a line for each scenario, the failures whole, and last the verdict `N passed, N failed` from the counts. */
+export default class VerdictFormatter extends Formatter {
+	private readonly scenarios = new Map<string, Scenario>();
+	private readonly names = new Map<string, string>();
+	private readonly caseByStart = new Map<string, string>();
+
+	constructor(options: IFormatterOptions) {
+		super(options);
+		options.eventBroadcaster.on('envelope', (envelope: Envelope) => {
+			this.take(envelope);
+		});
+	}
+
+	private take(envelope: Envelope): void {
+		if (envelope.pickle) {
+			this.names.set(envelope.pickle.id, `${envelope.pickle.uri}: ${envelope.pickle.name}`);
+		}
+
+		if (envelope.testCase) {
+			this.scenarios.set(envelope.testCase.id, {name: this.names.get(envelope.testCase.pickleId)!, failure: undefined});
+		}
+
+		if (envelope.testCaseStarted) {
+			this.caseByStart.set(envelope.testCaseStarted.id, envelope.testCaseStarted.testCaseId);
+		}
+
+		if (envelope.testStepFinished) {
+			const {testCaseStartedId, testStepResult} = envelope.testStepFinished;
+			const scenario = this.scenarios.get(this.caseByStart.get(testCaseStartedId)!)!;
+			if (testStepResult.status !== TestStepResultStatus.PASSED) {
+				scenario.failure ??= testStepResult.message ?? testStepResult.status;
+			}
+		}
+
+		if (envelope.testCaseFinished) {
+			this.report(this.scenarios.get(this.caseByStart.get(envelope.testCaseFinished.testCaseStartedId)!)!);
+		}
+
+		if (envelope.testRunFinished) {
+			this.conclude();
+		}
+	}
+
+	private report({name, failure}: Scenario): void {
+		this.log(failure === undefined ? `ok      ${name}\n` : `FAILED  ${name}\n${failure}\n`);
+	}
+
+	private conclude(): void {
+		const all = [...this.scenarios.values()];
+		const failed = all.filter(({failure}) => failure !== undefined).length;
+		this.log(`${all.length - failed} passed, ${failed} failed\n`);
+	}
+}
--- /dev/null
+++ b/scripts/setup.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Installs the locked packages unless they are already there.
+set -eu
+cd "$(dirname "$0")/.."
+if [ ! -f node_modules/.package-lock.json ] || [ package-lock.json -nt node_modules/.package-lock.json ]; then
+	npm ci --no-audit --no-fund --loglevel=error
+	touch node_modules/.package-lock.json
+fi
--- /dev/null
+++ b/src/admission/admission-verdict.ts
@@ -0,0 +1,5 @@
+/** What becomes of an offered request. */
+export type AdmissionVerdict
+	= | {readonly kind: 'start'}
+		| {readonly kind: 'wait'}
+		| {readonly kind: 'refuse'; readonly reason: 'full' | 'late'; readonly retryAfterMs: number};
--- /dev/null
+++ b/src/bin/run-process.ts
@@ -0,0 +1,68 @@
+import process from 'node:process';
+import {type Result} from 'neverthrow';
+import {type SettingsError} from '../config/settings-error.js';
+
+/** A process that runs until it is told to stop. */
+type Running = {
+	readonly stopped?: Promise<void>;
+	stop(): Promise<void>;
+	kill(): Promise<void>;
+};
+
+type ProcessOptions<Settings> = {
+	readonly name: string;
+	readonly read: (file: string) => Result<Settings, SettingsError>;
+	readonly start: (settings: Settings) => Promise<Running>;
+};
+
+const usageExit = 2;
+const settingsExit = 78;
+const killedExit = 1;
+
+/**
+ * Runs a process of the system: reads the settings file, starts, and stops on SIGTERM or SIGINT; a second signal
+ * ends it at once.
+ *
+ * Exit codes: 0 after a planned stop, 1 when cut short, 2 for wrong arguments, 78 for unusable settings.
+ */
+export async function runProcess<Settings>(options: ProcessOptions<Settings>, words: readonly string[]): Promise<void> {
+	const isCheck = words.includes('--check-settings');
+	const files = words.filter(word => !word.startsWith('--'));
+	const unknown = words.find(word => word.startsWith('--') && word !== '--check-settings');
+	if (files.length !== 1 || unknown !== undefined) {
+		process.stderr.write(`usage: ${options.name} [--check-settings] SETTINGS.toml\n`);
+		process.exitCode = usageExit;
+		return;
+	}
+
+	const settings = options.read(files[0]);
+	if (settings.isErr()) {
+		process.stderr.write(`${settings.error.message}\n`);
+		process.exitCode = settingsExit;
+		return;
+	}
+
+	if (isCheck) {
+		process.stdout.write(`${files[0]}: ok\n`);
+		return;
+	}
+
+	const running = await options.start(settings.value);
+	let isStopping = false;
+	const handleSignal = (): void => {
+		if (isStopping) {
+			process.exitCode = killedExit;
+			void running.kill().then(() => {
+				process.exit(killedExit); // eslint-disable-line unicorn/no-process-exit
+			});
+			return;
+		}
+
+		isStopping = true;
+		void running.stop();
+	};
+
+	process.on('SIGTERM', handleSignal);
+	process.on('SIGINT', handleSignal);
+	await running.stopped;
+}
--- /dev/null
+++ b/src/bin/wardswitch-target.ts
@@ -0,0 +1,13 @@
+#!/usr/bin/env node
+import process from 'node:process';
+import {readClock} from '../config/read-clock.js';
+import {readSettings} from '../config/read-settings.js';
+import {TargetSettings} from '../config/target-settings.js';
+import {startTarget} from '../target/start-target.js';
+import {runProcess} from './run-process.js';
+
+await runProcess({
+	name: 'wardswitch-target',
+	read: file => readSettings(file, TargetSettings),
+	start: async settings => startTarget(settings, readClock),
+}, process.argv.slice(2));
--- /dev/null
+++ b/src/calls/target-link.ts
@@ -0,0 +1,189 @@
+import {type LinkConnection} from '../link/link-connection.js';
+import {type LinkMessage} from '../link/link-message.js';
+import {type MessageOf} from '../link/message-of.js';
+import {PersistentLink} from '../link/persistent-link.js';
+import {type Vm} from '../platform/vm.js';
+import {Call} from './call.js';
+
+type TargetLinkOptions = {
+	readonly vm: Vm;
+	readonly connect: () => Promise<LinkConnection>;
+	readonly hello: () => MessageOf<'hello'>;
+	readonly clock: () => number;
+	readonly random: () => number;
+	/** How long calls wait for a lost link to come back, milliseconds. */
+	readonly resumeMs: number;
+	/** Called when a message or answer names a version of the table. */
+	readonly onTableVersion: (version: number) => void;
+};
+
+type Welcome = MessageOf<'welcome'>;
+type Load = MessageOf<'load'>['load'];
+
+const unknownLoad: Load = {
+	running: 0, waiting: 0, concurrency: 1, serviceMs: 0,
+};
+
+/** The link to one target process: what the target last said of itself, and the calls that run there. */
+export class TargetLink {
+	readonly vm: Vm;
+	/** Load as last reported. */
+	load: Load = unknownLoad;
+	/** When the load was reported, milliseconds since the epoch; 0: never. */
+	loadAt = 0;
+	/** Requests sent since that report. */
+	sentSinceReport = 0;
+	/** The target said that it takes nothing new. */
+	isLeaving = false;
+	/** When a request was last sent, milliseconds since the epoch. */
+	usedAt = 0;
+
+	private welcome: Welcome | undefined;
+	private readonly calls = new Map<string, Call>();
+	private readonly link: PersistentLink;
+	private lostAt: number | undefined;
+
+	constructor(private readonly options: TargetLinkOptions) {
+		this.vm = options.vm;
+		this.usedAt = options.clock();
+		this.link = new PersistentLink({
+			connect: options.connect,
+			random: options.random,
+			onOpen: connection => {
+				this.open(connection);
+			},
+			onLost: () => {
+				this.lostAt ??= options.clock();
+			},
+		});
+	}
+
+	/** Whether requests can be sent now. */
+	get isReady(): boolean {
+		return this.welcome !== undefined && this.lostAt === undefined && this.link.current !== undefined;
+	}
+
+	/** The process behind the link; another one after a restart. */
+	get incarnation(): string | undefined {
+		return this.welcome?.incarnation;
+	}
+
+	get openCalls(): number {
+		return this.calls.size;
+	}
+
+	/** Sends a request as a new call. A call whose request never left ends with `unsent`. */
+	request(message: MessageOf<'request'> | MessageOf<'attach'>): Call {
+		const call = new Call(message.id, message.attempt, reply => this.link.current?.send(reply) ?? false);
+		const name = `${message.id}/${message.attempt}`;
+		this.usedAt = this.options.clock();
+		if (!this.isReady || !this.link.current!.send(message)) {
+			call.settle({type: 'unsent'});
+			return call;
+		}
+
+		this.calls.set(name, call);
+		this.sentSinceReport++;
+		return call;
+	}
+
+	/** Asks the target to give a call up; its answer comes as an event of the call. */
+	cancel(call: Call): void {
+		this.link.current?.send({type: 'cancel', id: call.id, attempt: call.attempt});
+	}
+
+	/** Forgets a call whose maker has all it wants. */
+	release(call: Call): void {
+		this.calls.delete(`${call.id}/${call.attempt}`);
+	}
+
+	/** Sends any other message; false when there is no link. */
+	send(message: LinkMessage): boolean {
+		return this.link.current?.send(message) ?? false;
+	}
+
+	/** Gives calls up whose link has been away for too long. */
+	tick(now: number): void {
+		if (this.lostAt !== undefined && now - this.lostAt > this.options.resumeMs) {
+			this.loseCalls('the link to the target did not come back in time');
+		}
+	}
+
+	/** Cuts the connection at once; the task connects again. */
+	cut(): void {
+		this.link.cut();
+	}
+
+	close(): void {
+		this.link.close();
+		this.loseCalls('the link was closed');
+	}
+
+	private open(connection: LinkConnection): void {
+		connection.onMessage(message => {
+			this.receive(message);
+		});
+		connection.send(this.options.hello());
+	}
+
+	private receive(message: LinkMessage): void {
+		switch (message.type) {
+			case 'welcome': {
+				this.greet(message);
+				break;
+			}
+
+			case 'load': {
+				this.noteLoad(message.load);
+				this.options.onTableVersion(message.tableVersion);
+				break;
+			}
+
+			case 'leaving': {
+				this.isLeaving = message.leaving;
+				break;
+			}
+
+			default: {
+				if (message.type === 'head') {
+					this.options.onTableVersion(message.tableVersion);
+				}
+
+				if ('attempt' in message) {
+					this.calls.get(`${message.id}/${message.attempt}`)?.receive(message);
+				}
+			}
+		}
+	}
+
+	private greet(welcome: Welcome): void {
+		if (this.welcome && this.welcome.incarnation !== welcome.incarnation) {
+			this.loseCalls('the target process was replaced');
+		}
+
+		this.welcome = welcome;
+		this.lostAt = undefined;
+		this.isLeaving = welcome.leaving;
+		this.noteLoad(welcome.load ?? unknownLoad);
+		this.options.onTableVersion(welcome.tableVersion);
+		for (const call of this.calls.values()) {
+			this.send({
+				type: 'resume', id: call.id, attempt: call.attempt, sequence: call.position,
+			});
+		}
+	}
+
+	private noteLoad(load: Load): void {
+		this.load = load;
+		this.loadAt = this.options.clock();
+		this.sentSinceReport = 0;
+	}
+
+	private loseCalls(reason: string): void {
+		const calls = [...this.calls.values()];
+		this.calls.clear();
+		for (const call of calls) {
+			call.settle({type: 'lost', reason});
+		}
+	}
+}
--- /dev/null
+++ b/src/config/read-clock.ts
@@ -0,0 +1,6 @@
+import {performance} from 'node:perf_hooks';
+
+/** The present in milliseconds since the epoch; never goes back while the process lives. */
+export function readClock(): number {
+	return performance.timeOrigin + performance.now();
+}
--- /dev/null
+++ b/src/entry/start-entry.ts
@@ -0,0 +1,233 @@
+import {TargetLink} from '../calls/target-link.js';
+import {TargetPool} from '../calls/target-pool.js';
+import {type EntrySettings} from '../config/entry-settings.js';
+import {Lender} from '../limits/lender.js';
+import {LimitController} from '../limits/limit-controller.js';
+import {connectLink} from '../link/connect-link.js';
+import {type LinkConnection} from '../link/link-connection.js';
+import {type LinkMessage} from '../link/link-message.js';
+import {linkProtocol} from '../link/link-protocol.js';
+import {listenLink} from '../link/listen-link.js';
+import {type MessageOf} from '../link/message-of.js';
+import {getLogger} from '../log/get-logger.js';
+import {makeIncarnation} from '../membership/make-incarnation.js';
+import {Membership} from '../membership/membership.js';
+import {PeerPool} from '../membership/peer-pool.js';
+import {ProcessMetrics} from '../metrics/process-metrics.js';
+import {startAdminServer} from '../metrics/start-admin-server.js';
+import {ClaimLease} from '../once/claim-lease.js';
+import {ClaimStore} from '../once/claim-store.js';
+import {createEtcdKeyValue} from '../platform/create-etcd-key-value.js';
+import {type Vm} from '../platform/vm.js';
+import {Dispatcher} from '../requests/dispatcher.js';
+import {Explanations} from '../requests/explanations.js';
+import {makeDispatchFilter} from '../requests/filters/make-dispatch-filter.js';
+import {makeIdentifyFilter} from '../requests/filters/make-identify-filter.js';
+import {makeLimitFilter} from '../requests/filters/make-limit-filter.js';
+import {makeServiceFilter} from '../requests/filters/make-service-filter.js';
+import {makeTermsFilter} from '../requests/filters/make-terms-filter.js';
+import {makeTicketFilter} from '../requests/filters/make-ticket-filter.js';
+import {RetryBudget} from '../requests/retry-budget.js';
+import {TableController} from '../table/table-controller.js';
+import {createTracer} from '../tracing/create-tracer.js';
+import {EntryController} from './entry-controller.js';
+import {HomeFinder} from './home-finder.js';
+import {RequestServer} from './request-server.js';
+import {type RunningEntry} from './running-entry.js';
+
+const logger = getLogger('entry');
+
+/** Starts an entry process: its parts, what they tell each other, and its servers. */
+export async function startEntry(settings: EntrySettings, clock: () => number, random: () => number): Promise<RunningEntry> {
+	const {id, availabilityZone, platform} = settings;
+	const incarnation = makeIncarnation(clock());
+	const metrics = new ProcessMetrics();
+	const keyValue = createEtcdKeyValue({
+		url: platform.keyValue,
+		timeoutMs: platform.timeoutMs,
+		onCall(operation) {
+			metrics.platformCalls.inc({operation});
+		},
+	});
+	const membership = new Membership({id, availabilityZone, incarnation});
+	const table = new TableController({
+		keyValue,
+		random,
+		log(message) {
+			logger.info(`table: ${message}`);
+		},
+		onInstall(snapshot) {
+			metrics.tableVersion.set(snapshot.version);
+			controller.announce();
+		},
+	});
+	const hello = (): MessageOf<'hello'> => ({
+		type: 'hello', protocol: linkProtocol, id, role: 'entry', availabilityZone, incarnation, tableVersion: table.version,
+	});
+	const connect = async (vm: Vm): Promise<LinkConnection> => connectLink({
+		address: vm.address,
+		port: vm.linkPort,
+		key: settings.link.key,
+		maximumFrameBytes: settings.link.maximumFrameBytes,
+		timeoutMs: platform.timeoutMs,
+		meter: metrics.meterLink,
+	});
+	const targets = new TargetPool({
+		id,
+		availabilityZone,
+		subsetSize: settings.routing.subsetSize,
+		openLink: vm => new TargetLink({
+			vm,
+			connect: async () => connect(vm),
+			hello,
+			clock,
+			random,
+			resumeMs: settings.requests.resumeMs,
+			onTableVersion(version) {
+				controller.noteVersion(version);
+			},
+		}),
+	});
+	const peers = new PeerPool({
+		connect, hello, clock, random,
+		onMessage(message, send) {
+			controller.receive(message, send, '');
+		},
+	});
+	const homes = new HomeFinder(membership, clock);
+	const limits = new LimitController({
+		id,
+		lender: new Lender(),
+		clock,
+		findHome: name => homes.get(name),
+		ask(home, message) {
+			const vm = membership.getVm(home);
+			return vm !== undefined && peers.send(vm, message);
+		},
+		getVisibleShare: () => membership.getVisibleShare(clock()),
+		countEntries: () => membership.listLive(clock()).length,
+	});
+	const controller = new EntryController({
+		id, availabilityZone, platform, membership, table, targets, peers, limits, clock, random, metrics,
+		log(message) {
+			logger.info(message);
+		},
+	});
+	const explanations = new Explanations();
+	const getTable = () => table.current;
+	const dispatcher = new Dispatcher({
+		pool: targets,
+		budget: new RetryBudget(settings.requests.retryRatio),
+		maximumAttempts: settings.requests.maximumAttempts,
+		clock,
+		random,
+		tableVersion: () => table.version,
+		onRefusal(reason) {
+			metrics.refusals.inc({reason});
+		},
+		onRetry(isAllowed) {
+			metrics.retries.inc({allowed: String(isAllowed)});
+		},
+	});
+	const claims = new ClaimStore(keyValue, new ClaimLease({keyValue, ...settings.claims}));
+	const identify = makeIdentifyFilter(getTable);
+	const server = new RequestServer({
+		address: settings.address,
+		port: settings.httpPort,
+		maximumBodyBytes: settings.requests.maximumBodyBytes,
+		clock,
+		tracer: createTracer(settings.tracing.otlpUrl),
+		metrics,
+		explanations,
+		tableVersion: () => table.version,
+		filters: [
+			identify,
+			makeServiceFilter({getKind: service => targets.getKind(service), getTable}),
+			makeTermsFilter(settings.requests.defaultTimeoutMs),
+			makeLimitFilter(limits),
+			makeDispatchFilter({
+				dispatcher, claims, linkKey: settings.link.key, clock,
+			}),
+		],
+		ticketFilters: [identify, makeTicketFilter({
+			pool: targets, linkKey: settings.link.key, clock, random,
+		})],
+	});
+
+	const accept = (connection: LinkConnection): void => {
+		let peer: MessageOf<'hello'> | undefined;
+		connection.onMessage(message => {
+			if (message.type === 'hello' && message.protocol === linkProtocol) {
+				peer = message;
+				connection.send({
+					type: 'welcome', protocol: linkProtocol, id, availabilityZone, incarnation, tableVersion: table.version, leaving: false,
+				});
+				return;
+			}
+
+			if (!peer) {
+				connection.destroy();
+				return;
+			}
+
+			controller.receive(message, (reply: LinkMessage) => connection.send(reply), peer.id);
+		});
+	};
+
+	const listener = await listenLink({
+		address: settings.address,
+		port: settings.linkPort,
+		key: settings.link.key,
+		maximumFrameBytes: settings.link.maximumFrameBytes,
+		meter: metrics.meterLink,
+		onConnection: accept,
+		onRejection(reason) {
+			logger.warn(`peer turned away: ${reason}`);
+		},
+	});
+	await server.listen();
+	const getStatus = () => controller.getStatus();
+	const admin = await startAdminServer({
+		address: settings.address,
+		port: settings.adminPort,
+		registry: metrics.registry,
+		isReady: () => controller.isReady,
+		pages: {
+			status: getStatus,
+			explain: argument => explanations.get(argument),
+		},
+	});
+	await controller.start();
+
+	const close = async (): Promise<void> => {
+		controller.close();
+		table.close();
+		targets.close();
+		peers.close();
+		admin.close();
+		await listener.close();
+	};
+
+	return {
+		httpPort: server.port,
+		linkPort: listener.port,
+		adminPort: admin.port,
+		getTable,
+		isReady: () => controller.isReady,
+		getStatus,
+		cutLinks() {
+			for (const link of targets.list()) {
+				link.cut();
+			}
+		},
+		async stop() {
+			controller.leave();
+			await server.drain();
+			await close();
+		},
+		async kill() {
+			server.close();
+			await close();
+		},
+	};
+}
--- /dev/null
+++ b/src/limits/token-bucket.ts
@@ -0,0 +1,40 @@
+/** A rate with a burst; amounts may be fractions. */
+export class TokenBucket {
+	private level: number;
+	private updatedAt: number;
+
+	/**
+	 * @param rate - units per second
+	 * @param burst - most units that may be there at once
+	 * @param now - the present, milliseconds; the bucket starts full
+	 */
+	constructor(public rate: number, public burst: number, now: number) {
+		this.level = burst;
+		this.updatedAt = now;
+	}
+
+	/** Takes up to `amount` units and gives how many there were. */
+	take(amount: number, now: number): number {
+		this.refill(now);
+		const taken = Math.max(0, Math.min(amount, this.level));
+		this.level -= taken;
+		return taken;
+	}
+
+	/** Gives units back. */
+	restore(amount: number): void {
+		this.level = Math.min(this.burst, this.level + amount);
+	}
+
+	/** Milliseconds until `amount` units are there. */
+	getWaitMs(amount: number, now: number): number {
+		this.refill(now);
+		return Math.max(0, ((amount - this.level) / this.rate) * 1000);
+	}
+
+	private refill(now: number): void {
+		const elapsedSeconds = Math.max(0, now - this.updatedAt) / 1000;
+		this.level = Math.min(this.burst, this.level + (elapsedSeconds * this.rate));
+		this.updatedAt = now;
+	}
+}
--- /dev/null
+++ b/src/link/connect-link.ts
@@ -0,0 +1,47 @@
+import {Buffer} from 'node:buffer';
+import {connect} from 'node:tls';
+import {LinkConnection} from './link-connection.js';
+import {LinkError} from './link-error.js';
+import {type LinkMeter} from './link-meter.js';
+import {linkSecurity} from './link-security.js';
+
+type ConnectOptions = {
+	readonly address: string;
+	readonly port: number;
+	readonly key: string;
+	readonly maximumFrameBytes: number;
+	readonly timeoutMs: number;
+	readonly meter: LinkMeter;
+};
+
+/**
+ * Opens a link.
+ *
+ * @throws LinkError when the peer cannot be reached in time or has another key
+ */
+export async function connectLink(options: ConnectOptions): Promise<LinkConnection> {
+	const psk = Buffer.from(options.key, 'hex');
+	const socket = connect({
+		...linkSecurity.context,
+		host: options.address,
+		port: options.port,
+		pskCallback: () => ({identity: linkSecurity.identity, psk}),
+		checkServerIdentity: () => undefined,
+	});
+	return new Promise((resolve, reject) => {
+		const timer = setTimeout(() => {
+			socket.destroy(new Error('no answer in time'));
+		}, options.timeoutMs);
+		const fail = (error: Error) => {
+			clearTimeout(timer);
+			reject(new LinkError('socket', error.message));
+		};
+
+		socket.once('error', fail);
+		socket.once('secureConnect', () => {
+			clearTimeout(timer);
+			socket.off('error', fail);
+			resolve(new LinkConnection(socket, options.maximumFrameBytes, options.meter));
+		});
+	});
+}
--- /dev/null
+++ b/src/link/link-connection.ts
@@ -0,0 +1,127 @@
+import process from 'node:process';
+import {type Buffer} from 'node:buffer';
+import {type TLSSocket} from 'node:tls';
+import {encodeFrame} from './encode-frame.js';
+import {FrameDecoder} from './frame-decoder.js';
+import {isControlMessage} from './is-control-message.js';
+import {LinkError} from './link-error.js';
+import {LinkMessage} from './link-message.js';
+import {type LinkMeter} from './link-meter.js';
+
+/** One link to another process: owns its socket and speaks in typed messages only. */
+export class LinkConnection {
+	private readonly decoder: FrameDecoder;
+	private readonly closeHandlers: Array<(error: LinkError | undefined) => void> = [];
+	private messageHandler: ((message: LinkMessage) => void) | undefined;
+	private failure: LinkError | undefined;
+	private isCorked = false;
+	private isLive = true;
+
+	/**
+	 * @param socket - an established TLS socket; the link owns it from here
+	 * @param maximumFrameBytes - largest frame accepted
+	 * @param meter - told of each frame
+	 */
+	constructor(private readonly socket: TLSSocket, maximumFrameBytes: number, private readonly meter: LinkMeter) {
+		this.decoder = new FrameDecoder(maximumFrameBytes);
+		socket.setNoDelay(true);
+		socket.on('data', (chunk: Buffer) => {
+			this.receive(chunk);
+		});
+		socket.on('error', (error: Error) => {
+			this.failure ??= new LinkError('socket', error.message);
+		});
+		socket.on('close', () => {
+			this.finish();
+		});
+	}
+
+	/** Whether messages can still be sent. */
+	get isOpen(): boolean {
+		return this.isLive;
+	}
+
+	/** Sets the one receiver of messages. */
+	onMessage(handler: (message: LinkMessage) => void): void {
+		this.messageHandler = handler;
+	}
+
+	/** Adds a receiver of the link's end; the error is absent after an orderly close. */
+	onClose(handler: (error: LinkError | undefined) => void): void {
+		this.closeHandlers.push(handler);
+	}
+
+	/**
+	 * Sends a message; the messages of one turn of the event loop leave together.
+	 *
+	 * @returns whether the message was handed to the socket; false proves that it never left
+	 */
+	send(message: LinkMessage): boolean {
+		if (!this.isLive || this.socket.destroyed) {
+			return false;
+		}
+
+		this.cork();
+		const frame = encodeFrame(message);
+		this.meter('sent', isControlMessage(message), frame.length);
+		this.socket.write(frame);
+		return true;
+	}
+
+	/** Ends the link after what was sent has left. */
+	close(): void {
+		this.socket.end();
+	}
+
+	/** Cuts the link at once. */
+	destroy(): void {
+		this.socket.destroy();
+		this.finish();
+	}
+
+	private cork(): void {
+		if (this.isCorked) {
+			return;
+		}
+
+		this.isCorked = true;
+		this.socket.cork();
+		process.nextTick(() => {
+			this.isCorked = false;
+			this.socket.uncork();
+		});
+	}
+
+	private receive(chunk: Buffer): void {
+		try {
+			for (const frame of this.decoder.push(chunk)) {
+				this.dispatch(frame.item, frame.bytes);
+			}
+		} catch (error) {
+			this.failure = error instanceof LinkError ? error : new LinkError('malformed', String(error));
+			this.destroy();
+		}
+	}
+
+	private dispatch(item: unknown, bytes: number): void {
+		const parsed = LinkMessage.safeParse(item);
+		if (!parsed.success) {
+			const [issue] = parsed.error.issues;
+			throw new LinkError('malformed', `message breaks the schema at "${issue.path.join('.')}": ${issue.message}`);
+		}
+
+		this.meter('received', isControlMessage(parsed.data), bytes);
+		this.messageHandler?.(parsed.data);
+	}
+
+	private finish(): void {
+		if (!this.isLive) {
+			return;
+		}
+
+		this.isLive = false;
+		for (const handler of this.closeHandlers) {
+			handler(this.failure);
+		}
+	}
+}
--- /dev/null
+++ b/src/link/link-message.ts
@@ -0,0 +1,152 @@
+import {z} from 'zod';
+
+const bytes = z.instanceof(Uint8Array);
+const headers = z.record(z.string(), z.union([z.string(), z.array(z.string())]));
+const call = {id: z.string().max(128), attempt: z.int().min(0)};
+const sequence = z.int().min(0);
+const tableVersion = z.int().min(0);
+const recordState = z.enum(['absent', 'running', 'done']);
+const order = {fence: z.int().min(0), epoch: z.int().min(0)};
+const load = z.object({
+	running: z.int().min(0),
+	waiting: z.int().min(0),
+	concurrency: z.int().min(1),
+	serviceMs: z.number().min(0),
+});
+const process = {
+	protocol: z.int(),
+	id: z.string(),
+	availabilityZone: z.string(),
+	incarnation: z.string(),
+	tableVersion,
+};
+
+/* A request that runs at most once: its key, who owns the key, and the one process incarnation that may run it. */
+const once = z.object({
+	key: z.string(),
+	owner: z.string(),
+	incarnation: z.string(),
+	expiresAt: z.number(),
+});
+
+/** Every message that two processes of the system exchange on a link. */
+const LinkMessage = z.discriminatedUnion('type', [
+	z.object({type: z.literal('hello'), ...process, role: z.enum(['entry', 'target', 'operator'])}),
+	z.object({
+		type: z.literal('welcome'),
+		...process,
+		leaving: z.boolean(),
+		service: z.string().optional(),
+		load: load.optional(),
+	}),
+	z.object({
+		type: z.literal('request'),
+		...call,
+		method: z.string(),
+		path: z.string(),
+		headers,
+		body: bytes,
+		organisation: z.string(),
+		weight: z.number().positive(),
+		urgency: z.number(),
+		timeoutMs: z.number(),
+		tableVersion,
+		once: once.optional(),
+	}),
+	z.object({type: z.literal('cancel'), ...call}),
+	z.object({type: z.literal('cancelled'), ...call, started: z.boolean()}),
+	z.object({type: z.literal('resume'), ...call, sequence}),
+	z.object({type: z.literal('acknowledge'), ...call, sequence}),
+	z.object({
+		type: z.literal('attach'),
+		...call,
+		key: z.string(),
+		owner: z.string(),
+	}),
+	z.object({
+		type: z.literal('head'),
+		...call,
+		sequence,
+		status: z.int(),
+		headers,
+		tableVersion,
+	}),
+	z.object({
+		type: z.literal('data'),
+		...call,
+		sequence,
+		chunk: bytes,
+	}),
+	z.object({type: z.literal('end'), ...call, sequence}),
+	z.object({
+		type: z.literal('broken'),
+		...call,
+		sequence,
+		reason: z.string(),
+	}),
+	z.object({
+		type: z.literal('refused'),
+		...call,
+		reason: z.enum(['leaving', 'full', 'late', 'cancelled', 'incarnation', 'expired', 'duplicate', 'unavailable', 'unknown-call']),
+		retryAfterMs: z.number().min(0),
+		record: recordState.optional(),
+	}),
+	z.object({type: z.literal('load'), load, tableVersion}),
+	z.object({type: z.literal('leaving'), leaving: z.boolean()}),
+	z.object({type: z.literal('stop')}),
+	z.object({type: z.literal('start')}),
+	z.object({
+		type: z.literal('heartbeat'),
+		id: z.string(),
+		incarnation: z.string(),
+		counter: z.int().min(0),
+		tableVersion,
+		changeId: z.string(),
+		peers: z.array(z.object({id: z.string(), incarnation: z.string(), counter: z.int().min(0)})),
+	}),
+	z.object({type: z.literal('table-wanted'), tableVersion, pages: z.array(z.string())}),
+	z.object({type: z.literal('table-offered'), head: z.string(), pages: z.array(z.object({hash: z.string(), text: z.string()}))}),
+	z.object({
+		type: z.literal('borrow'),
+		loan: z.int().min(0),
+		bucket: z.string(),
+		amount: z.number().min(0),
+	}),
+	z.object({
+		type: z.literal('lend'),
+		loan: z.int().min(0),
+		bucket: z.string(),
+		amount: z.number().min(0),
+		retryAfterMs: z.number().min(0),
+	}),
+	z.object({
+		type: z.literal('map-propose'),
+		...order,
+		step: z.int().min(0),
+		map: z.array(z.array(z.array(z.int()))),
+	}),
+	z.object({
+		type: z.literal('map-stage'),
+		...order,
+		map: z.array(z.array(z.array(z.int()))),
+	}),
+	z.object({type: z.literal('map-prepare'), ...order, step: z.int().min(0)}),
+	z.object({
+		type: z.literal('map-vote'),
+		...order,
+		rank: z.int().min(0),
+		phase: z.enum(['stage', 'prepare']),
+		accepted: z.boolean(),
+		step: z.int().min(0),
+	}),
+	z.object({type: z.literal('map-question'), ...order, rank: z.int().min(0)}),
+	z.object({
+		type: z.literal('map-decision'),
+		...order,
+		step: z.int().min(0),
+		decision: z.enum(['commit', 'abort', 'undecided']),
+	}),
+]);
+type LinkMessage = z.infer<typeof LinkMessage>;
+
+export {LinkMessage};
--- /dev/null
+++ b/src/link/link-protocol.ts
@@ -0,0 +1,2 @@
+/** Version of the messages on links; a peer with another one is turned away. */
+export const linkProtocol = 1;
--- /dev/null
+++ b/src/link/listen-link.ts
@@ -0,0 +1,64 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {type AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {createServer, type TLSSocket} from 'node:tls';
+import {LinkConnection} from './link-connection.js';
+import {type LinkListener} from './link-listener.js';
+import {type LinkMeter} from './link-meter.js';
+import {linkSecurity} from './link-security.js';
+
+type ListenOptions = {
+	readonly address: string;
+	readonly port: number;
+	readonly key: string;
+	readonly maximumFrameBytes: number;
+	readonly meter: LinkMeter;
+	readonly onConnection: (connection: LinkConnection) => void;
+	readonly onRejection: (reason: string) => void;
+};
+
+/** Listens for links; a peer without the key is turned away before it can send a message. */
+export async function listenLink(options: ListenOptions): Promise<LinkListener> {
+	const key = Buffer.from(options.key, 'hex');
+	const connections = new Set<LinkConnection>();
+	const server = createServer({
+		...linkSecurity.context,
+		pskCallback: (_socket: TLSSocket, identity: string) => identity === linkSecurity.identity ? key : null,
+	}, socket => {
+		const connection = new LinkConnection(socket, options.maximumFrameBytes, options.meter);
+		connections.add(connection);
+		connection.onClose(() => connections.delete(connection));
+		options.onConnection(connection);
+	});
+	server.on('tlsClientError', error => {
+		options.onRejection(error.message);
+	});
+	server.listen(options.port, options.address);
+	await once(server, 'listening');
+	return {
+		port: (server.address() as AddressInfo).port,
+		connections,
+		async drain(timeoutMs) {
+			server.close();
+			const closed = [...connections].map(async connection => new Promise<void>(resolve => {
+				connection.onClose(() => {
+					resolve();
+				});
+				connection.close();
+			}));
+			await Promise.race([Promise.all(closed), delay(timeoutMs, undefined, {ref: false})]);
+			for (const connection of connections) {
+				connection.destroy();
+			}
+		},
+		async close() {
+			server.close();
+			for (const connection of connections) {
+				connection.destroy();
+			}
+
+			await Promise.resolve();
+		},
+	};
+}
--- /dev/null
+++ b/src/link/persistent-link.ts
@@ -0,0 +1,76 @@
+import {type LinkConnection} from './link-connection.js';
+
+type PersistentLinkOptions = {
+	readonly connect: () => Promise<LinkConnection>;
+	/** Called for each connection that opened. */
+	readonly onOpen: (connection: LinkConnection) => void;
+	/** Called when the connection was lost or could not be opened. */
+	readonly onLost: (message: string) => void;
+	/** A number from 0 to 1 that spreads reconnects. */
+	readonly random: () => number;
+};
+
+const firstDelayMs = 50;
+const maximumDelayMs = 5000;
+
+/** A task that keeps one link open: connects, and connects again with growing, jittered delays until it is closed. */
+export class PersistentLink {
+	private connection: LinkConnection | undefined;
+	private delayMs = firstDelayMs;
+	private timer: NodeJS.Timeout | undefined;
+	private isClosed = false;
+
+	constructor(private readonly options: PersistentLinkOptions) {
+		void this.open();
+	}
+
+	/** The open connection, if there is one. */
+	get current(): LinkConnection | undefined {
+		return this.connection?.isOpen ? this.connection : undefined;
+	}
+
+	/** Ends the task and its connection. */
+	close(): void {
+		this.isClosed = true;
+		clearTimeout(this.timer);
+		this.connection?.close();
+	}
+
+	/** Cuts the connection at once; the task connects again. */
+	cut(): void {
+		this.connection?.destroy();
+	}
+
+	private async open(): Promise<void> {
+		try {
+			const connection = await this.options.connect();
+			if (this.isClosed) {
+				connection.destroy();
+				return;
+			}
+
+			this.connection = connection;
+			this.delayMs = firstDelayMs;
+			connection.onClose(error => {
+				this.lose(error?.message ?? 'closed by the peer');
+			});
+			this.options.onOpen(connection);
+		} catch (error) {
+			this.lose((error as Error).message);
+		}
+	}
+
+	private lose(message: string): void {
+		this.connection = undefined;
+		if (this.isClosed) {
+			return;
+		}
+
+		this.options.onLost(message);
+		const jitter = 0.5 + this.options.random();
+		this.timer = setTimeout(() => {
+			void this.open();
+		}, this.delayMs * jitter);
+		this.delayMs = Math.min(this.delayMs * 2, maximumDelayMs);
+	}
+}
--- /dev/null
+++ b/src/membership/peer-pool.ts
@@ -0,0 +1,84 @@
+import {type LinkConnection} from '../link/link-connection.js';
+import {type LinkMessage} from '../link/link-message.js';
+import {PersistentLink} from '../link/persistent-link.js';
+import {type Vm} from '../platform/vm.js';
+
+type PoolOptions = {
+	readonly connect: (vm: Vm) => Promise<LinkConnection>;
+	readonly hello: () => LinkMessage;
+	readonly onMessage: (message: LinkMessage, send: (message: LinkMessage) => boolean) => void;
+	readonly clock: () => number;
+	readonly random: () => number;
+};
+
+type PeerLink = {readonly link: PersistentLink; readonly vm: Vm; usedAt: number};
+
+/** A link that nobody used for this long is closed, milliseconds. */
+const idleMs = 60_000;
+
+/** The links to other entries, opened when first needed and closed when long unused. */
+export class PeerPool {
+	private readonly links = new Map<string, PeerLink>();
+
+	constructor(private readonly options: PoolOptions) {}
+
+	get size(): number {
+		return this.links.size;
+	}
+
+	/** Sends a message to an entry; false when there is no link yet, which is then being opened. */
+	send(vm: Vm, message: LinkMessage): boolean {
+		const known = this.links.get(vm.id);
+		const isMoved = known && (known.vm.address !== vm.address || known.vm.linkPort !== vm.linkPort);
+		if (isMoved) {
+			known.link.close();
+		}
+
+		const peer = known && !isMoved ? known : this.open(vm);
+		peer.usedAt = this.options.clock();
+		return peer.link.current?.send(message) ?? false;
+	}
+
+	/** Sends a message on every open link. */
+	broadcast(message: LinkMessage): void {
+		for (const {link} of this.links.values()) {
+			link.current?.send(message);
+		}
+	}
+
+	/** Closes links that were not used for long. */
+	tick(now: number): void {
+		for (const [id, {link, usedAt}] of this.links) {
+			if (now - usedAt > idleMs) {
+				link.close();
+				this.links.delete(id);
+			}
+		}
+	}
+
+	close(): void {
+		for (const {link} of this.links.values()) {
+			link.close();
+		}
+	}
+
+	private open(vm: Vm): PeerLink {
+		const peer: PeerLink = {
+			vm,
+			usedAt: 0,
+			link: new PersistentLink({
+				connect: async () => this.options.connect(vm),
+				random: this.options.random,
+				onLost: () => undefined,
+				onOpen: connection => {
+					connection.onMessage(message => {
+						this.options.onMessage(message, reply => connection.send(reply));
+					});
+					connection.send(this.options.hello());
+				},
+			}),
+		};
+		this.links.set(vm.id, peer);
+		return peer;
+	}
+}
--- /dev/null
+++ b/src/once/claim-store.ts
@@ -0,0 +1,74 @@
+import {createHash} from 'node:crypto';
+import {err, ok, type Result} from 'neverthrow';
+import {type KeyValue} from '../platform/key-value.js';
+import {PlatformError} from '../platform/platform-error.js';
+import {type Transaction} from '../platform/transaction.js';
+import {type ClaimLease} from './claim-lease.js';
+import {Claim} from './claim.js';
+import {type HeldClaim} from './held-claim.js';
+
+type NewClaim = Omit<Claim, 'at' | 'expiresAt'>;
+
+const tries = 3;
+
+/** The claims on idempotency keys in the key-value service. */
+export class ClaimStore {
+	/** The key under which a claim is kept. */
+	static getKey(service: string, organisation: string, key: string): string {
+		const name = createHash('sha256').update(key).digest('hex').slice(0, 32);
+		return `wardswitch/claims/${service}/${organisation}/${name}`;
+	}
+
+	constructor(private readonly keyValue: KeyValue, private readonly lease: ClaimLease) {}
+
+	async read(key: string): Promise<Result<HeldClaim | undefined, PlatformError>> {
+		const stored = await this.keyValue.get(key);
+		return stored.map(value => value && {claim: Claim.parse(JSON.parse(value.value)), revision: value.revision});
+	}
+
+	/**
+	 * Puts a claim if the key still has `revision` (0: absent).
+	 *
+	 * A lost answer is settled by reading back. Trying again is safe: each try has the same owner and the same
+	 * condition, so that at most one takes effect.
+	 *
+	 * @returns the claim now held: ours, or the one that came first
+	 */
+	async put(key: string, claim: NewClaim, revision: number, now: number): Promise<Result<HeldClaim, PlatformError>> {
+		const lease = await this.lease.get(now);
+		if (lease.isErr()) {
+			return err(lease.error);
+		}
+
+		const full: Claim = {...claim, at: now, expiresAt: lease.value.expiresAt};
+		let failure: PlatformError | undefined;
+		for (let attempt = 0; attempt < tries; attempt++) {
+			const written = await this.keyValue.commit({
+				conditions: [{key, revision}],
+				puts: [{key, value: JSON.stringify(full), lease: lease.value.lease}],
+			});
+			if (written.isOk() && written.value !== undefined) {
+				return ok({claim: full, revision: written.value});
+			}
+
+			const held = await this.read(key);
+			if (held.isOk() && held.value && held.value.revision !== revision) {
+				return ok(held.value);
+			}
+
+			failure = written.isErr() ? written.error : undefined;
+			if (failure?.written === 'no') {
+				break;
+			}
+		}
+
+		return err(failure ?? new PlatformError('claim: the key changed at each try', 'no'));
+	}
+
+	/** Gives a claim up that was never used; false when someone else has it, or that is not known. */
+	async release(key: string, revision: number): Promise<boolean> {
+		const transaction: Transaction = {conditions: [{key, revision}], puts: [], deletes: [key]};
+		const answer = await this.keyValue.commit(transaction);
+		return answer.isOk() && answer.value !== undefined;
+	}
+}
--- /dev/null
+++ b/src/platform/fetch-vm-list.ts
@@ -0,0 +1,33 @@
+import {err, ok, type Result} from 'neverthrow';
+import {request} from 'undici';
+import {z} from 'zod';
+import {PlatformError} from './platform-error.js';
+import {type VmList} from './vm-list.js';
+import {Vm} from './vm.js';
+
+const document = z.object({vms: z.array(Vm)});
+const notModified = 304;
+
+type FetchOptions = {
+	readonly url: string;
+	readonly timeoutMs: number;
+	/** The list as last read; it is given back when the platform says that nothing changed. */
+	readonly previous: VmList | undefined;
+};
+
+/** Reads the platform's list of live and leaving VMs over HTTP, with a conditional request. */
+export async function fetchVmList({url, timeoutMs, previous}: FetchOptions): Promise<Result<VmList, PlatformError>> {
+	try {
+		const headers = previous?.tag ? {'if-none-match': previous.tag} : {};
+		const answer = await request(url, {headers, headersTimeout: timeoutMs, bodyTimeout: timeoutMs});
+		if (answer.statusCode === notModified && previous) {
+			await answer.body.dump();
+			return ok(previous);
+		}
+
+		const {vms} = document.parse(await answer.body.json());
+		return ok({vms, tag: String(answer.headers.etag ?? '')});
+	} catch (error) {
+		return err(new PlatformError(`list of VMs: ${(error as Error).message}`, 'no'));
+	}
+}
--- /dev/null
+++ b/src/platform/vm.ts
@@ -0,0 +1,20 @@
+import {z} from 'zod';
+
+/** A VM of the platform's list, which lags behind what is live. */
+const Vm = z.object({
+	id: z.string(),
+	role: z.enum(['entry', 'target']),
+	availabilityZone: z.string(),
+	region: z.string().default('default'),
+	address: z.string(),
+	linkPort: z.int(),
+	adminPort: z.int().optional(),
+	state: z.enum(['live', 'leaving']),
+	service: z.string().optional(),
+	kind: z.enum(['model', 'plain']).optional(),
+	group: z.string().optional(),
+	rank: z.int().optional(),
+});
+type Vm = z.infer<typeof Vm>;
+
+export {Vm};
--- /dev/null
+++ b/src/requests/dispatcher.ts
@@ -0,0 +1,234 @@
+import {err, ok, type Result} from 'neverthrow';
+import {type TargetLink} from '../calls/target-link.js';
+import {type TargetPool} from '../calls/target-pool.js';
+import {type MessageOf} from '../link/message-of.js';
+import {type RunGuard} from '../once/run-guard.js';
+import {type RunPermit} from '../once/run-permit.js';
+import {type AttemptResult} from './attempt-result.js';
+import {type Exchange} from './exchange.js';
+import {followCall} from './follow-call.js';
+import {Problem} from './problem.js';
+import {type RetryBudget} from './retry-budget.js';
+
+type DispatcherOptions = {
+	readonly pool: TargetPool;
+	readonly budget: RetryBudget;
+	readonly maximumAttempts: number;
+	readonly clock: () => number;
+	readonly random: () => number;
+	readonly tableVersion: () => number;
+	readonly onRefusal: (reason: string) => void;
+	readonly onRetry: (isAllowed: boolean) => void;
+};
+
+type Join = Extract<RunPermit, {kind: 'join'}>;
+type Progress = {
+	attempt: number;
+	retryAfterMs: number;
+	reason: string;
+	readonly excluded: Set<string>;
+};
+
+const defaultRetryAfterMs = 1000;
+const forwardedHeaders = ['content-type', 'accept', 'accept-language', 'traceparent', 'tracestate', 'idempotency-key'];
+
+/** Sends requests to targets: one attempt, or more where that is safe and the budget allows it. */
+export class Dispatcher {
+	constructor(private readonly options: DispatcherOptions) {}
+
+	/** Runs a request to its end; the caller has had the answer, or the problem is returned. */
+	async run(exchange: Exchange, guard: RunGuard): Promise<Result<void, Problem>> {
+		const progress: Progress = {
+			attempt: 0, retryAfterMs: 0, reason: 'no target is ready', excluded: new Set(),
+		};
+		this.options.budget.earn();
+		while (progress.attempt < this.options.maximumAttempts) {
+			const link = this.choose(exchange, guard, progress);
+			if (!link) {
+				break;
+			}
+
+			const ended = await this.tryOnce(exchange, guard, link, progress);
+			if (ended) {
+				return ended;
+			}
+		}
+
+		return this.giveUp(exchange, guard, progress);
+	}
+
+	private choose(exchange: Exchange, guard: RunGuard, progress: Progress): TargetLink | undefined {
+		if (guard.target !== undefined) {
+			const link = this.options.pool.get(guard.target);
+			return link?.isReady && !progress.excluded.has(guard.target) ? link : undefined;
+		}
+
+		const now = this.options.clock();
+		return this.options.pool.choose({
+			service: exchange.service,
+			prefixHash: exchange.prefixHash,
+			random: this.options.random,
+			excluded: progress.excluded,
+			now,
+		});
+	}
+
+	/* Gives the end of the request, or undefined when another target may be tried. */
+	private async tryOnce(exchange: Exchange, guard: RunGuard, link: TargetLink, progress: Progress): Promise<Result<void, Problem> | undefined> {
+		const permit = await guard.admit(link);
+		if (permit.isErr()) {
+			return err(permit.error);
+		}
+
+		progress.attempt++;
+		if (permit.value.kind === 'join') {
+			return this.join(exchange, guard, permit.value, progress.attempt);
+		}
+
+		const timeoutMs = exchange.deadline - this.options.clock();
+		if (timeoutMs <= 0) {
+			progress.reason = 'late';
+			progress.attempt = this.options.maximumAttempts;
+			return undefined;
+		}
+
+		const {once} = permit.value;
+		exchange.note(`attempt ${progress.attempt} at ${link.vm.id}`);
+		const call = link.request(this.makeRequest(exchange, progress.attempt, timeoutMs, once));
+		const result = await followCall(call, {
+			link, exchange, timeoutMs, mayCancel: once === undefined,
+		});
+		return this.judge(result, exchange, guard, link, progress);
+	}
+
+	private judge(result: AttemptResult, exchange: Exchange, guard: RunGuard, link: TargetLink, progress: Progress): Result<void, Problem> | undefined {
+		const now = this.options.clock();
+		const {id} = link.vm;
+		if (result.kind === 'answered') {
+			this.options.pool.noteResult(id, result.isWhole || exchange.departure.signal.aborted, now);
+			exchange.note(result.isWhole ? `answered whole by ${id}` : `answer of ${id} broke off`);
+			return ok();
+		}
+
+		exchange.note(`${id}: ${result.kind}, ${result.reason}`);
+		progress.reason = result.reason;
+		if (result.kind === 'not-run') {
+			this.noteRefusal(result, guard, id, progress);
+			return undefined;
+		}
+
+		const isOwnDoing = exchange.departure.signal.aborted || now >= exchange.deadline;
+		this.options.pool.noteResult(id, isOwnDoing, now);
+		if (isOwnDoing || !guard.isRepeatable) {
+			return err(makeUnknownProblem(result.reason, now >= exchange.deadline, guard));
+		}
+
+		const isAllowed = this.options.budget.spend();
+		this.options.onRetry(isAllowed);
+		progress.excluded.add(id);
+		return isAllowed ? undefined : err(makeUnknownProblem(`${result.reason}; the budget of retries is spent`, false, guard));
+	}
+
+	private noteRefusal(result: Extract<AttemptResult, {kind: 'not-run'}>, guard: RunGuard, id: string, progress: Progress): void {
+		this.options.onRefusal(result.reason);
+		progress.retryAfterMs = Math.max(progress.retryAfterMs, result.retryAfterMs);
+		const isTargetFault = result.reason === 'unavailable' || result.reason === 'unsent';
+		this.options.pool.noteResult(id, !isTargetFault, this.options.clock());
+		if (result.reason === 'cancelled' || result.reason === 'duplicate') {
+			guard.doubt();
+		} else {
+			progress.excluded.add(id);
+		}
+	}
+
+	/* A copy of this request came first: its answer is ours too, if its target process still has it. */
+	private async join(exchange: Exchange, guard: RunGuard, first: Join, attempt: number): Promise<Result<void, Problem> | undefined> {
+		exchange.note(`joins request ${first.owner} at ${first.target}`);
+		const link = this.options.pool.get(first.target);
+		if (!link?.isReady || link.incarnation !== first.incarnation) {
+			return err(makeUsedProblem('the target process that has it cannot be reached, or was replaced', 'unknown'));
+		}
+
+		const timeoutMs = Math.max(0, exchange.deadline - this.options.clock());
+		exchange.response.setHeader('wardswitch-replayed', 'true');
+		const call = link.request({
+			type: 'attach', id: exchange.id, attempt, key: first.key, owner: first.owner,
+		});
+		const result = await followCall(call, {
+			link, exchange, timeoutMs, mayCancel: false,
+		});
+		exchange.note(`${first.target}: ${result.kind}`);
+		if (result.kind === 'answered') {
+			return ok();
+		}
+
+		exchange.response.removeHeader('wardswitch-replayed');
+		if (result.kind === 'not-run' && result.reason === 'unknown-call') {
+			guard.adopt();
+			return undefined;
+		}
+
+		return result.kind === 'not-run' && result.reason === 'duplicate'
+			? err(makeUsedProblem('it ran, and its answer is no longer kept', 'used'))
+			: err(makeUsedProblem(result.reason, 'unknown'));
+	}
+
+	private async giveUp(exchange: Exchange, guard: RunGuard, progress: Progress): Promise<Result<void, Problem>> {
+		const keyState = await guard.abandon();
+		const isLate = progress.reason === 'late' || progress.reason === 'expired';
+		return err(new Problem({
+			status: isLate ? 504 : 503,
+			title: isLate ? 'Too late to run' : 'No target takes the request',
+			detail: `no target of ${exchange.service} ran the request; the last reason was: ${progress.reason}`,
+			outcome: 'not-run',
+			retryAfterMs: Math.max(progress.retryAfterMs, defaultRetryAfterMs),
+			keyState,
+		}));
+	}
+
+	private makeRequest(exchange: Exchange, attempt: number, timeoutMs: number, once: MessageOf<'request'>['once']): MessageOf<'request'> {
+		const headers: Record<string, string> = {};
+		for (const name of forwardedHeaders) {
+			const value = exchange.headers[name];
+			if (value !== undefined) {
+				headers[name] = String(value);
+			}
+		}
+
+		return {
+			type: 'request',
+			id: exchange.id,
+			attempt,
+			method: exchange.method,
+			path: exchange.path,
+			headers,
+			body: exchange.body,
+			organisation: exchange.organisation,
+			weight: exchange.row?.weight ?? 1,
+			urgency: exchange.urgency,
+			timeoutMs,
+			tableVersion: this.options.tableVersion(),
+			...(once && {once}),
+		};
+	}
+}
+
+function makeUnknownProblem(reason: string, isLate: boolean, guard: RunGuard): Problem {
+	return new Problem({
+		status: isLate ? 504 : 502,
+		title: 'Not known whether the request ran',
+		detail: reason,
+		outcome: 'unknown',
+		keyState: guard.isRepeatable ? undefined : 'used',
+	});
+}
+
+function makeUsedProblem(detail: string, keyState: 'used' | 'unknown'): Problem {
+	return new Problem({
+		status: 409,
+		title: 'A request with this key came first',
+		detail,
+		outcome: 'unknown',
+		keyState,
+	});
+}
--- /dev/null
+++ b/src/requests/exchange.ts
@@ -0,0 +1,56 @@
+import {type IncomingHttpHeaders, type ServerResponse} from 'node:http';
+import {type Span} from '@opentelemetry/api';
+import {type Row} from '../table/row.js';
+
+type Origin = Pick<Exchange, 'id' | 'method' | 'url' | 'headers' | 'response' | 'arrivedAt' | 'span'>;
+
+/** One request of a caller on its way through the filters; each filter fills in what it finds. */
+export class Exchange {
+	organisation = '';
+	service = '';
+	kind: 'model' | 'plain' = 'plain';
+	/** Path and query for the engine or service. */
+	path = '';
+	body: Uint8Array<ArrayBuffer> = new Uint8Array();
+	row: Row | undefined;
+	/** Moment by which the answer must have come, milliseconds since the epoch. */
+	deadline = 0;
+	urgency = 3;
+	/** Whether sending it again after a failure is safe. */
+	isRepeatable = true;
+	/** Set when the request must run at most once. */
+	key: string | undefined;
+	ticket: string | undefined;
+	/** Hash of the prompt's beginning. */
+	prefixHash: number | undefined;
+	/** Estimate of the tokens that the request will cost. */
+	tokens = 0;
+	/** Whether the caller has gone away. */
+	readonly departure = new AbortController();
+	/** What was decided and why, for `explain`. */
+	readonly trail: string[] = [];
+
+	readonly id: string;
+	readonly method: string;
+	readonly url: string;
+	readonly headers: IncomingHttpHeaders;
+	readonly response: ServerResponse;
+	/** Milliseconds since the epoch. */
+	readonly arrivedAt: number;
+	readonly span: Span;
+
+	constructor(origin: Origin) {
+		this.id = origin.id;
+		this.method = origin.method;
+		this.url = origin.url;
+		this.headers = origin.headers;
+		this.response = origin.response;
+		this.arrivedAt = origin.arrivedAt;
+		this.span = origin.span;
+	}
+
+	/** Notes a decision for `explain`. */
+	note(decision: string): void {
+		this.trail.push(decision);
+	}
+}
--- /dev/null
+++ b/src/requests/filters/make-limit-filter.ts
@@ -0,0 +1,48 @@
+import {err} from 'neverthrow';
+import {type LimitController} from '../../limits/limit-controller.js';
+import {type LimitDemand} from '../../limits/limit-demand.js';
+import {type Exchange} from '../exchange.js';
+import {type Filter} from '../filter.js';
+import {Problem} from '../problem.js';
+
+/** Holds an organisation to the limits of its row. */
+export function makeLimitFilter(limits: LimitController): Filter {
+	return async (exchange, next) => {
+		const demands = listDemands(exchange);
+		if (demands.length === 0) {
+			return next();
+		}
+
+		const held = await limits.acquire(demands);
+		if (held.isErr()) {
+			exchange.note(held.error.message);
+			return err(new Problem({
+				status: 429,
+				title: 'Limit reached',
+				detail: `${held.error.message} of ${exchange.organisation} at ${exchange.service}`,
+				outcome: 'not-run',
+				retryAfterMs: held.error.retryAfterMs,
+			}));
+		}
+
+		try {
+			return await next();
+		} finally {
+			held.value();
+		}
+	};
+}
+
+function listDemands({row, service, organisation, tokens}: Exchange): LimitDemand[] {
+	const amounts = {requestsPerSecond: 1, concurrency: 1, tokensPerSecond: tokens} as const;
+	const kinds = ['requestsPerSecond', 'tokensPerSecond', 'concurrency'] as const;
+	return kinds.flatMap(kind => {
+		const value = row?.[kind];
+		const isAsked = value !== undefined && amounts[kind] > 0;
+		return isAsked
+			? [{
+				name: `${kind}/${service}/${organisation}`, kind, value, amount: amounts[kind],
+			}]
+			: [];
+	});
+}
--- /dev/null
+++ b/src/requests/filters/make-terms-filter.ts
@@ -0,0 +1,65 @@
+import {err} from 'neverthrow';
+import {type Exchange} from '../exchange.js';
+import {type Filter} from '../filter.js';
+import {Problem} from '../problem.js';
+
+/* RFC 9218: the member u of the dictionary, 0 to 7. */
+const urgencyMember = /(?:^|,)\s*u=(?<urgency>[0-7])\s*(?:[,;]|$)/v;
+const safeMethods = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']);
+const maximumKeyLength = 255;
+
+/** Reads what the caller says of deadline, priority and repetition. */
+export function makeTermsFilter(defaultTimeoutMs: number): Filter {
+	return async (exchange, next) => {
+		const problem = readTimeout(exchange, defaultTimeoutMs) ?? readRepetition(exchange);
+		if (problem) {
+			return err(problem);
+		}
+
+		const urgency = urgencyMember.exec(String(exchange.headers.priority ?? ''))?.groups?.urgency;
+		const usual = exchange.row?.urgency ?? exchange.urgency;
+		// A caller may make its own request wait, not overtake what its row grants.
+		exchange.urgency = urgency === undefined ? usual : Math.max(usual, Number(urgency));
+		return next();
+	};
+}
+
+function readTimeout(exchange: Exchange, defaultTimeoutMs: number): Problem | undefined {
+	const text = exchange.headers['wardswitch-timeout'];
+	const seconds = text === undefined ? defaultTimeoutMs / 1000 : Number(text);
+	if (!(seconds > 0)) {
+		return makeBadRequest(`Wardswitch-Timeout: expected a number of seconds above 0, not "${String(text)}"`);
+	}
+
+	exchange.deadline = exchange.arrivedAt + (seconds * 1000);
+	return undefined;
+}
+
+function readRepetition(exchange: Exchange): Problem | undefined {
+	const word = exchange.headers['wardswitch-repeatable'];
+	if (word !== undefined && word !== 'yes' && word !== 'no') {
+		return makeBadRequest(`Wardswitch-Repeatable: expected "yes" or "no", not "${String(word)}"`);
+	}
+
+	const key = exchange.headers['idempotency-key'];
+	const ticket = exchange.headers['wardswitch-ticket'];
+	if (key !== undefined && (String(key).length === 0 || String(key).length > maximumKeyLength)) {
+		return makeBadRequest(`Idempotency-Key: expected 1 to ${maximumKeyLength} characters`);
+	}
+
+	if (word === 'no' && key === undefined && ticket === undefined) {
+		return makeBadRequest('Idempotency-Key: expected with "Wardswitch-Repeatable: no"');
+	}
+
+	const isUsuallyRepeatable = exchange.kind === 'model' || safeMethods.has(exchange.method);
+	exchange.key = word === 'yes' || key === undefined ? undefined : String(key);
+	exchange.ticket = word === 'yes' || ticket === undefined ? undefined : String(ticket);
+	exchange.isRepeatable = word === undefined ? isUsuallyRepeatable : word === 'yes';
+	return undefined;
+}
+
+function makeBadRequest(detail: string): Problem {
+	return new Problem({
+		status: 400, title: 'Bad request', detail, outcome: 'not-run',
+	});
+}
--- /dev/null
+++ b/src/requests/follow-call.ts
@@ -0,0 +1,81 @@
+import {type Call} from '../calls/call.js';
+import {type TargetLink} from '../calls/target-link.js';
+import {type AttemptResult} from './attempt-result.js';
+import {type Exchange} from './exchange.js';
+import {relayAnswer} from './relay-answer.js';
+
+/** Longest wait for a target's word on a call that was given up, milliseconds. */
+const cancelMs = 250;
+
+type FollowOptions = {
+	readonly link: TargetLink;
+	readonly exchange: Exchange;
+	/** Milliseconds until the deadline. */
+	readonly timeoutMs: number;
+	/** Whether giving up may end the run; a run that others may still ask for goes on. */
+	readonly mayCancel: boolean;
+};
+
+/** Follows one call to its end, and relays its answer to the caller. */
+export async function followCall(call: Call, options: FollowOptions): Promise<AttemptResult> {
+	const {link, exchange, timeoutMs, mayCancel} = options;
+	let graceTimer: NodeJS.Timeout | undefined;
+	const giveUp = (reason: string): void => {
+		if (mayCancel) {
+			link.cancel(call);
+		}
+
+		graceTimer ??= setTimeout(() => {
+			call.settle({type: 'lost', reason});
+		}, cancelMs);
+	};
+
+	const deadlineTimer = setTimeout(() => {
+		giveUp('the deadline passed');
+	}, timeoutMs);
+	const leave = (): void => {
+		giveUp('the caller left');
+	};
+
+	exchange.departure.signal.addEventListener('abort', leave, {once: true});
+	try {
+		return await readResult(call, exchange);
+	} finally {
+		clearTimeout(deadlineTimer);
+		clearTimeout(graceTimer);
+		exchange.departure.signal.removeEventListener('abort', leave);
+		link.release(call);
+	}
+}
+
+async function readResult(call: Call, exchange: Exchange): Promise<AttemptResult> {
+	const event = await call.take();
+	switch (event.type) {
+		case 'head': {
+			return {kind: 'answered', isWhole: await relayAnswer(event, call, exchange.response)};
+		}
+
+		case 'refused': {
+			return {kind: 'not-run', reason: event.reason, retryAfterMs: event.retryAfterMs};
+		}
+
+		case 'unsent': {
+			return {kind: 'not-run', reason: 'unsent', retryAfterMs: 0};
+		}
+
+		case 'cancelled': {
+			return event.started
+				? {kind: 'lost', reason: 'the deadline passed'}
+				: {kind: 'not-run', reason: 'late', retryAfterMs: 0};
+		}
+
+		case 'lost':
+		case 'broken': {
+			return {kind: 'lost', reason: event.reason};
+		}
+
+		default: {
+			return {kind: 'lost', reason: `the target answered out of order with ${event.type}`};
+		}
+	}
+}
--- /dev/null
+++ b/src/requests/run-filters.ts
@@ -0,0 +1,13 @@
+import {ok, type Result} from 'neverthrow';
+import {type Exchange} from './exchange.js';
+import {type Filter} from './filter.js';
+import {type Problem} from './problem.js';
+
+/** Runs the chain of filters, each around the next. */
+export async function runFilters(filters: readonly Filter[], exchange: Exchange, index = 0): Promise<Result<void, Problem>> {
+	if (index === filters.length) {
+		return ok();
+	}
+
+	return filters[index](exchange, async () => runFilters(filters, exchange, index + 1));
+}
--- /dev/null
+++ b/src/routing/pick-subset.ts
@@ -0,0 +1,30 @@
+import {type Vm} from '../platform/vm.js';
+import {rankByRendezvous} from './rank-by-rendezvous.js';
+
+type SubsetOptions = {
+	/** The entry that picks. */
+	readonly entry: string;
+	readonly availabilityZone: string;
+	/** Targets to pick for a service. */
+	readonly size: number;
+};
+
+/** Share of the subset that lies in other zones when the own zone has enough. */
+const remoteShare = 0.25;
+
+/**
+ * Picks the targets of one service that an entry keeps links to: the own zone's first, and some of other zones for
+ * the case that the own zone is full or gone. Entries pick differently, so that every target is in many subsets.
+ */
+export function pickSubset(vms: readonly Vm[], options: SubsetOptions): Vm[] {
+	if (vms.length <= options.size) {
+		return [...vms];
+	}
+
+	const byId = new Map(vms.map(vm => [vm.id, vm]));
+	const ranked = rankByRendezvous(options.entry, [...byId.keys()]).map(id => byId.get(id)!);
+	const local = ranked.filter(vm => vm.availabilityZone === options.availabilityZone);
+	const remote = ranked.filter(vm => vm.availabilityZone !== options.availabilityZone);
+	const localCount = Math.min(local.length, Math.max(options.size - remote.length, Math.ceil(options.size * (1 - remoteShare))));
+	return [...local.slice(0, localCount), ...remote.slice(0, options.size - localCount)];
+}
--- /dev/null
+++ b/src/routing/rank-by-rendezvous.ts
@@ -0,0 +1,14 @@
+import {hashText} from './hash-text.js';
+import {mixHashes} from './mix-hashes.js';
+
+/**
+ * Orders names by rendezvous hashing: every process that knows the same names gets the same order for a key, and a
+ * name that comes or goes moves no other.
+ */
+export function rankByRendezvous(key: string, names: readonly string[]): string[] {
+	const keyHash = hashText(key);
+	return names
+		.map(name => ({name, score: mixHashes(keyHash, hashText(name))}))
+		.toSorted((one, other) => other.score - one.score || (one.name < other.name ? -1 : 1))
+		.map(({name}) => name);
+}
--- /dev/null
+++ b/src/table/apply-table.ts
@@ -0,0 +1,151 @@
+import {err, ok, type Result} from 'neverthrow';
+import {type KeyValue} from '../platform/key-value.js';
+import {encodePages} from './encode-pages.js';
+import {fetchTable} from './fetch-table.js';
+import {mergeTables} from './merge-tables.js';
+import {type ParsedTable} from './parsed-table.js';
+import {readTable} from './read-table.js';
+import {type Row} from './row.js';
+import {type StoredTable} from './stored-table.js';
+import {TableError} from './table-error.js';
+import {type TableHead} from './table-head.js';
+import {tableKeys} from './table-keys.js';
+
+type Change = {
+	/** Names the change, so that a lost answer can be settled. */
+	readonly changeId: string;
+	readonly operator: string;
+	/** The present, milliseconds since the epoch. */
+	readonly now: number;
+	/** Highest version that any process was seen to have in force; an older platform is not written to. */
+	readonly knownVersion: number;
+};
+
+const recentChanges = 64;
+const attempts = 5;
+/** Pages written in one transaction; at 64 KB each it stays under the service's megabyte. */
+const pagesPerWrite = 8;
+
+const fetchBase = async (keyValue: KeyValue, basedOn: number, stored: StoredTable): Promise<Result<Row[], TableError>> => {
+	if (basedOn === 0 || !stored.snapshot) {
+		return ok([]);
+	}
+
+	if (basedOn === stored.snapshot.version) {
+		return ok(stored.snapshot.rows);
+	}
+
+	const head = await keyValue.get(tableKeys.history(basedOn));
+	if (head.isErr()) {
+		return err(new TableError('unavailable', head.error.message));
+	}
+
+	if (!head.value) {
+		return err(new TableError('stale', `version ${basedOn} is no longer kept; export the table again and repeat the edit`));
+	}
+
+	const base = await readTable(keyValue, head.value.value, stored.snapshot.pages);
+	return base.map(({rows}) => rows);
+};
+
+const writePages = async (keyValue: KeyValue, rows: readonly Row[], stored: StoredTable): Promise<Result<string[], TableError>> => {
+	const pages = encodePages(rows);
+	const missing = pages.filter(({hash}) => !stored.snapshot?.pages.has(hash));
+	for (let start = 0; start < missing.length; start += pagesPerWrite) {
+		const puts = missing.slice(start, start + pagesPerWrite).map(({hash, text}) => ({key: tableKeys.page(hash), value: text}));
+		const answer = await keyValue.commit({conditions: [], puts});
+		if (answer.isErr()) {
+			// Pages alone change nothing: no head names them yet.
+			return err(new TableError('unavailable', answer.error.message));
+		}
+	}
+
+	return ok(pages.map(({hash}) => hash));
+};
+
+const makeHead = (stored: StoredTable, pages: string[], change: Change): TableHead => {
+	const version = (stored.snapshot?.version ?? 0) + 1;
+	const earlier = stored.snapshot?.head.recent ?? [];
+	return {
+		version,
+		changeId: change.changeId,
+		recent: [{changeId: change.changeId, version}, ...earlier].slice(0, recentChanges),
+		at: change.now,
+		operator: change.operator,
+		pages,
+	};
+};
+
+const findAccepted = (stored: StoredTable, changeId: string): number | undefined =>
+	stored.snapshot?.head.recent.find(recent => recent.changeId === changeId)?.version;
+
+/**
+ * Applies an edited table: merges it with the present one and swaps the head, once.
+ *
+ * A write whose answer was lost is settled by reading the head back. Trying again is safe, since every try swaps
+ * the same head revision and names the same change: at most one takes effect.
+ *
+ * @returns the version in which the change is in force
+ */
+export async function applyTable(keyValue: KeyValue, edited: ParsedTable, change: Change): Promise<Result<number, TableError>> {
+	let mayBeWritten = false;
+	for (let attempt = 0; attempt < attempts; attempt++) {
+		const stored = await fetchTable(keyValue);
+		if (stored.isErr()) {
+			if (mayBeWritten && attempt < attempts - 1) {
+				continue;
+			}
+
+			return err(mayBeWritten ? new TableError('unknown', stored.error.message) : stored.error);
+		}
+
+		const accepted = findAccepted(stored.value, change.changeId);
+		if (accepted !== undefined) {
+			return ok(accepted);
+		}
+
+		const version = stored.value.snapshot?.version ?? 0;
+		if (version < change.knownVersion) {
+			return err(new TableError('stale', `the platform holds version ${version}, but version ${change.knownVersion} is in force; see "table restore"`));
+		}
+
+		const result = await swapHead(keyValue, edited, stored.value, change);
+		if (result.isErr() && (result.error.kind === 'unknown' || (mayBeWritten && result.error.kind === 'unavailable'))) {
+			mayBeWritten = true;
+		} else if (result.isErr() || result.value !== undefined) {
+			return result as Result<number, TableError>;
+		}
+	}
+
+	return err(new TableError(mayBeWritten ? 'unknown' : 'unavailable', 'gave up; other changes or failures came first each time'));
+}
+
+/* Gives the new version, or undefined when another change came first. */
+async function swapHead(keyValue: KeyValue, edited: ParsedTable, stored: StoredTable, change: Change): Promise<Result<number | undefined, TableError>> {
+	const base = await fetchBase(keyValue, edited.basedOn, stored);
+	if (base.isErr()) {
+		return err(base.error);
+	}
+
+	const merged = mergeTables(base.value, edited.rows, stored.snapshot?.rows ?? []);
+	if (merged.isErr()) {
+		return err(new TableError('conflict', 'rows were changed by someone else since the export', merged.error));
+	}
+
+	const pages = await writePages(keyValue, merged.value, stored);
+	if (pages.isErr()) {
+		return err(pages.error);
+	}
+
+	const head = makeHead(stored, pages.value, change);
+	const text = JSON.stringify(head);
+	const answer = await keyValue.commit({
+		conditions: [{key: tableKeys.head, revision: stored.revision}],
+		puts: [{key: tableKeys.head, value: text}, {key: tableKeys.history(head.version), value: text}],
+	});
+	if (answer.isErr()) {
+		return err(new TableError(answer.error.written === 'no' ? 'unavailable' : 'unknown', answer.error.message));
+	}
+
+	return ok(answer.value === undefined ? undefined : head.version);
+}
--- /dev/null
+++ b/src/table/encode-pages.ts
@@ -0,0 +1,30 @@
+import {createHash} from 'node:crypto';
+import {getRowKey} from './get-row-key.js';
+import {type Row} from './row.js';
+import {type TablePage} from './table-page.js';
+
+/** Rows that a page has on average, at most; a page is then about 64 KB. */
+const rowsPerPage = 256;
+const hashDigits = 32;
+
+const hashText = (text: string): string => createHash('sha256').update(text).digest('hex').slice(0, hashDigits);
+
+/**
+ * Cuts a table into pages. A row's page depends on its key only, so that changing a row changes one page.
+ *
+ * @returns a power of two of pages, in the order of the head
+ */
+export function encodePages(rows: readonly Row[]): TablePage[] {
+	const count = 2 ** Math.max(0, Math.ceil(Math.log2(rows.length / rowsPerPage)));
+	const buckets: Array<Array<{key: string; row: Row}>> = Array.from({length: count}, () => []);
+	for (const row of rows) {
+		const key = getRowKey(row);
+		buckets[Number.parseInt(hashText(key).slice(0, 8), 16) % count].push({key, row});
+	}
+
+	return buckets.map(bucket => {
+		const sorted = bucket.toSorted((one, other) => one.key < other.key ? -1 : 1);
+		const text = JSON.stringify(sorted.map(({row}) => row));
+		return {hash: hashText(text), text};
+	});
+}
--- /dev/null
+++ b/src/table/fetch-table.ts
@@ -0,0 +1,23 @@
+import {err, ok, type Result} from 'neverthrow';
+import {type KeyValue} from '../platform/key-value.js';
+import {readTable} from './read-table.js';
+import {type StoredTable} from './stored-table.js';
+import {TableError} from './table-error.js';
+import {tableKeys} from './table-keys.js';
+import {type TablePage} from './table-page.js';
+
+/** Reads the table that the platform holds now. */
+export async function fetchTable(keyValue: KeyValue, known: ReadonlyMap<string, TablePage> = new Map()): Promise<Result<StoredTable, TableError>> {
+	const head = await keyValue.get(tableKeys.head);
+	if (head.isErr()) {
+		return err(new TableError('unavailable', head.error.message));
+	}
+
+	if (!head.value) {
+		return ok({revision: 0, snapshot: undefined});
+	}
+
+	const {revision, value} = head.value;
+	const snapshot = await readTable(keyValue, value, known);
+	return snapshot.map(table => ({revision, snapshot: table}));
+}
--- /dev/null
+++ b/src/table/format-table.ts
@@ -0,0 +1,13 @@
+import {stringify} from 'csv-stringify/sync';
+import {getRowKey} from './get-row-key.js';
+import {type Row} from './row.js';
+import {tableColumns} from './table-columns.js';
+
+const formatCell = (value: Row[keyof Row]): string => Array.isArray(value) ? value.join(' ') : String(value ?? '');
+
+/** Writes rows as CSV that opens in a spreadsheet; `version` goes into the column `based_on`. */
+export function formatTable(rows: readonly Row[], version: number): string {
+	const sorted = rows.toSorted((one, other) => getRowKey(one) < getRowKey(other) ? -1 : 1);
+	const records = sorted.map(row => [...tableColumns.map(({field}) => formatCell(row[field])), String(version)]);
+	return stringify([[...tableColumns.map(({heading}) => heading), 'based_on'], ...records]);
+}
--- /dev/null
+++ b/src/table/read-table.ts
@@ -0,0 +1,42 @@
+import {err, ok, type Result} from 'neverthrow';
+import {type KeyValue} from '../platform/key-value.js';
+import {TableError} from './table-error.js';
+import {TableHead} from './table-head.js';
+import {tableKeys} from './table-keys.js';
+import {type TablePage} from './table-page.js';
+import {TableSnapshot} from './table-snapshot.js';
+
+/**
+ * Reads the pages that a head names and builds the snapshot.
+ *
+ * @param headText - the head as stored
+ * @param known - pages already at hand, which are not read again
+ */
+export async function readTable(keyValue: KeyValue, headText: string, known: ReadonlyMap<string, TablePage>): Promise<Result<TableSnapshot, TableError>> {
+	const head = TableHead.safeParse(JSON.parse(headText));
+	if (!head.success) {
+		return err(new TableError('damaged', `the stored head is not a table head: ${head.error.message}`));
+	}
+
+	const pages = new Map<string, TablePage>();
+	for (const hash of head.data.pages) {
+		const page = known.get(hash);
+		if (page) {
+			pages.set(hash, page);
+			continue;
+		}
+
+		const answer = await keyValue.get(tableKeys.page(hash));
+		if (answer.isErr()) {
+			return err(new TableError('unavailable', answer.error.message));
+		}
+
+		if (!answer.value) {
+			return err(new TableError('damaged', `page ${hash} of version ${head.data.version} is missing`));
+		}
+
+		pages.set(hash, {hash, text: answer.value.value});
+	}
+
+	return ok(new TableSnapshot(head.data, pages));
+}
--- /dev/null
+++ b/src/table/table-keys.ts
@@ -0,0 +1,7 @@
+/** Keys of the table in the key-value service. */
+export const tableKeys = {
+	head: 'wardswitch/table/head',
+	page: (hash: string): string => `wardswitch/table/pages/${hash}`,
+	history: (version: number): string => `wardswitch/table/history/${String(version).padStart(10, '0')}`,
+	historyPrefix: 'wardswitch/table/history/',
+} as const;
--- /dev/null
+++ b/src/table/table-snapshot.ts
@@ -0,0 +1,69 @@
+import {getRowKey} from './get-row-key.js';
+import {Row} from './row.js';
+import {type TableHead} from './table-head.js';
+import {type TablePage} from './table-page.js';
+
+const anyName = '*';
+
+/** One version of the table, ready for look-ups. */
+export class TableSnapshot {
+	private readonly rowByKey = new Map<string, Row>();
+	private readonly organisationByToken = new Map<string, string>();
+
+	/**
+	 * @param head - what names the version
+	 * @param pages - every page that the head names
+	 */
+	constructor(readonly head: TableHead, readonly pages: ReadonlyMap<string, TablePage>) {
+		for (const hash of head.pages) {
+			for (const row of Row.array().parse(JSON.parse(pages.get(hash)!.text))) {
+				this.addRow(row);
+			}
+		}
+	}
+
+	get version(): number {
+		return this.head.version;
+	}
+
+	get rows(): Row[] {
+		return [...this.rowByKey.values()];
+	}
+
+	/** The organisation that owns a bearer token, by the token's SHA-256. */
+	findOrganisation(tokenHash: string): string | undefined {
+		return this.organisationByToken.get(tokenHash);
+	}
+
+	/**
+	 * The most specific row: the one that names most of the three; among equals the service counts first, then the
+	 * organisation. No cell is taken from a less specific row.
+	 */
+	findRow(service: string, organisation: string, group: string): Row | undefined {
+		const names = [
+			[service, organisation, group],
+			[service, organisation, anyName],
+			[service, anyName, group],
+			[anyName, organisation, group],
+			[service, anyName, anyName],
+			[anyName, organisation, anyName],
+			[anyName, anyName, group],
+			[anyName, anyName, anyName],
+		];
+		for (const name of names) {
+			const row = this.rowByKey.get(name.join('/'));
+			if (row) {
+				return row;
+			}
+		}
+
+		return undefined;
+	}
+
+	private addRow(row: Row): void {
+		this.rowByKey.set(getRowKey(row), row);
+		for (const hash of row.tokenHashes) {
+			this.organisationByToken.set(hash, row.organisation);
+		}
+	}
+}
--- /dev/null
+++ b/src/target/answer-buffer.ts
@@ -0,0 +1,83 @@
+import {type AnswerPart} from './answer-part.js';
+
+type NumberedPart = {readonly sequence: number; readonly part: AnswerPart; readonly bytes: number};
+
+/** Bytes that a part counts beside its chunk. */
+const partOverheadBytes = 64;
+
+/**
+ * The parts of one answer from the first that its reader has not acknowledged.
+ *
+ * While the whole answer fits it is kept from the start, so that a second caller with the same key can have it.
+ */
+export class AnswerBuffer {
+	private parts: NumberedPart[] = [];
+	private keptBytes = 0;
+	private unreadBytes = 0;
+	private nextSequence = 0;
+	private acknowledged = 0;
+
+	/**
+	 * @param maximumBytes - kept bytes above which acknowledged parts are dropped and the engine is made to wait
+	 * @param keepsWhole - whether acknowledged parts stay while there is room
+	 */
+	constructor(private readonly maximumBytes: number, private readonly keepsWhole: boolean) {}
+
+	/** Whether the answer has ended, wholly or broken. */
+	get isEnded(): boolean {
+		const last = this.parts.at(-1)?.part.type;
+		return last === 'end' || last === 'broken';
+	}
+
+	/** Whether more parts may be added now; false asks the engine to wait for the reader. */
+	get hasRoom(): boolean {
+		return this.unreadBytes < this.maximumBytes;
+	}
+
+	/** Whether the reader has acknowledged every part so far. */
+	get isRead(): boolean {
+		return this.acknowledged === this.nextSequence;
+	}
+
+	/** Adds a part and gives its sequence number. */
+	add(part: AnswerPart): number {
+		const bytes = partOverheadBytes + (part.type === 'data' ? part.chunk.length : 0);
+		const sequence = this.nextSequence++;
+		this.parts.push({sequence, part, bytes});
+		this.keptBytes += bytes;
+		this.unreadBytes += bytes;
+		this.trim();
+		return sequence;
+	}
+
+	/** Notes that the reader has every part before `sequence`. */
+	acknowledge(sequence: number): void {
+		for (const part of this.parts) {
+			if (part.sequence >= this.acknowledged && part.sequence < sequence) {
+				this.unreadBytes -= part.bytes;
+			}
+		}
+
+		this.acknowledged = Math.max(this.acknowledged, Math.min(sequence, this.nextSequence));
+		this.trim();
+	}
+
+	/** The parts from `sequence` on; undefined when some of them are no longer kept. */
+	read(sequence: number): NumberedPart[] | undefined {
+		const first = this.parts.at(0)?.sequence ?? this.nextSequence;
+		return sequence < first ? undefined : this.parts.slice(sequence - first);
+	}
+
+	private trim(): void {
+		const mustDrop = () => !this.keepsWhole || this.keptBytes > this.maximumBytes;
+		let count = 0;
+		while (count < this.parts.length - 1 && this.parts[count].sequence < this.acknowledged && mustDrop()) {
+			this.keptBytes -= this.parts[count].bytes;
+			count++;
+		}
+
+		if (count > 0) {
+			this.parts = this.parts.slice(count);
+		}
+	}
+}
--- /dev/null
+++ b/src/target/call-engine.ts
@@ -0,0 +1,56 @@
+import {request as sendRequest, type Dispatcher} from 'undici';
+import {EngineRefusal} from './engine-refusal.js';
+import {type Execution} from './execution.js';
+
+type CallOptions = {
+	/** Base URL of the engine or service. */
+	readonly url: string;
+	readonly dispatcher: Dispatcher;
+	/** Version of the table that the process knows, told with the answer. */
+	readonly tableVersion: () => number;
+};
+
+const hopByHopHeaders = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'content-length', 'host', 'te', 'trailer']);
+const neverConnectedCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
+
+const keepEndToEnd = (headers: Record<string, string | string[] | undefined>): Record<string, string | string[]> =>
+	Object.fromEntries(Object.entries(headers).filter((entry): entry is [string, string | string[]] =>
+		entry[1] !== undefined && !hopByHopHeaders.has(entry[0])));
+
+/**
+ * Sends a request to the engine and pushes its answer, part by part, to the execution.
+ *
+ * @throws EngineRefusal when the engine was never reached
+ * @throws Error when the answer broke off
+ */
+export async function callEngine(execution: Execution, options: CallOptions): Promise<void> {
+	const {request} = execution;
+	let answer: Dispatcher.ResponseData;
+	try {
+		answer = await sendRequest(options.url + request.path, {
+			method: request.method,
+			headers: {...request.headers, 'x-request-id': request.id},
+			body: request.body.length === 0 ? undefined : request.body,
+			dispatcher: options.dispatcher,
+			signal: execution.abort.signal,
+			headersTimeout: 0,
+			bodyTimeout: 0,
+		});
+	} catch (error) {
+		const {code, message} = error as NodeJS.ErrnoException;
+		throw neverConnectedCodes.has(code ?? '') ? new EngineRefusal(message) : error;
+	}
+
+	execution.push({
+		type: 'head',
+		status: answer.statusCode,
+		headers: keepEndToEnd(answer.headers),
+		tableVersion: options.tableVersion(),
+	});
+	for await (const chunk of answer.body) {
+		execution.push({type: 'data', chunk: chunk as Uint8Array<ArrayBuffer>});
+		await execution.waitForRoom();
+	}
+
+	execution.push({type: 'end'});
+}
--- /dev/null
+++ b/src/target/running-target.ts
@@ -0,0 +1,12 @@
+/** A target process that has started. */
+export type RunningTarget = {
+	readonly linkPort: number;
+	readonly adminPort: number;
+	readonly incarnation: string;
+	/** Resolves once the target has stopped, by order or by `stop`. */
+	readonly stopped: Promise<void>;
+	/** Planned stop: takes nothing new, ends what runs, then closes. */
+	stop(): Promise<void>;
+	/** Ends at once, as a crash would. */
+	kill(): Promise<void>;
+};
--- /dev/null
+++ b/src/target/start-target.ts
@@ -0,0 +1,221 @@
+import {randomUUID} from 'node:crypto';
+import {Agent} from 'undici';
+import {AdmissionQueue} from '../admission/admission-queue.js';
+import {type TargetSettings} from '../config/target-settings.js';
+import {type LinkConnection} from '../link/link-connection.js';
+import {type LinkMessage} from '../link/link-message.js';
+import {linkProtocol} from '../link/link-protocol.js';
+import {listenLink} from '../link/listen-link.js';
+import {type MessageOf} from '../link/message-of.js';
+import {getLogger} from '../log/get-logger.js';
+import {ProcessMetrics} from '../metrics/process-metrics.js';
+import {startAdminServer} from '../metrics/start-admin-server.js';
+import {callEngine} from './call-engine.js';
+import {Lifecycle} from './lifecycle.js';
+import {RecordTable} from './record-table.js';
+import {RequestController} from './request-controller.js';
+import {type RunningTarget} from './running-target.js';
+
+type Peer = {readonly id: string; readonly incarnation: string; readonly connection: LinkConnection};
+
+const logger = getLogger('target');
+const tombstoneAgeMs = 600_000;
+const reportMs = 2000;
+const tickMs = 100;
+/** Longest wait for a peer to take the last bytes of a link, milliseconds. */
+const closeMs = 2000;
+
+/** Starts a target process: the links to entries, the controllers, and the admin server. */
+export async function startTarget(settings: TargetSettings, clock: () => number): Promise<RunningTarget> {
+	const incarnation = randomUUID();
+	const metrics = new ProcessMetrics();
+	const dispatcher = new Agent({connections: settings.admission.concurrency * 2});
+	const queue = new AdmissionQueue(settings.admission);
+	const peers = new Map<LinkConnection, Peer>();
+	let tableVersion = 0;
+	let resolveStopped: () => void;
+	const stopped = new Promise<void>(resolve => {
+		resolveStopped = resolve;
+	});
+
+	const broadcast = (message: LinkMessage): void => {
+		for (const {connection} of peers.values()) {
+			connection.send(message);
+		}
+	};
+
+	const describeLoad = (): MessageOf<'load'>['load'] => ({
+		running: queue.running,
+		waiting: queue.waiting,
+		concurrency: settings.admission.concurrency,
+		serviceMs: queue.serviceMs,
+	});
+
+	const lifecycle = new Lifecycle(() => {
+		const isLeaving = lifecycle.state !== 'serving';
+		logger.info(isLeaving ? 'leaving, nothing new is taken' : 'serving');
+		broadcast({type: 'leaving', leaving: isLeaving});
+		drainIfIdle();
+	});
+
+	const requests = new RequestController({
+		incarnation,
+		queue,
+		records: new RecordTable({maximum: settings.records.maximum, minimumAgeMs: tombstoneAgeMs}),
+		replayBytes: settings.records.replayBytes,
+		resumeMs: settings.records.resumeMs,
+		clock,
+		isLeaving: () => lifecycle.state !== 'serving',
+		call: async execution => callEngine(execution, {url: settings.url, dispatcher, tableVersion: () => tableVersion}),
+		onIdle: drainIfIdle,
+	});
+
+	function drainIfIdle(): void {
+		if (lifecycle.state === 'leaving' && requests.isIdle) {
+			lifecycle.drain();
+			void close();
+		}
+	}
+
+	const noteVersion = (version: number): void => {
+		tableVersion = Math.max(tableVersion, version);
+		metrics.tableVersion.set(tableVersion);
+	};
+
+	const welcome = (hello: MessageOf<'hello'>, connection: LinkConnection): void => {
+		if (hello.protocol !== linkProtocol) {
+			logger.warn({peer: hello.id}, 'peer speaks another version of the protocol');
+			connection.destroy();
+			return;
+		}
+
+		// What an older connection of the same process still holds must not arrive after what it says on this one.
+		for (const peer of peers.values()) {
+			if (peer.id === hello.id && peer.incarnation === hello.incarnation) {
+				peer.connection.destroy();
+			}
+		}
+
+		peers.set(connection, {id: hello.id, incarnation: hello.incarnation, connection});
+		noteVersion(hello.tableVersion);
+		connection.send({
+			type: 'welcome',
+			protocol: linkProtocol,
+			id: settings.id,
+			availabilityZone: settings.availabilityZone,
+			incarnation,
+			tableVersion,
+			leaving: lifecycle.state !== 'serving',
+			service: settings.service,
+			load: describeLoad(),
+		});
+	};
+
+	const accept = (connection: LinkConnection): void => {
+		const send = (message: LinkMessage): boolean => connection.send(message);
+		connection.onMessage(message => {
+			if (message.type === 'hello') {
+				welcome(message, connection);
+				return;
+			}
+
+			if (!peers.has(connection)) {
+				connection.destroy();
+				return;
+			}
+
+			switch (message.type) {
+				case 'heartbeat': {
+					noteVersion(message.tableVersion);
+					break;
+				}
+
+				case 'stop': {
+					lifecycle.stop();
+					break;
+				}
+
+				case 'start': {
+					lifecycle.start();
+					break;
+				}
+
+				default: {
+					if (message.type === 'request') {
+						noteVersion(message.tableVersion);
+					}
+
+					requests.receive(message, send, clock());
+				}
+			}
+		});
+		connection.onClose(error => {
+			if (error) {
+				logger.warn({reason: error.reason}, `link lost: ${error.message}`);
+			}
+
+			peers.delete(connection);
+			requests.loseLink(send, clock());
+		});
+	};
+
+	const listener = await listenLink({
+		address: settings.address,
+		port: settings.linkPort,
+		key: settings.link.key,
+		maximumFrameBytes: settings.link.maximumFrameBytes,
+		meter: metrics.meterLink,
+		onConnection: accept,
+		onRejection(reason) {
+			logger.warn(`peer turned away: ${reason}`);
+		},
+	});
+	const admin = await startAdminServer({
+		address: settings.address,
+		port: settings.adminPort,
+		registry: metrics.registry,
+		isReady: () => lifecycle.state === 'serving',
+		pages: {
+			status: () => ({
+				id: settings.id, service: settings.service, state: lifecycle.state, incarnation, tableVersion, load: describeLoad(), links: peers.size,
+			}),
+		},
+	});
+	const ticker = setInterval(() => {
+		requests.tick(clock());
+	}, tickMs);
+	const reporter = setInterval(() => {
+		metrics.measureControl(() => {
+			broadcast({type: 'load', load: describeLoad(), tableVersion});
+		});
+	}, reportMs);
+
+	async function close(): Promise<void> {
+		clearInterval(ticker);
+		clearInterval(reporter);
+		// The last parts of answers leave before the links do.
+		await listener.drain(closeMs);
+		admin.close();
+		await dispatcher.close();
+		resolveStopped();
+	}
+
+	return {
+		linkPort: listener.port,
+		adminPort: admin.port,
+		incarnation,
+		stopped,
+		async stop() {
+			lifecycle.stop();
+			await stopped;
+		},
+		async kill() {
+			clearInterval(ticker);
+			clearInterval(reporter);
+			admin.close();
+			await listener.close();
+			await dispatcher.destroy();
+			resolveStopped();
+		},
+	};
+}
--- /dev/null
+++ b/src/tracing/create-tracer.ts
@@ -0,0 +1,15 @@
+import {type Tracer} from '@opentelemetry/api';
+import {OTLPTraceExporter} from '@opentelemetry/exporter-trace-otlp-http';
+import {
+	AlwaysOffSampler, AlwaysOnSampler, BasicTracerProvider, BatchSpanProcessor, type SpanExporter,
+} from '@opentelemetry/sdk-trace-base';
+
+/** Makes the tracer of a process; spans are recorded only if there is somewhere to send them. */
+export function createTracer(otlpUrl: string | undefined, exporter?: SpanExporter): Tracer {
+	const sink = exporter ?? (otlpUrl === undefined ? undefined : new OTLPTraceExporter({url: otlpUrl}));
+	const provider = new BasicTracerProvider({
+		sampler: sink ? new AlwaysOnSampler() : new AlwaysOffSampler(),
+		spanProcessors: sink ? [new BatchSpanProcessor(sink)] : [],
+	});
+	return provider.getTracer('wardswitch');
+}
--- /dev/null
+++ b/src/tracing/start-span.ts
@@ -0,0 +1,12 @@
+import {
+	ROOT_CONTEXT, defaultTextMapGetter, type Span, type Tracer,
+} from '@opentelemetry/api';
+import {W3CTraceContextPropagator} from '@opentelemetry/core';
+
+const propagator = new W3CTraceContextPropagator();
+
+/** Starts the span of one hop below the caller's `traceparent`, or a new trace without one. */
+export function startSpan(tracer: Tracer, name: string, headers: Readonly<Record<string, unknown>>): Span {
+	const parent = propagator.extract(ROOT_CONTEXT, headers, defaultTextMapGetter);
+	return tracer.startSpan(name, {}, parent);
+}
--- /dev/null
+++ b/stand-ins/engine/engine-group.ts
@@ -0,0 +1,82 @@
+type StepRecord = {readonly step: number; readonly rank: number; readonly epoch: number};
+type StagedMap = {readonly epoch: number; readonly map: number[][][]};
+type RankState = {
+	epoch: number;
+	fence: number;
+	staged: StagedMap | undefined;
+	/** Step that the rank will not run before it is told the decision. */
+	holdStep: number | undefined;
+	/** Step at which the staged map comes into use. */
+	switchStep: number | undefined;
+	isStalled: boolean;
+};
+
+/** The ranks of a stand-in engine, which run in lock-step: a step runs on all ranks or on none. */
+export class EngineGroup {
+	step = 0;
+	readonly records: StepRecord[] = [];
+	readonly ranks: RankState[];
+	private readonly listeners = new Set<() => void>();
+
+	/**
+	 * @param size - number of ranks
+	 * @param checksFencing - whether an order with an old fencing number is refused
+	 */
+	constructor(size: number, readonly checksFencing: boolean) {
+		this.ranks = Array.from({length: size}, () => ({
+			epoch: 0, fence: 0, staged: undefined, holdStep: undefined, switchStep: undefined, isStalled: false,
+		}));
+	}
+
+	/** Runs one step when every rank can; a held or stalled rank holds back all. */
+	advance(): boolean {
+		const isBlocked = this.ranks.some(rank => rank.isStalled || (rank.holdStep !== undefined && this.step >= rank.holdStep));
+		if (isBlocked) {
+			return false;
+		}
+
+		for (const [index, rank] of this.ranks.entries()) {
+			if (rank.switchStep !== undefined && this.step >= rank.switchStep && rank.staged) {
+				rank.epoch = rank.staged.epoch;
+				rank.staged = undefined;
+				rank.switchStep = undefined;
+			}
+
+			this.records.push({step: this.step, rank: index, epoch: rank.epoch});
+		}
+
+		this.step++;
+		for (const listener of this.listeners) {
+			listener();
+		}
+
+		return true;
+	}
+
+	/** Calls `listener` after each step until the returned function is called. */
+	subscribe(listener: () => void): () => void {
+		this.listeners.add(listener);
+		return () => this.listeners.delete(listener);
+	}
+
+	/** Takes an order for one rank; false when its fencing number is old and the engine checks it. */
+	isCurrent(rank: number, fence: number): boolean {
+		const state = this.ranks[rank];
+		if (this.checksFencing && fence < state.fence) {
+			return false;
+		}
+
+		state.fence = Math.max(state.fence, fence);
+		return true;
+	}
+
+	/** The steps that were run with more than one epoch among the ranks; empty when all is well. */
+	findMixedSteps(): number[] {
+		const epochs = new Map<number, Set<number>>();
+		for (const {step, epoch} of this.records) {
+			epochs.set(step, (epochs.get(step) ?? new Set()).add(epoch));
+		}
+
+		return [...epochs].filter(([, seen]) => seen.size > 1).map(([step]) => step);
+	}
+}
--- /dev/null
+++ b/stand-ins/platform/key-value-store.ts
@@ -0,0 +1,117 @@
+import {Buffer} from 'node:buffer';
+
+type Pair = {value: string; revision: number; lease: string};
+type Change = {key: string; value: string; revision: number; isDeletion: boolean};
+type Compare = {key: string; modRevision?: string};
+type Operation = {requestPut?: {key: string; value: string; lease?: string}; requestDeleteRange?: {key: string}};
+
+/** The state of the key-value stand-in: keys with revisions, leases on an argument clock, and the changes since the start. */
+export class KeyValueStore {
+	revision = 0;
+	readonly changes: Change[] = [];
+	private readonly pairs = new Map<string, Pair>();
+	private readonly leases = new Map<string, {expiresAt: number; seconds: number}>();
+	private readonly listeners = new Set<() => void>();
+	private nextLease = 1;
+
+	/** Keys in [key, end), or the one key when there is no end. Keys are base64, compared by their bytes. */
+	range(key: string, end: string | undefined): Array<{key: string; value: string; mod_revision: string}> {
+		const first = Buffer.from(key, 'base64').toString('latin1');
+		const last = end === undefined ? undefined : Buffer.from(end, 'base64').toString('latin1');
+		return [...this.pairs]
+			.map(([name, pair]) => ({name, raw: Buffer.from(name, 'base64').toString('latin1'), pair}))
+			.filter(({raw}) => last === undefined ? raw === first : raw >= first && raw < last)
+			.toSorted((one, other) => one.raw < other.raw ? -1 : 1)
+			.map(({name, pair}) => ({key: name, value: pair.value, mod_revision: String(pair.revision)}));
+	}
+
+	/** Applies the operations when every compare holds. */
+	transact(compares: Compare[], operations: Operation[]): boolean {
+		if (!compares.every(({key, modRevision}) => (this.pairs.get(key)?.revision ?? 0) === Number(modRevision ?? 0))) {
+			return false;
+		}
+
+		this.revision++;
+		for (const operation of operations) {
+			this.apply(operation);
+		}
+
+		this.notify();
+		return true;
+	}
+
+	/** Grants a lease that lapses `seconds` after `now` (milliseconds) unless it is kept. */
+	grant(seconds: number, now: number): string {
+		const id = String(this.nextLease++);
+		this.leases.set(id, {expiresAt: now + (seconds * 1000), seconds});
+		return id;
+	}
+
+	/** Renews a lease and gives its term in seconds, 0 when it has lapsed. */
+	keep(id: string, now: number): number {
+		this.expire(now);
+		const lease = this.leases.get(id);
+		if (!lease) {
+			return 0;
+		}
+
+		lease.expiresAt = now + (lease.seconds * 1000);
+		return lease.seconds;
+	}
+
+	/** Removes the keys of every lease that has lapsed. */
+	expire(now: number): void {
+		for (const [id, lease] of this.leases) {
+			if (lease.expiresAt <= now) {
+				this.leases.delete(id);
+				const operations = [...this.pairs].filter(([, pair]) => pair.lease === id).map(([key]) => ({requestDeleteRange: {key}}));
+				this.transact([], operations);
+			}
+		}
+	}
+
+	/** Puts back an older state, as a platform restored from a copy would. */
+	restore(copy: string): void {
+		const saved = JSON.parse(copy) as {revision: number; pairs: Array<[string, Pair]>};
+		this.pairs.clear();
+		for (const [key, pair] of saved.pairs) {
+			this.pairs.set(key, pair);
+		}
+
+		this.revision = saved.revision;
+		this.changes.length = 0;
+	}
+
+	/** A copy of the state for `restore`. */
+	copy(): string {
+		return JSON.stringify({revision: this.revision, pairs: [...this.pairs]});
+	}
+
+	/** Calls `listener` after each change until the returned function is called. */
+	subscribe(listener: () => void): () => void {
+		this.listeners.add(listener);
+		return () => this.listeners.delete(listener);
+	}
+
+	private apply({requestPut, requestDeleteRange}: Operation): void {
+		if (requestPut) {
+			const {key, value} = requestPut;
+			this.pairs.set(key, {value, revision: this.revision, lease: requestPut.lease ?? '0'});
+			this.changes.push({
+				key, value, revision: this.revision, isDeletion: false,
+			});
+		}
+
+		if (requestDeleteRange && this.pairs.delete(requestDeleteRange.key)) {
+			this.changes.push({
+				key: requestDeleteRange.key, value: '', revision: this.revision, isDeletion: true,
+			});
+		}
+	}
+
+	private notify(): void {
+		for (const listener of this.listeners) {
+			listener();
+		}
+	}
+}
--- /dev/null
+++ b/stand-ins/service/start-plain-service.ts
@@ -0,0 +1,63 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import {type AddressInfo} from 'node:net';
+
+/** A running stand-in of a plain service; it counts runs by request id and can hold its answers. */
+export type PlainService = {
+	readonly url: string;
+	readonly runs: Map<string, number>;
+	/** Total requests that began. */
+	total: number;
+	/** While set, requests run but their answers wait for `release`. */
+	isHolding: boolean;
+	release(): void;
+	close(): Promise<void>;
+};
+
+/** Starts a plain HTTP service on loopback that answers each request with what it received. */
+export async function startPlainService(port = 0): Promise<PlainService> {
+	const runs = new Map<string, number>();
+	const held: Array<() => void> = [];
+	const server = createServer((request, response) => {
+		const chunks: Buffer[] = [];
+		request.on('data', (chunk: Buffer) => chunks.push(chunk));
+		request.on('end', () => {
+			const id = String(request.headers['x-request-id'] ?? '');
+			runs.set(id, (runs.get(id) ?? 0) + 1);
+			service.total++;
+			const answer = () => {
+				response.writeHead(200, {'content-type': 'application/json'});
+				response.end(JSON.stringify({
+					method: request.method, path: request.url, body: Buffer.concat(chunks).toString(), run: service.total,
+				}));
+			};
+
+			if (service.isHolding) {
+				held.push(answer);
+			} else {
+				answer();
+			}
+		});
+	});
+	server.listen(port, '127.0.0.1');
+	await once(server, 'listening');
+	const service: PlainService = {
+		url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+		runs,
+		total: 0,
+		isHolding: false,
+		release() {
+			service.isHolding = false;
+			for (const answer of held.splice(0)) {
+				answer();
+			}
+		},
+		async close() {
+			server.close();
+			server.closeAllConnections();
+			await Promise.resolve();
+		},
+	};
+	return service;
+}
--- /dev/null
+++ b/stand-ins/system/system.ts
@@ -0,0 +1,160 @@
+import {randomUUID} from 'node:crypto';
+import {EntrySettings} from '../../src/config/entry-settings.js';
+import {TargetSettings} from '../../src/config/target-settings.js';
+import {startEntry} from '../../src/entry/start-entry.js';
+import {type RunningEntry} from '../../src/entry/running-entry.js';
+import {createEtcdKeyValue} from '../../src/platform/create-etcd-key-value.js';
+import {type KeyValue} from '../../src/platform/key-value.js';
+import {applyTable} from '../../src/table/apply-table.js';
+import {parseTable} from '../../src/table/parse-table.js';
+import {type RunningTarget} from '../../src/target/running-target.js';
+import {startTarget} from '../../src/target/start-target.js';
+import {type EngineGroup} from '../engine/engine-group.js';
+import {startEngine, type Engine} from '../engine/start-engine.js';
+import {startKeyValueService, type KeyValueService} from '../platform/start-key-value-service.js';
+import {startVmList, type VmListService} from '../platform/start-vm-list.js';
+import {startPlainService, type PlainService} from '../service/start-plain-service.js';
+import {type SystemOptions} from './system-options.js';
+
+type RunningWorker = {readonly id: string; readonly zone: string; readonly url: string; target: RunningTarget; readonly settings: TargetSettings};
+
+const linkKey = 'a1'.repeat(32);
+const platformTimeoutMs = 400;
+
+/** A whole system with its stand-ins in one process, on loopback: for the demonstration, scenarios and benchmarks. */
+export class System {
+	readonly entries = new Map<string, RunningEntry>();
+	readonly targets = new Map<string, RunningWorker>();
+	readonly engines = new Map<string, Engine>();
+	readonly services = new Map<string, PlainService>();
+	readonly keyValue: KeyValue;
+
+	constructor(
+		readonly options: SystemOptions,
+		readonly platform: KeyValueService,
+		readonly vmList: VmListService,
+		readonly group: EngineGroup,
+	) {
+		this.keyValue = createEtcdKeyValue({url: platform.url, timeoutMs: platformTimeoutMs, onCall: () => undefined});
+	}
+
+	/** Applies a table file as an operator would. */
+	async applyCsv(csv: string, operator: string): Promise<number> {
+		const parsed = parseTable(csv)._unsafeUnwrap();
+		const applied = await applyTable(this.keyValue, parsed, {
+			changeId: randomUUID(), operator, now: this.options.clock(), knownVersion: 0,
+		});
+		return applied._unsafeUnwrap();
+	}
+
+	/** Starts an entry; it is listed from then on. */
+	async startEntry(id: string, availabilityZone: string): Promise<RunningEntry> {
+		const {clock, random, firstHttpPort, entrySettings} = this.options;
+		const settings = EntrySettings.parse({
+			...this.makeNodeSettings(id, availabilityZone),
+			httpPort: firstHttpPort ? firstHttpPort + this.entries.size : 0,
+			...entrySettings,
+		});
+		const entry = await startEntry(settings, clock, random);
+		this.entries.set(id, entry);
+		this.list({
+			id, role: 'entry', availabilityZone, linkPort: entry.linkPort, adminPort: entry.adminPort,
+		});
+		return entry;
+	}
+
+	/** Starts the target process of a worker again, as another process, at the same address. */
+	async restartTarget(id: string): Promise<void> {
+		const worker = this.targets.get(id)!;
+		worker.target = await startTarget({...worker.settings, linkPort: worker.target.linkPort}, this.options.clock);
+	}
+
+	/** Waits until every entry is ready and has its links. */
+	async waitUntilReady(): Promise<void> {
+		await this.until('every entry is ready and linked', () => [...this.entries.values()].every(entry => {
+			const status = entry.getStatus() as {targets: Array<{isReady: boolean}>};
+			return entry.isReady() && status.targets.length > 0 && status.targets.every(target => target.isReady);
+		}));
+	}
+
+	/** Waits until a condition holds; fails loudly if it does not within a generous time. */
+	async until(what: string, condition: () => boolean | Promise<boolean>): Promise<void> {
+		const patienceMs = 20_000;
+		const pollMs = 10;
+		for (let waitedMs = 0; waitedMs < patienceMs; waitedMs += pollMs) {
+			if (await condition()) {
+				return;
+			}
+
+			await new Promise(resolve => {
+				setTimeout(resolve, pollMs);
+			});
+		}
+
+		throw new Error(`gave up waiting until ${what}`);
+	}
+
+	/** Ends everything at once. */
+	async close(): Promise<void> {
+		const parts = [
+			...this.entries.values(),
+			...[...this.targets.values()].map(({target}) => target),
+		];
+		await Promise.all(parts.map(async part => part.kill()));
+		await Promise.all([...this.engines.values(), ...this.services.values(), this.platform, this.vmList].map(async part => part.close()));
+	}
+
+	/** Starts a rank of the model service: engine and target process. */
+	async addRank(rank: number): Promise<void> {
+		const id = `stone-drafts-${rank}`;
+		const engine = await startEngine({
+			group: this.group, rank, defaultTokens: 8, isPaced: this.options.isPaced ?? false,
+		});
+		this.engines.set(id, engine);
+		await this.addTarget(id, rank, {
+			service: 'stone-drafts', kind: 'model', group: 'stone-drafts-a', rank, url: engine.url,
+		});
+	}
+
+	/** Starts a worker of the plain service: service and target process. */
+	async addWorker(index: number): Promise<void> {
+		const id = `yard-dispatch-${index}`;
+		const service = await startPlainService();
+		this.services.set(id, service);
+		await this.addTarget(id, index, {service: 'yard-dispatch', kind: 'plain', url: service.url});
+	}
+
+	private async addTarget(id: string, index: number, own: Readonly<Record<string, unknown>> & {readonly service: string; readonly kind: 'model' | 'plain'; readonly url: string}): Promise<void> {
+		const zone = this.options.zones[index % this.options.zones.length];
+		const settings = TargetSettings.parse({...this.makeNodeSettings(id, zone), ...own, ...this.options.targetSettings});
+		const target = await startTarget(settings, this.options.clock);
+		this.targets.set(id, {
+			id, zone, url: own.url, target, settings,
+		});
+		this.list({
+			id, role: 'target', availabilityZone: zone, linkPort: target.linkPort, adminPort: target.adminPort, service: own.service, kind: own.kind, group: settings.group, rank: settings.rank,
+		});
+	}
+
+	private list(vm: Omit<VmListService['vms'][number], 'address' | 'region' | 'state'>): void {
+		const known = this.vmList.vms.findIndex(({id}) => id === vm.id);
+		if (known !== -1) {
+			this.vmList.vms.splice(known, 1);
+		}
+
+		this.vmList.vms.push({
+			...vm, address: '127.0.0.1', region: 'default', state: 'live',
+		});
+	}
+
+	private makeNodeSettings(id: string, availabilityZone: string): Record<string, unknown> {
+		return {
+			id,
+			availabilityZone,
+			linkPort: 0,
+			adminPort: 0,
+			platform: {keyValue: this.platform.url, vmList: this.vmList.url, timeoutMs: platformTimeoutMs},
+			link: {key: linkKey},
+		};
+	}
+}
