--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,17 @@
+import process from 'node:process';
+
+type Bench = (words: readonly string[]) => Promise<void>;
+
+const benches: Readonly<Record<string, () => Promise<Bench>>> = {
+	path: async () => (await import('./path.js')).benchPath,
+};
+
+const [name, ...words] = process.argv.slice(2);
+const load = benches[name];
+if (load) {
+	const bench = await load();
+	await bench(words);
+} else {
+	process.stderr.write(`usage: npm run bench -- ${Object.keys(benches).join('|')}\n`);
+	process.exitCode = 2;
+}
--- /dev/null
+++ b/bench/support/process-fleet.ts
@@ -0,0 +1,87 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import {stringify} from 'smol-toml';
+import {request} from 'undici';
+import {type ProcessUsage} from './process-usage.js';
+
+const patienceMs = 15_000;
+const pollMs = 25;
+
+/** Separate processes of the system and its stand-ins, started for a measurement and ended with it. */
+export class ProcessFleet {
+	private readonly children: ChildProcess[] = [];
+	private readonly folder = mkdtempSync(path.join(tmpdir(), 'wardswitch-bench-'));
+
+	/** @param root - folder of the build to run, so that an earlier version can be measured beside this one */
+	constructor(private readonly root: string) {}
+
+	/** Starts one binary of the system with its settings. */
+	startBinary(name: 'wardswitch-entry' | 'wardswitch-target', settings: Record<string, unknown> & {readonly id: string}): void {
+		const file = path.join(this.folder, `${settings.id}.toml`);
+		writeFileSync(file, stringify(settings));
+		this.start([path.join(this.root, 'dist/src/bin', `${name}.js`), file]);
+	}
+
+	/** Starts a stand-in. */
+	startStandIn(kind: string, port: number, argument = ''): void {
+		this.start([path.join(this.root, 'dist/stand-ins/main.js'), kind, String(port), argument]);
+	}
+
+	/** Writes a file for a stand-in and gives its path. */
+	writeFile(name: string, text: string): string {
+		const file = path.join(this.folder, name);
+		writeFileSync(file, text);
+		return file;
+	}
+
+	/** Waits until a URL answers 200. */
+	async waitFor(url: string): Promise<void> {
+		for (let waitedMs = 0; waitedMs < patienceMs; waitedMs += pollMs) {
+			try {
+				const answer = await request(url);
+				await answer.body.dump();
+				if (answer.statusCode === 200) {
+					return;
+				}
+			} catch {}
+
+			await delay(pollMs);
+		}
+
+		throw new Error(`${url} did not answer in time`);
+	}
+
+	/** Memory and processor time of a process, from its own metrics. */
+	async readUsage(adminPort: number): Promise<ProcessUsage> {
+		const answer = await request(`http://127.0.0.1:${adminPort}/metrics`);
+		const text = await answer.body.text();
+		const read = (name: string): number => text.split('\n')
+			.filter(line => line.startsWith(name) && !line.startsWith('#'))
+			.reduce((sum, line) => sum + Number(line.slice(line.lastIndexOf(' ') + 1)), 0);
+		return {
+			residentBytes: read('process_resident_memory_bytes'),
+			heapBytes: read('nodejs_heap_size_used_bytes'),
+			cpuSeconds: read('process_cpu_seconds_total'),
+			controlCpuSeconds: read('wardswitch_control_cpu_seconds_total'),
+			controlBytes: read('wardswitch_link_bytes_total{direction="sent",class="control"}') + read('wardswitch_link_bytes_total{direction="received",class="control"}'),
+			platformCalls: read('wardswitch_platform_calls_total'),
+		};
+	}
+
+	/** Ends every process that was started. */
+	async close(): Promise<void> {
+		for (const child of this.children) {
+			child.kill('SIGKILL');
+		}
+
+		await delay(pollMs);
+	}
+
+	private start(words: string[]): void {
+		this.children.push(spawn(process.execPath, words, {stdio: ['ignore', 'ignore', 'inherit']}));
+	}
+}
--- /dev/null
+++ b/bench/support/process-usage.ts
@@ -0,0 +1,9 @@
+/** What a process has used, from its own metrics. */
+export type ProcessUsage = {
+	readonly residentBytes: number;
+	readonly heapBytes: number;
+	readonly cpuSeconds: number;
+	readonly controlCpuSeconds: number;
+	readonly controlBytes: number;
+	readonly platformCalls: number;
+};
