Cause the failures that a request can meet

Cause: the promises on not-run, at most once, whole answers and planned stops were code without a test that breaks them.

Change: scenarios on a whole system over sockets (kills, cuts, platform down, slow, answer lost) and on a link pair in memory (late, repeated, reordered messages, pauses past an expiry).

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,7 +3,10 @@
 type Bench = (words: readonly string[]) => Promise<void>;
 
 const benches: Readonly<Record<string, () => Promise<Bench>>> = {
-	path: async () => (await import('./path.js')).benchPath,
+	async path() {
+		const {benchPath} = await import('./path.js');
+		return benchPath;
+	},
 };
 
 const [name, ...words] = process.argv.slice(2);
--- a/bench/path.ts
+++ b/bench/path.ts
@@ -23,9 +23,15 @@
 	const fleet = new ProcessFleet(root);
 	const [entryLink, entryAdmin, targetLink, targetAdmin, pacedLink, pacedAdmin] = ports;
 	const vms = [
-		{id: 'entry-1', role: 'entry', availabilityZone: 'zone-1', address: '127.0.0.1', linkPort: entryLink, state: 'live'},
-		{id: 'fast-0', role: 'target', availabilityZone: 'zone-1', address: '127.0.0.1', linkPort: targetLink, state: 'live', service: 'fast', kind: 'model'},
-		{id: 'paced-0', role: 'target', availabilityZone: 'zone-1', address: '127.0.0.1', linkPort: pacedLink, state: 'live', service: 'paced', kind: 'model'},
+		{
+			id: 'entry-1', role: 'entry', availabilityZone: 'zone-1', address: '127.0.0.1', linkPort: entryLink, state: 'live',
+		},
+		{
+			id: 'fast-0', role: 'target', availabilityZone: 'zone-1', address: '127.0.0.1', linkPort: targetLink, state: 'live', service: 'fast', kind: 'model',
+		},
+		{
+			id: 'paced-0', role: 'target', availabilityZone: 'zone-1', address: '127.0.0.1', linkPort: pacedLink, state: 'live', service: 'paced', kind: 'model',
+		},
 	];
 	fleet.startStandIn('key-value', keyValuePort);
 	fleet.startStandIn('vm-list', listPort, fleet.writeFile('vms.json', JSON.stringify(vms)));
@@ -170,5 +176,5 @@
 		await path.fleet.close();
 	}
 
-	report('path', cases as never);
+	report('path', cases);
 }
--- /dev/null
+++ b/features/support/link-pair.ts
@@ -0,0 +1,136 @@
+import {type Call} from '../../src/calls/call.js';
+import {type CallEvent} from '../../src/calls/call-event.js';
+import {TargetLink} from '../../src/calls/target-link.js';
+import {AdmissionQueue} from '../../src/admission/admission-queue.js';
+import {type MessageOf} from '../../src/link/message-of.js';
+import {type Execution} from '../../src/target/execution.js';
+import {RecordTable} from '../../src/target/record-table.js';
+import {RequestController} from '../../src/target/request-controller.js';
+import {MemoryLink} from './memory-link.js';
+
+const welcomeBase = {
+	type: 'welcome', protocol: 1, id: 'target-1', availabilityZone: 'barre-hall', tableVersion: 0, leaving: false,
+} as const;
+
+/** An entry's link and a target's request controller, joined in memory, on an argument clock, with an engine that the scenario plays. */
+export class LinkPair {
+	now = 1_000_000;
+	readonly link: MemoryLink;
+	readonly entry: TargetLink;
+	readonly running: Execution[] = [];
+	isLeaving = false;
+	incarnation = 'life-1';
+	controller: RequestController;
+	private nextId = 0;
+
+	/** @param maximumRecords - ended requests and tombstones that the target remembers */
+	constructor(private readonly maximumRecords = 100, private readonly concurrency = 10) {
+		this.controller = this.makeController();
+		this.link = new MemoryLink(
+			(message, answer) => {
+				if (message.type === 'hello') {
+					answer({...welcomeBase, incarnation: this.incarnation});
+				} else {
+					this.controller.receive(message, answer, this.now);
+				}
+			},
+			answer => {
+				this.controller.loseLink(answer, this.now);
+			},
+		);
+		this.entry = new TargetLink({
+			vm: {
+				id: 'target-1', role: 'target', availabilityZone: 'barre-hall', region: 'default', address: '127.0.0.1', linkPort: 1, state: 'live',
+			},
+			connect: this.link.connect,
+			hello: () => ({
+				type: 'hello', protocol: 1, id: 'entry-1', role: 'entry', availabilityZone: 'barre-hall', incarnation: 'e', tableVersion: 0,
+			}),
+			clock: () => this.now,
+			random: () => 0,
+			resumeMs: 5000,
+			onTableVersion: () => undefined,
+		});
+	}
+
+	/** Makes a request; keyed ones run at most once. */
+	makeRequest(key?: string, owner?: string): MessageOf<'request'> {
+		const id = owner ?? `request-${this.nextId++}`;
+		return {
+			type: 'request', id, attempt: 1, method: 'POST', path: '/', headers: {}, body: new Uint8Array(), organisation: 'granite', weight: 1, urgency: 3, timeoutMs: 10_000, tableVersion: 0,
+			...(key !== undefined && {
+				once: {
+					key, owner: id, incarnation: 'life-1', expiresAt: this.now + 60_000,
+				},
+			}),
+		};
+	}
+
+	/** Replaces the target process: empty memory, another incarnation. */
+	replaceTarget(): void {
+		this.incarnation = 'life-2';
+		this.controller = this.makeController();
+		this.link.cut();
+	}
+
+	/** Lets the engine write parts of an answer, and end it. */
+	write(words: readonly string[], isLast: boolean): void {
+		const execution = this.running.at(-1)!;
+		execution.push({
+			type: 'head', status: 200, headers: {}, tableVersion: 0,
+		});
+		for (const word of words) {
+			execution.push({type: 'data', chunk: new TextEncoder().encode(word)});
+		}
+
+		if (isLast) {
+			execution.push({type: 'end'});
+		}
+	}
+
+	/** Adds a part without a head, for an answer that has begun. */
+	writeMore(word: string, isLast: boolean): void {
+		const execution = this.running.at(-1)!;
+		execution.push({type: 'data', chunk: new TextEncoder().encode(word)});
+		if (isLast) {
+			execution.push({type: 'end'});
+		}
+	}
+
+	/** Reads the events of a call until it has ended. */
+	async readAll(call: Call): Promise<CallEvent[]> {
+		const events: CallEvent[] = [];
+		for (;;) {
+			const event = await call.take();
+			events.push(event);
+			if (!['head', 'data'].includes(event.type)) {
+				return events;
+			}
+		}
+	}
+
+	close(): void {
+		this.entry.close();
+	}
+
+	private makeController(): RequestController {
+		return new RequestController({
+			incarnation: this.incarnation,
+			queue: new AdmissionQueue({concurrency: this.concurrency, queueLength: 10, agingMs: 2000}),
+			records: new RecordTable({maximum: this.maximumRecords, minimumAgeMs: 600_000}),
+			replayBytes: 10_000,
+			resumeMs: 5000,
+			clock: () => this.now,
+			isLeaving: () => this.isLeaving,
+			call: async execution => {
+				this.running.push(execution);
+				await new Promise<void>((resolve, reject) => {
+					execution.abort.signal.addEventListener('abort', () => {
+						reject(new Error('aborted'));
+					});
+				});
+			},
+			onIdle: () => undefined,
+		});
+	}
+}
--- a/features/support/system-world.ts
+++ b/features/support/system-world.ts
@@ -13,6 +13,7 @@
 	readonly clock = new ScenarioClock();
 	readonly replies = new Map<string, Promise<Reply>>();
 	readonly notes = new Map<string, unknown>();
+	private readonly ends: Array<() => void> = [];
 	private running: System | undefined;
 
 	get system(): System {
@@ -34,7 +35,16 @@
 		});
 	}
 
+	/** Adds what must be ended with the scenario. */
+	onClose(end: () => void): void {
+		this.ends.push(end);
+	}
+
 	async close(): Promise<void> {
+		for (const end of this.ends) {
+			end();
+		}
+
 		await this.running?.close();
 	}
 }
--- a/src/calls/target-link.ts
+++ b/src/calls/target-link.ts
@@ -77,13 +77,13 @@
 		const call = new Call(message.id, message.attempt, reply => this.link.current?.send(reply) ?? false);
 		const name = `${message.id}/${message.attempt}`;
 		this.usedAt = this.options.clock();
+		this.calls.set(name, call);
+		this.sentSinceReport++;
 		if (!this.isReady || !this.link.current!.send(message)) {
+			this.calls.delete(name);
 			call.settle({type: 'unsent'});
-			return call;
 		}
 
-		this.calls.set(name, call);
-		this.sentSinceReport++;
 		return call;
 	}
 
--- a/src/entry/entry-controller.ts
+++ b/src/entry/entry-controller.ts
@@ -168,6 +168,7 @@
 			targets: targets.list().map(link => ({
 				id: link.vm.id,
 				service: link.vm.service,
+				incarnation: link.incarnation,
 				availabilityZone: link.vm.availabilityZone,
 				isReady: link.isReady,
 				isLeaving: link.isLeaving,
--- a/src/once/make-ticket-guard.ts
+++ b/src/once/make-ticket-guard.ts
@@ -8,6 +8,7 @@
 export function makeTicketGuard(ticket: Ticket): RunGuard {
 	const key = `ticket/${ticket.id}`;
 	let isTaken = false;
+	let isAsked = false;
 	return {
 		isRepeatable: false,
 		target: ticket.target,
@@ -23,6 +24,7 @@
 			}
 
 			const {target, incarnation, expiresAt} = ticket;
+			isAsked = true;
 			return isTaken
 				? ok({
 					kind: 'join', target, incarnation, key, owner: key,
@@ -41,7 +43,12 @@
 			isTaken = true;
 		},
 		async abandon() {
-			return isTaken ? 'used' : 'unused';
+			if (isTaken) {
+				return 'used';
+			}
+
+			// Only the target process knows of earlier copies; its refusal says that there was none.
+			return isAsked ? 'unused' : 'unknown';
 		},
 	};
 }
--- a/src/target/call-engine.ts
+++ b/src/target/call-engine.ts
@@ -48,7 +48,8 @@
 		tableVersion: options.tableVersion(),
 	});
 	for await (const chunk of answer.body) {
-		execution.push({type: 'data', chunk: chunk as Uint8Array<ArrayBuffer>});
+		// A copy: the chunk is a view of a read buffer many times its size, which a kept part would hold on to.
+		execution.push({type: 'data', chunk: new Uint8Array(chunk as Uint8Array)});
 		await execution.waitForRoom();
 	}
 
--- a/src/target/start-target.ts
+++ b/src/target/start-target.ts
@@ -170,15 +170,16 @@
 			logger.warn(`peer turned away: ${reason}`);
 		},
 	});
+	const getStatus: RunningTarget['getStatus'] = () => ({
+		id: settings.id, service: settings.service, state: lifecycle.state, incarnation, tableVersion, load: describeLoad(), links: peers.size,
+	});
 	const admin = await startAdminServer({
 		address: settings.address,
 		port: settings.adminPort,
 		registry: metrics.registry,
 		isReady: () => lifecycle.state === 'serving',
 		pages: {
-			status: () => ({
-				id: settings.id, service: settings.service, state: lifecycle.state, incarnation, tableVersion, load: describeLoad(), links: peers.size,
-			}),
+			status: getStatus,
 		},
 	});
 	const ticker = setInterval(() => {
@@ -204,6 +205,7 @@
 		linkPort: listener.port,
 		adminPort: admin.port,
 		incarnation,
+		getStatus,
 		stopped,
 		async stop() {
 			lifecycle.stop();
--- a/stand-ins/platform/key-value-store.ts
+++ b/stand-ins/platform/key-value-store.ts
@@ -8,6 +8,8 @@
 /** The state of the key-value stand-in: keys with revisions, leases on an argument clock, and the changes since the start. */
 export class KeyValueStore {
 	revision = 0;
+	/** Keys deleted by callers, not by leases that lapsed. */
+	deleteOperations = 0;
 	readonly changes: Change[] = [];
 	private readonly pairs = new Map<string, Pair>();
 	private readonly leases = new Map<string, {expiresAt: number; seconds: number}>();
@@ -31,6 +33,7 @@
 			return false;
 		}
 
+		this.deleteOperations += operations.filter(({requestDeleteRange}) => requestDeleteRange).length;
 		this.revision++;
 		for (const operation of operations) {
 			this.apply(operation);
@@ -66,6 +69,7 @@
 				this.leases.delete(id);
 				const operations = [...this.pairs].filter(([, pair]) => pair.lease === id).map(([key]) => ({requestDeleteRange: {key}}));
 				this.transact([], operations);
+				this.deleteOperations -= operations.length;
 			}
 		}
 	}
