Plan expert maps: forecast, local search, baselines and a replay

Cause: skew across ranks and the cost of moves are what the users measure, and nothing planned maps yet.

Change: a forecast per layer whose predictors compete, a search that takes the best change per copy in any layer while it pays, static and repack as baselines, seeded traces, npm run bench -- maps.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,10 @@
 		const {benchPath} = await import('./path.js');
 		return benchPath;
 	},
+	async maps() {
+		const {benchMaps} = await import('./maps.js');
+		return benchMaps;
+	},
 };
 
 const [name, ...words] = process.argv.slice(2);
--- a/bench/path.ts
+++ b/bench/path.ts
@@ -16,6 +16,8 @@
 
 const token = 'bench-token';
 const linkKey = 'b2'.repeat(32);
+/** Time for memory to settle after streams were opened, milliseconds. */
+const settleMs = 10_000;
 const warmUp = 3000;
 
 const openPath = async (root: string): Promise<Path> => {
@@ -110,14 +112,12 @@
 
 const measureStreams = async (path: Path, counts: readonly number[]): Promise<Array<Record<string, number | string>>> => {
 	const cases = [];
-	let openCount = 0;
 	const dispatcher = new Agent({connections: 2000});
 	const aborts: AbortController[] = [];
 	for (const count of counts) {
-		while (openCount < count) {
+		const opening = Array.from({length: count - aborts.length}, async () => {
 			const abort = new AbortController();
 			aborts.push(abort);
-			openCount++;
 			const answer = await request(`${path.entryUrl}/v1/chat/completions`, {
 				method: 'POST',
 				dispatcher,
@@ -128,12 +128,19 @@
 				}),
 			});
 			answer.body.on('error', () => undefined).resume();
-		}
+		});
+		await Promise.all(opening);
 
-		await delay(2000);
+		await delay(settleMs);
 		const [entry, target] = await Promise.all([path.fleet.readUsage(path.adminPorts.entry), path.fleet.readUsage(path.adminPorts.target)]);
 		cases.push({
-			case: `${count} open streams`, entryMegabytes: entry.residentBytes / 1e6, targetMegabytes: target.residentBytes / 1e6,
+			case: `${count} open streams`,
+			entryMegabytes: entry.residentBytes / 1e6,
+			entryHeapMegabytes: entry.heapBytes / 1e6,
+			entryExternalMegabytes: entry.externalBytes / 1e6,
+			targetMegabytes: target.residentBytes / 1e6,
+			targetHeapMegabytes: target.heapBytes / 1e6,
+			targetExternalMegabytes: target.externalBytes / 1e6,
 		});
 	}
 
@@ -155,7 +162,7 @@
 	const cases = [];
 	for (const {name, root} of roots) {
 		const path = await openPath(root);
-		for (const stream of [false, true]) {
+		for (const stream of words.includes('--streams-only') ? [] : [false, true]) {
 			for (const [concurrency, requests] of [[1, 2000], [64, 6000]]) {
 				const shared = {
 					requests, concurrency, stream, tokens: stream ? 32 : 1,
--- a/bench/support/process-fleet.ts
+++ b/bench/support/process-fleet.ts
@@ -65,6 +65,7 @@
 		return {
 			residentBytes: read('process_resident_memory_bytes'),
 			heapBytes: read('nodejs_heap_size_used_bytes'),
+			externalBytes: read('nodejs_external_memory_bytes'),
 			cpuSeconds: read('process_cpu_seconds_total'),
 			controlCpuSeconds: read('wardswitch_control_cpu_seconds_total'),
 			controlBytes: read('wardswitch_link_bytes_total{direction="sent",class="control"}') + read('wardswitch_link_bytes_total{direction="received",class="control"}'),
--- a/bench/support/process-usage.ts
+++ b/bench/support/process-usage.ts
@@ -2,6 +2,8 @@
 export type ProcessUsage = {
 	readonly residentBytes: number;
 	readonly heapBytes: number;
+	/** Memory of buffers outside the heap. */
+	readonly externalBytes: number;
 	readonly cpuSeconds: number;
 	readonly controlCpuSeconds: number;
 	readonly controlBytes: number;
--- /dev/null
+++ b/src/maps/bound-skew.ts
@@ -0,0 +1,16 @@
+import {type LayerLoads} from './layer-loads.js';
+import {type MapShape} from './map-shape.js';
+
+/** A skew that no map can go below: no rank is under the mean, and the hottest expert splits over so many replicas at most. */
+export function boundSkew(loads: LayerLoads, {experts, ranks, slots}: MapShape): number {
+	const replicas = Math.min(ranks, (ranks * slots) - experts + 1);
+	let largest = 0;
+	let means = 0;
+	for (const layer of loads) {
+		const mean = layer.reduce((sum, load) => sum + load, 0) / ranks;
+		largest += Math.max(mean, Math.max(...layer) / replicas);
+		means += mean;
+	}
+
+	return means === 0 ? 1 : largest / means;
+}
--- /dev/null
+++ b/src/maps/layer-change.ts
@@ -0,0 +1,6 @@
+/** A change of one layer: copies placed in slots, in place of what they hold now. */
+export type LayerChange = {
+	readonly placements: ReadonlyArray<{readonly rank: number; readonly slot: number; readonly expert: number}>;
+	/** Reduction of the smoothed peak, tokens. */
+	readonly gain: number;
+};
--- /dev/null
+++ b/src/maps/layer-loads.ts
@@ -0,0 +1,2 @@
+/** Tokens that each expert had in one interval: `loads[layer][expert]`. */
+export type LayerLoads = ReadonlyArray<readonly number[]>;
--- /dev/null
+++ b/src/maps/map-planner.ts
@@ -0,0 +1,51 @@
+import {countMoves} from './count-moves.js';
+import {type ExpertMap} from './expert-map.js';
+import {type LayerLoads} from './layer-loads.js';
+import {LoadForecast} from './load-forecast.js';
+import {type MapShape} from './map-shape.js';
+import {type MapWeights} from './map-weights.js';
+import {planMap} from './plan-map.js';
+
+/** Share of all slots that may be filled anew in one interval when both weights are equal, and its limits. */
+const evenShare = 0.012;
+const leastShare = 0.004;
+const greatestShare = 0.03;
+/** Intervals whose unused budget is kept. */
+const savedIntervals = 8;
+
+/** Plans the maps of one group over time: forecasts from the loads seen so far, within a budget of moves. */
+export class MapPlanner {
+	private readonly forecast = new LoadForecast();
+	private readonly share: number;
+	private saved: number;
+
+	constructor(private readonly shape: MapShape, private readonly weights: MapWeights) {
+		const ratio = weights.move === 0 ? Number.POSITIVE_INFINITY : weights.skew / weights.move;
+		this.share = Math.min(greatestShare, Math.max(leastShare, evenShare * Math.sqrt(ratio)));
+		this.saved = this.budgetPerInterval * savedIntervals;
+	}
+
+	/**
+	 * Takes the loads of the interval that has just ended, and plans the map for the next.
+	 *
+	 * @param map - the map in force
+	 * @returns the map in force from now on; the same object when nothing should change
+	 */
+	plan(map: ExpertMap, loads: LayerLoads): ExpertMap {
+		this.forecast.observe(loads);
+		this.saved = Math.min(this.budgetPerInterval * savedIntervals, this.saved + this.budgetPerInterval);
+		const next = planMap({
+			map, forecast: this.forecast, weights: this.weights, budget: Math.floor(this.saved),
+		});
+		if (!next) {
+			return map;
+		}
+
+		this.saved -= countMoves(map, next);
+		return next;
+	}
+
+	private get budgetPerInterval(): number {
+		return this.shape.layers * this.shape.ranks * this.shape.slots * this.share;
+	}
+}
--- /dev/null
+++ b/src/maps/pack-layer.ts
@@ -0,0 +1,66 @@
+import {type MapShape} from './map-shape.js';
+
+type Copy = {readonly expert: number; readonly load: number};
+
+/** Deals the slots out as replicas: each further one goes to the expert whose replicas carry most. */
+const countReplicas = (loads: readonly number[], {experts, ranks, slots}: MapShape): number[] => {
+	const counts = new Array<number>(experts).fill(1);
+	for (let spare = (ranks * slots) - experts; spare > 0; spare--) {
+		let hottest = -1;
+		for (let expert = 0; expert < experts; expert++) {
+			const isBetter = hottest === -1 || loads[expert] / counts[expert] > loads[hottest] / counts[hottest];
+			if (counts[expert] < ranks && isBetter) {
+				hottest = expert;
+			}
+		}
+
+		counts[hottest]++;
+	}
+
+	return counts;
+};
+
+/* A copy that fits nowhere without standing twice on a rank trades places with one that may go there. */
+const placeByTrade = (placed: number[][], copy: Copy, slots: number): void => {
+	const open = placed.findIndex(experts => experts.length < slots);
+	for (const experts of placed) {
+		const slot = experts.findIndex(expert => !placed[open].includes(expert));
+		if (!experts.includes(copy.expert) && slot !== -1) {
+			placed[open].push(experts[slot]);
+			experts[slot] = copy.expert;
+			return;
+		}
+	}
+};
+
+/**
+ * Packs one layer from nothing: replicas by load, then the heaviest copy first onto the lightest rank that has room.
+ *
+ * @see https://doi.org/10.1137/0117039 longest processing time first
+ */
+export function packLayer(loads: readonly number[], shape: MapShape): number[][] {
+	const counts = countReplicas(loads, shape);
+	const copies = counts
+		.flatMap((count, expert) => Array.from({length: count}, (): Copy => ({expert, load: loads[expert] / count})))
+		.toSorted((one, other) => other.load - one.load);
+	const placed: number[][] = Array.from({length: shape.ranks}, () => []);
+	const rankLoads = new Array<number>(shape.ranks).fill(0);
+	for (const copy of copies) {
+		let best = -1;
+		for (let rank = 0; rank < shape.ranks; rank++) {
+			const hasRoom = placed[rank].length < shape.slots && !placed[rank].includes(copy.expert);
+			if (hasRoom && (best === -1 || rankLoads[rank] < rankLoads[best])) {
+				best = rank;
+			}
+		}
+
+		if (best === -1) {
+			placeByTrade(placed, copy, shape.slots);
+		} else {
+			placed[best].push(copy.expert);
+			rankLoads[best] += copy.load;
+		}
+	}
+
+	return placed;
+}
--- a/stand-ins/main.ts
+++ b/stand-ins/main.ts
@@ -8,8 +8,9 @@
 import {startVmList} from './platform/start-vm-list.js';
 import {startPlainService} from './service/start-plain-service.js';
 
-/** Milliseconds between the steps of a stand-in engine. */
+/** Milliseconds between the steps of a stand-in engine, and of one whose streams are kept open. */
 const stepMs = 20;
+const slowStepMs = 500;
 
 const [kind, portText, argument] = process.argv.slice(2);
 const port = Number(portText);
@@ -34,7 +35,7 @@
 		setInterval(() => {
 			group.advance();
 			group.records.length = 0;
-		}, stepMs);
+		}, argument === 'paced' ? slowStepMs : stepMs);
 		break;
 	}
 
