Switch expert maps so that every step runs on one map

Cause: planned maps had no way into the engines.

Change: two-phase commit led at rank 0's target process, whose engine is told first and keeps the decision; ranks hold a step they promised until they know.

It is not yet wired to links and planners.

--- /dev/null
+++ b/src/map-switch/map-participant.ts
@@ -0,0 +1,168 @@
+import {
+	createMachine, interpret, state, transition,
+} from 'robot3';
+import {type LinkMessage} from '../link/link-message.js';
+import {type MessageOf} from '../link/message-of.js';
+import {type EngineOrders} from './engine-orders.js';
+
+type ParticipantOptions = {
+	readonly rank: number;
+	readonly engine: EngineOrders;
+	/** Sends a message to the coordinator, at rank 0's target process. */
+	readonly send: (message: LinkMessage) => void;
+	/** Highest fencing number that the platform names for the group; rejects while that is not known. */
+	readonly readFence: () => Promise<number>;
+	/** Whether the engine itself refuses old fencing numbers; if not, the platform is asked after a restart. */
+	readonly checksFencing: boolean;
+};
+
+const machine = createMachine('unread', {
+	/* Nothing is remembered yet; no order is given to the engine before its state was read back. */
+	unread: state(transition('idle', 'idle'), transition('held', 'prepared')),
+	idle: state(transition('stage', 'staged'), transition('forget', 'unread')),
+	staged: state(transition('stage', 'staged'), transition('held', 'prepared'), transition('over', 'idle'), transition('forget', 'unread')),
+	prepared: state(transition('over', 'idle'), transition('forget', 'unread')),
+});
+
+/** Time between questions to the coordinator while a decision is awaited, milliseconds. */
+const questionMs = 200;
+
+/**
+ * One rank's part in a map switch. Once it has voted for a step, its engine does not pass that step before the
+ * coordinator's decision is known; until then it asks again and again.
+ */
+export class MapParticipant {
+	private readonly service = interpret(machine, () => undefined);
+	private fence = 0;
+	private isFenceKnown = false;
+	private epoch = 0;
+	private askedAt = 0;
+	private queue: Promise<void> = Promise.resolve();
+
+	constructor(private readonly options: ParticipantOptions) {}
+
+	get state(): string {
+		return this.service.machine.current;
+	}
+
+	/** Reads back what the engine and the platform know; a restarted process takes no order before that. */
+	async recover(): Promise<void> {
+		const engine = await this.options.engine.read();
+		this.epoch = engine.stagedEpoch ?? engine.epoch;
+		this.fence = Math.max(this.fence, engine.fence);
+		this.isFenceKnown ||= this.options.checksFencing;
+		if (engine.holdStep !== undefined) {
+			// The group waits for this rank: it asks at once, with whatever fencing number it knows.
+			this.service.send('held');
+			return;
+		}
+
+		if (!this.isFenceKnown) {
+			this.fence = Math.max(this.fence, await this.options.readFence());
+			this.isFenceKnown = true;
+		}
+
+		this.service.send('idle');
+	}
+
+	/** Takes a message of the coordinator; messages are handled one after another. */
+	async receive(message: LinkMessage): Promise<void> {
+		await this.enqueue(async () => this.handle(message));
+	}
+
+	/** Asks for a decision that is awaited. */
+	async tick(now: number): Promise<void> {
+		if (this.state === 'unread') {
+			await this.enqueue(async () => this.recover());
+		}
+
+		if (this.state === 'prepared' && now - this.askedAt >= questionMs) {
+			this.askedAt = now;
+			this.options.send({
+				type: 'map-question', rank: this.options.rank, fence: this.fence, epoch: this.epoch,
+			});
+		}
+	}
+
+	/* After a failure it is not known what the engine took: its state is read back before anything else. */
+	private async enqueue(work: () => Promise<void>): Promise<void> {
+		this.queue = this.queue.then(work).catch(() => {
+			this.service.send('forget');
+		});
+		await this.queue;
+	}
+
+	private async handle(message: LinkMessage): Promise<void> {
+		if (this.state === 'unread') {
+			await this.recover();
+		}
+
+		switch (message.type) {
+			case 'map-stage': {
+				await this.stage(message);
+				break;
+			}
+
+			case 'map-prepare': {
+				await this.prepare(message);
+				break;
+			}
+
+			case 'map-decision': {
+				await this.decide(message);
+				break;
+			}
+
+			default:
+		}
+	}
+
+	private async stage(order: MessageOf<'map-stage'>): Promise<void> {
+		// An order of the same fencing number is the same order; a lower one comes from a planner that was overtaken.
+		const isOld = order.fence < this.fence || this.state === 'prepared';
+		const {holdStep, switchStep} = await this.options.engine.read();
+		const isBound = holdStep !== undefined || switchStep !== undefined;
+		const accepted = !isOld && !isBound && await this.options.engine.stage(order);
+		if (accepted) {
+			this.fence = order.fence;
+			this.epoch = order.epoch;
+			this.service.send('stage');
+		}
+
+		await this.vote(order, 'stage', accepted);
+	}
+
+	private async prepare(order: MessageOf<'map-prepare'>): Promise<void> {
+		const isOurs = order.fence === this.fence && order.epoch === this.epoch;
+		const accepted = isOurs && (this.state === 'prepared' || (this.state === 'staged' && await this.options.engine.prepare(order)));
+		if (accepted) {
+			this.service.send('held');
+		}
+
+		await this.vote(order, 'prepare', accepted);
+	}
+
+	private async decide(order: MessageOf<'map-decision'>): Promise<void> {
+		const isOurs = order.fence === this.fence && order.epoch === this.epoch;
+		if (!isOurs || order.decision === 'undecided' || this.state === 'idle') {
+			return;
+		}
+
+		if (order.decision === 'commit' && this.state !== 'prepared') {
+			return;
+		}
+
+		// Without a promise to end, rank 0's engine was told by the coordinator already, or nothing was promised.
+		const {holdStep} = await this.options.engine.read();
+		if (holdStep === undefined || await this.options.engine.decide(order)) {
+			this.service.send(this.isFenceKnown ? 'over' : 'forget');
+		}
+	}
+
+	private async vote(order: {readonly fence: number; readonly epoch: number}, phase: 'stage' | 'prepare', accepted: boolean): Promise<void> {
+		const {step} = await this.options.engine.read();
+		this.options.send({
+			type: 'map-vote', rank: this.options.rank, fence: order.fence, epoch: order.epoch, phase, accepted, step,
+		});
+	}
+}
--- a/src/maps/load-forecast.ts
+++ b/src/maps/load-forecast.ts
@@ -17,7 +17,7 @@
 /** How much of each predictor's past error still counts after one interval. */
 const errorMemory = 0.9;
 /** How much better than the plain mean another predictor must be to be believed. */
-const meanAdvantage = 1.3;
+const meanAdvantage = 1.6;
 /** A miss this many times larger than usual is a sudden change: what was learnt before no longer counts. */
 const changeFactor = 8;
 /** Intervals after which it is known what a usual miss is. */
--- a/src/maps/plan-map.ts
+++ b/src/maps/plan-map.ts
@@ -33,7 +33,7 @@
 const steadyCertainty = 4;
 /** And by this share of its mean rank load, in either case. */
 const leastReliefShare = 0.002;
-const steadyReliefShare = 0.02;
+const steadyReliefShare = 0.03;
 /** A layer whose peak a fresh packing would lower by this share of the mean is stuck. */
 const stuckShare = 0.02;
 /** Layers that are packed afresh to see whether they are stuck, in one plan. */
--- a/stand-ins/engine/engine-group.ts
+++ b/stand-ins/engine/engine-group.ts
@@ -1,7 +1,9 @@
-type StepRecord = {readonly step: number; readonly rank: number; readonly epoch: number};
+type StepRecord = {readonly step: number; readonly rank: number; readonly epoch: number; readonly map: number[][][] | undefined};
 type StagedMap = {readonly epoch: number; readonly map: number[][][]};
 type RankState = {
 	epoch: number;
+	/** Map in use; undefined for the one the engine started with. */
+	inUse: number[][][] | undefined;
 	fence: number;
 	staged: StagedMap | undefined;
 	/** Step that the rank will not run before it is told the decision. */
@@ -24,7 +26,7 @@
 	 */
 	constructor(size: number, readonly checksFencing: boolean) {
 		this.ranks = Array.from({length: size}, () => ({
-			epoch: 0, fence: 0, staged: undefined, holdStep: undefined, switchStep: undefined, isStalled: false,
+			epoch: 0, inUse: undefined, fence: 0, staged: undefined, holdStep: undefined, switchStep: undefined, isStalled: false,
 		}));
 	}
 
@@ -38,11 +40,14 @@
 		for (const [index, rank] of this.ranks.entries()) {
 			if (rank.switchStep !== undefined && this.step >= rank.switchStep && rank.staged) {
 				rank.epoch = rank.staged.epoch;
+				rank.inUse = rank.staged.map;
 				rank.staged = undefined;
 				rank.switchStep = undefined;
 			}
 
-			this.records.push({step: this.step, rank: index, epoch: rank.epoch});
+			this.records.push({
+				step: this.step, rank: index, epoch: rank.epoch, map: rank.inUse,
+			});
 		}
 
 		this.step++;
@@ -70,13 +75,13 @@
 		return true;
 	}
 
-	/** The steps that were run with more than one epoch among the ranks; empty when all is well. */
+	/** The steps that were run with more than one map among the ranks; empty when all is well. */
 	findMixedSteps(): number[] {
-		const epochs = new Map<number, Set<number>>();
-		for (const {step, epoch} of this.records) {
-			epochs.set(step, (epochs.get(step) ?? new Set()).add(epoch));
+		const maps = new Map<number, Set<string>>();
+		for (const {step, epoch, map} of this.records) {
+			maps.set(step, (maps.get(step) ?? new Set()).add(`${epoch} ${JSON.stringify(map)}`));
 		}
 
-		return [...epochs].filter(([, seen]) => seen.size > 1).map(([step]) => step);
+		return [...maps].filter(([, seen]) => seen.size > 1).map(([step]) => step);
 	}
 }
