Wire map switches to links, and planners to leases

Cause: the switch protocol ran only in memory.

Change: target processes of a group talk over links, rank 0 leads and records the map in the platform until it is known to have it; the entry that comes first by rendezvous hashing plans for a group under a lease and numbers its proposals by the plan key's revision. A small group may save up eight copies, without which a group of eight slots never changed.

A group of 4 ranks whose load is uneven comes to an even map over sockets, and with the platform away it stays where it is and changes afterwards.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,10 @@
 		const {benchPath} = await import('./path.js');
 		return benchPath;
 	},
+	async capacity() {
+		const {benchCapacity} = await import('./capacity.js');
+		return benchCapacity;
+	},
 	async maps() {
 		const {benchMaps} = await import('./maps.js');
 		return benchMaps;
--- a/features/support/link-pair.ts
+++ b/features/support/link-pair.ts
@@ -50,6 +50,7 @@
 			random: () => 0,
 			resumeMs: 5000,
 			onTableVersion: () => undefined,
+			onExpertLoads: () => undefined,
 		});
 	}
 
--- a/features/support/map-group.ts
+++ b/features/support/map-group.ts
@@ -19,17 +19,18 @@
 	readonly commits: number[] = [];
 	/** Messages on the way. */
 	parcels: Parcel[] = [];
-	/** Says of each message whether it is lost. */
-	isLost: (parcel: Parcel) => boolean = () => false;
-	/** Says whether a message is delivered twice. */
-	isDoubled: () => boolean = () => false;
 	/** Orders to rank 0's engine whose answer is lost after they took effect, still to come. */
 	lostAnswers = 0;
 	/** Fencing number that the platform names; undefined while the platform is down. */
 	platformFence: number | undefined = 0;
 	readonly random: () => number;
+	/** Says of each message whether it is lost, and whether it is delivered twice. */
+	isLost: (parcel: Parcel) => boolean;
+	isDoubled: () => boolean;
 
 	constructor(readonly ranks: number, readonly checksFencing: boolean, seed = 1) {
+		this.isLost = () => false;
+		this.isDoubled = () => false;
 		this.engines = new EngineGroup(ranks, checksFencing);
 		const generator = xoroshiro128plus(seed);
 		this.random = () => uniformFloat64(generator);
--- a/src/calls/target-link.ts
+++ b/src/calls/target-link.ts
@@ -13,6 +13,8 @@
 	readonly random: () => number;
 	/** How long calls wait for a lost link to come back, milliseconds. */
 	readonly resumeMs: number;
+	/** Called with the expert loads that the target reported. */
+	readonly onExpertLoads: (message: MessageOf<'map-loads'>) => void;
 	/** Called when a message or answer names a version of the table. */
 	readonly onTableVersion: (version: number) => void;
 };
@@ -139,6 +141,11 @@
 				break;
 			}
 
+			case 'map-loads': {
+				this.options.onExpertLoads(message);
+				break;
+			}
+
 			case 'leaving': {
 				this.isLeaving = message.leaving;
 				break;
--- a/src/cli/commands/target-list.ts
+++ b/src/cli/commands/target-list.ts
@@ -16,8 +16,10 @@
 		const vms = await this.listVms();
 		const listed = vms.filter(({role}) => role === 'target');
 		const targets = await Promise.all(listed.map(async vm => ({vm, status: await readStatus(`http://${vm.address}:${vm.adminPort}/status`)})));
-		this.print(targets, targets.map(({vm, status}) =>
-			`${vm.id}  ${vm.service ?? ''}  ${vm.availabilityZone}  listed ${vm.state}, ${status ? `${status.state}, ${status.load.running} running, ${status.load.waiting} waiting` : 'does not answer'}`));
+		this.print(targets, targets.map(({vm, status}) => {
+			const own = status ? `${status.state}, ${status.load.running} running, ${status.load.waiting} waiting` : 'does not answer';
+			return `${vm.id}  ${vm.service ?? ''}  ${vm.availabilityZone}  listed ${vm.state}, ${own}`;
+		}));
 		return exitCode.ok;
 	}
 }
--- a/src/config/entry-settings.ts
+++ b/src/config/entry-settings.ts
@@ -15,6 +15,9 @@
 		retentionSeconds: z.int().min(60).default(86_400).meta({description: 'How long an idempotency key is remembered, seconds'}),
 		periodSeconds: z.int().min(10).default(3600).meta({description: 'How long one lease takes new claims before the next is granted, seconds'}),
 	}).prefault({}),
+	maps: z.strictObject({
+		intervalMs: z.int().min(100).default(30_000).meta({description: 'Time between two looks at a group\'s expert loads, milliseconds'}),
+	}).prefault({}),
 	routing: z.strictObject({
 		subsetSize: z.int().min(1).default(20).meta({description: 'Targets of one service that this entry keeps links to'}),
 	}).prefault({}),
--- a/src/config/target-settings.ts
+++ b/src/config/target-settings.ts
@@ -7,6 +7,7 @@
 	kind: z.enum(['model', 'plain']).meta({description: 'A model engine, or a plain HTTP service'}),
 	group: z.string().min(1).optional().meta({description: 'Group of ranks that the engine is part of'}),
 	rank: z.int().min(0).optional().meta({description: 'Rank of the engine in its group'}),
+	ranks: z.int().min(1).default(1).meta({description: 'Ranks in that group'}),
 	url: z.url().meta({description: 'Base URL of the engine or service, on loopback'}),
 	checksFencing: z.boolean().default(true).meta({description: 'Whether the engine refuses an order with an old fencing number by itself'}),
 	admission: z.strictObject({
--- a/src/entry/entry-controller.ts
+++ b/src/entry/entry-controller.ts
@@ -11,10 +11,12 @@
 import {type VmList} from '../platform/vm-list.js';
 import {rankByRendezvous} from '../routing/rank-by-rendezvous.js';
 import {type TableController} from '../table/table-controller.js';
+import {type GroupPlanners} from './group-planners.js';
 
 type Send = (message: LinkMessage) => boolean;
 
 type ControllerOptions = {
+	readonly groups: GroupPlanners;
 	readonly id: string;
 	readonly availabilityZone: string;
 	readonly platform: EntrySettings['platform'];
@@ -100,6 +102,11 @@
 		}
 	}
 
+	/** Takes expert loads that rank 0 of a group reported. */
+	takeLoads(message: MessageOf<'map-loads'>): void {
+		void this.options.groups.takeLoads(message, this.options.clock());
+	}
+
 	/** Handles a message of another entry, or of an operator. */
 	receive(message: LinkMessage, send: Send, sender: string): void {
 		const {limits, table} = this.options;
@@ -187,6 +194,7 @@
 		limits.tick(now);
 		table.setWatcher(this.isWatcher(now), now);
 		table.tick(now);
+		this.options.groups.tick(now, this.list?.vms ?? []);
 		if (now >= this.nextHeartbeatAt) {
 			this.nextHeartbeatAt = now + heartbeatMs;
 			const heartbeat = this.makeHeartbeat();
--- /dev/null
+++ b/src/entry/group-planners.ts
@@ -0,0 +1,69 @@
+import {type TargetPool} from '../calls/target-pool.js';
+import {type MessageOf} from '../link/message-of.js';
+import {GroupPlanner} from '../map-switch/group-planner.js';
+import {type Membership} from '../membership/membership.js';
+import {type KeyValue} from '../platform/key-value.js';
+import {type Vm} from '../platform/vm.js';
+import {rankByRendezvous} from '../routing/rank-by-rendezvous.js';
+import {type Row} from '../table/row.js';
+
+type PlannersOptions = {
+	readonly id: string;
+	readonly keyValue: KeyValue;
+	readonly membership: Membership;
+	readonly targets: TargetPool;
+	readonly intervalMs: number;
+	readonly getRow: (service: string, group: string) => Row | undefined;
+	readonly log: (message: string) => void;
+};
+
+/** The groups of ranks that this entry plans for: those whose first entry by rendezvous hashing it is. */
+export class GroupPlanners {
+	private readonly planners = new Map<string, GroupPlanner>();
+
+	constructor(private readonly options: PlannersOptions) {}
+
+	/** Lets the planner of each group that falls to this entry see the time. */
+	tick(now: number, vms: readonly Vm[]): void {
+		const live = this.options.membership.listLive(now);
+		for (const vm of vms) {
+			if (vm.group === undefined || vm.rank !== 0) {
+				continue;
+			}
+
+			const [first] = rankByRendezvous(vm.group, live);
+			if (first === this.options.id) {
+				void this.get(vm).tick(now);
+			}
+		}
+	}
+
+	async takeLoads(message: MessageOf<'map-loads'>, now: number): Promise<void> {
+		await this.planners.get(message.group)?.takeLoads(message, now);
+	}
+
+	/** Why the map of a group was last changed or left; undefined when another entry plans for it. */
+	explain(group: string): unknown {
+		const planner = this.planners.get(group);
+		return planner && {group, decision: planner.lastDecision};
+	}
+
+	private get(vm: Vm): GroupPlanner {
+		const group = vm.group!;
+		const {id, keyValue, intervalMs, log, targets, getRow} = this.options;
+		const planner = this.planners.get(group) ?? new GroupPlanner({
+			id,
+			group,
+			keyValue,
+			intervalMs,
+			log,
+			send: message => targets.get(vm.id)?.send(message) ?? false,
+			getWeights() {
+				const row = getRow(vm.service ?? '', group);
+				return {skew: row?.skewWeight ?? 1, move: row?.moveWeight ?? 1};
+			},
+		});
+		this.planners.set(group, planner);
+		return planner;
+	}
+}
--- a/src/entry/start-entry.ts
+++ b/src/entry/start-entry.ts
@@ -31,6 +31,7 @@
 import {TableController} from '../table/table-controller.js';
 import {createTracer} from '../tracing/create-tracer.js';
 import {EntryController} from './entry-controller.js';
+import {GroupPlanners} from './group-planners.js';
 import {HomeFinder} from './home-finder.js';
 import {RequestServer} from './request-server.js';
 import {type RunningEntry} from './running-entry.js';
@@ -83,6 +84,9 @@
 			clock,
 			random,
 			resumeMs: settings.requests.resumeMs,
+			onExpertLoads(message) {
+				controller.takeLoads(message);
+			},
 			onTableVersion(version) {
 				controller.noteVersion(version);
 			},
@@ -107,7 +111,19 @@
 		getVisibleShare: () => membership.getVisibleShare(clock()),
 		countEntries: () => membership.listLive(clock()).length,
 	});
+	const groups = new GroupPlanners({
+		id,
+		keyValue,
+		membership,
+		targets,
+		intervalMs: settings.maps.intervalMs,
+		getRow: (service, group) => table.current?.findRow(service, '*', group),
+		log(message) {
+			logger.info(`maps: ${message}`);
+		},
+	});
 	const controller = new EntryController({
+		groups,
 		id, availabilityZone, platform, membership, table, targets, peers, limits, clock, random, metrics,
 		log(message) {
 			logger.info(message);
@@ -194,7 +210,7 @@
 		isReady: () => controller.isReady,
 		pages: {
 			status: getStatus,
-			explain: argument => explanations.get(argument),
+			explain: argument => explanations.get(argument) ?? groups.explain(argument),
 		},
 	});
 	await controller.start();
--- a/src/link/link-message.ts
+++ b/src/link/link-message.ts
@@ -119,6 +119,14 @@
 		amount: z.number().min(0),
 		retryAfterMs: z.number().min(0),
 	}),
+	z.object({type: z.literal('map-loads-wanted'), group: z.string()}),
+	z.object({
+		type: z.literal('map-loads'),
+		group: z.string(),
+		epoch: z.int().min(0),
+		map: z.array(z.array(z.array(z.int()))),
+		loads: z.array(z.array(z.number().min(0))),
+	}),
 	z.object({
 		type: z.literal('map-propose'),
 		...order,
--- /dev/null
+++ b/src/map-switch/create-engine-orders.ts
@@ -0,0 +1,37 @@
+import {request} from 'undici';
+import {z} from 'zod';
+import {EngineMapState} from './engine-map-state.js';
+import {type EngineOrders} from './engine-orders.js';
+
+const timeoutMs = 5000;
+const stageTimeoutMs = 120_000;
+const taken = 200;
+const refused = 409;
+
+/** Gives an engine its orders over HTTP: `GET /maps`, `POST /maps/stage`, `/maps/prepare`, `/maps/decide`. */
+export function createEngineOrders(url: string): EngineOrders {
+	const order = async (name: string, body: unknown, answerMs: number): Promise<boolean> => {
+		const answer = await request(`${url}/maps/${name}`, {
+			method: 'POST',
+			headers: {'content-type': 'application/json'},
+			body: JSON.stringify(body),
+			headersTimeout: answerMs,
+		});
+		await answer.body.dump();
+		if (answer.statusCode !== taken && answer.statusCode !== refused) {
+			throw new Error(`engine answered ${answer.statusCode} to ${name}`);
+		}
+
+		return answer.statusCode === taken;
+	};
+
+	return {
+		async read() {
+			const answer = await request(`${url}/maps`, {headersTimeout: timeoutMs, bodyTimeout: timeoutMs});
+			return z.parse(EngineMapState, await answer.body.json());
+		},
+		stage: async message => order('stage', message, stageTimeoutMs),
+		prepare: async message => order('prepare', message, timeoutMs),
+		decide: async message => order('decide', message, timeoutMs),
+	};
+}
--- /dev/null
+++ b/src/map-switch/group-member.ts
@@ -0,0 +1,208 @@
+import {request} from 'undici';
+import {z} from 'zod';
+import {type TargetSettings} from '../config/target-settings.js';
+import {type LinkConnection} from '../link/link-connection.js';
+import {type LinkMessage} from '../link/link-message.js';
+import {type MessageOf} from '../link/message-of.js';
+import {PeerPool} from '../membership/peer-pool.js';
+import {fetchVmList} from '../platform/fetch-vm-list.js';
+import {type KeyValue} from '../platform/key-value.js';
+import {type VmList} from '../platform/vm-list.js';
+import {type Vm} from '../platform/vm.js';
+import {createEngineOrders} from './create-engine-orders.js';
+import {groupKeys} from './group-keys.js';
+import {GroupMap} from './group-map.js';
+import {MapCoordinator} from './map-coordinator.js';
+import {MapParticipant} from './map-participant.js';
+
+type MemberOptions = {
+	readonly settings: TargetSettings;
+	readonly keyValue: KeyValue;
+	readonly connect: (vm: Vm) => Promise<LinkConnection>;
+	readonly hello: () => LinkMessage;
+	readonly clock: () => number;
+	readonly random: () => number;
+	readonly log: (message: string) => void;
+};
+
+type Send = (message: LinkMessage) => boolean;
+
+const tickMs = 100;
+const listMs = 10_000;
+const recordMs = 5000;
+const expertLoads = z.object({
+	epoch: z.int(),
+	map: z.array(z.array(z.array(z.int()))),
+	loads: z.array(z.array(z.number())),
+});
+
+/** A target process as a member of a group of ranks: its part in map switches, and at rank 0 the lead of them. */
+export class GroupMember {
+	private readonly group: string;
+	private readonly rank: number;
+	private readonly peers: PeerPool;
+	private readonly participant: MapParticipant;
+	private readonly coordinator: MapCoordinator | undefined;
+	private list: VmList | undefined;
+	private nextListAt = 0;
+	private nextRecordAt = 0;
+	private readonly timer: NodeJS.Timeout;
+	/** Epoch that the platform is known to have recorded. */
+	private recordedEpoch = 0;
+
+	constructor(private readonly options: MemberOptions) {
+		const {settings, connect, hello, clock, random} = options;
+		this.group = settings.group!;
+		this.rank = settings.rank!;
+		this.peers = new PeerPool({
+			connect,
+			hello,
+			clock,
+			random,
+			onMessage: message => {
+				this.receive(message, () => false);
+			},
+		});
+		const engine = createEngineOrders(settings.url);
+		const shared = {engine, checksFencing: settings.checksFencing, readFence: async () => this.readFence()};
+		this.participant = new MapParticipant({
+			...shared,
+			rank: this.rank,
+			send: message => {
+				this.sendTo(0, message);
+			},
+		});
+		if (this.rank === 0) {
+			this.coordinator = new MapCoordinator({
+				...shared,
+				ranks: settings.ranks,
+				send: (rank, message) => {
+					this.sendTo(rank, message);
+				},
+				onCommit: () => {
+					this.nextRecordAt = clock();
+				},
+				log: options.log,
+			});
+		}
+
+		this.timer = setInterval(() => {
+			void this.tick();
+		}, tickMs);
+	}
+
+	/** Takes a message about maps; others are left alone. */
+	receive(message: LinkMessage, send: Send): void {
+		switch (message.type) {
+			case 'map-stage':
+			case 'map-prepare':
+			case 'map-decision': {
+				void this.participant.receive(message);
+				break;
+			}
+
+			case 'map-propose':
+			case 'map-vote':
+			case 'map-question': {
+				void this.coordinator?.receive(message, this.options.clock());
+				break;
+			}
+
+			case 'map-loads-wanted': {
+				void this.sendLoads(send);
+				break;
+			}
+
+			default:
+		}
+	}
+
+	close(): void {
+		clearInterval(this.timer);
+		this.peers.close();
+	}
+
+	private async tick(): Promise<void> {
+		const now = this.options.clock();
+		if (now >= this.nextListAt) {
+			this.nextListAt = now + (listMs * (0.5 + this.options.random()));
+			await this.readList();
+		}
+
+		this.peers.tick(now);
+		await this.participant.tick(now);
+		await this.coordinator?.tick(now);
+		if (this.coordinator && now >= this.nextRecordAt) {
+			this.nextRecordAt = now + recordMs;
+			await this.record();
+		}
+	}
+
+	private async readList(): Promise<void> {
+		const {vmList, timeoutMs} = this.options.settings.platform;
+		const list = await fetchVmList({url: vmList, timeoutMs, previous: this.list});
+		this.list = list.unwrapOr(this.list!);
+	}
+
+	private sendTo(rank: number, message: LinkMessage): void {
+		if (rank === this.rank) {
+			this.receive(message, () => false);
+			return;
+		}
+
+		const vm = this.list?.vms.find(candidate => candidate.group === this.group && candidate.rank === rank);
+		if (vm) {
+			this.peers.send(vm, message);
+		}
+	}
+
+	private async readFence(): Promise<number> {
+		const plan = await this.options.keyValue.get(groupKeys.plan(this.group));
+		if (plan.isErr()) {
+			throw plan.error;
+		}
+
+		return plan.value?.revision ?? 0;
+	}
+
+	private async readLoads(): Promise<z.infer<typeof expertLoads>> {
+		const answer = await request(`${this.options.settings.url}/expert-loads`);
+		return z.parse(expertLoads, await answer.body.json());
+	}
+
+	private async sendLoads(send: Send): Promise<void> {
+		try {
+			const loads = await this.readLoads();
+			send({type: 'map-loads', group: this.group, ...loads} satisfies MessageOf<'map-loads'>);
+		} catch (error) {
+			this.options.log(`expert loads not read: ${(error as Error).message}`);
+		}
+	}
+
+	/* The platform is told of the map in use until it is known to have it, however long it was away. */
+	private async record(): Promise<void> {
+		try {
+			const {epoch, map} = await this.readLoads();
+			if (epoch <= this.recordedEpoch) {
+				return;
+			}
+
+			const {keyValue} = this.options;
+			const key = groupKeys.mapInUse(this.group);
+			const stored = await keyValue.get(key);
+			if (stored.isErr()) {
+				return;
+			}
+
+			const storedEpoch = stored.value ? GroupMap.parse(JSON.parse(stored.value.value)).epoch : 0;
+			if (storedEpoch < epoch) {
+				await keyValue.commit({conditions: [{key, revision: stored.value?.revision ?? 0}], puts: [{key, value: JSON.stringify({epoch, map})}]});
+				return;
+			}
+
+			this.recordedEpoch = epoch;
+		} catch (error) {
+			this.options.log(`map not recorded: ${(error as Error).message}`);
+		}
+	}
+}
--- a/src/maps/map-planner.ts
+++ b/src/maps/map-planner.ts
@@ -12,6 +12,8 @@
 const greatestShare = 0.038;
 /** Intervals whose unused budget is kept. */
 const savedIntervals = 9;
+/** Copies that a small group may save up for, so that it can change at all. */
+const leastSaved = 8;
 
 /** Plans the maps of one group over time: forecasts from the loads seen so far, within a budget of moves. */
 export class MapPlanner {
@@ -22,7 +24,7 @@
 	constructor(private readonly shape: MapShape, private readonly weights: MapWeights) {
 		const ratio = weights.move === 0 ? Number.POSITIVE_INFINITY : weights.skew / weights.move;
 		this.share = Math.min(greatestShare, Math.max(leastShare, evenShare * Math.sqrt(ratio)));
-		this.saved = this.budgetPerInterval * savedIntervals;
+		this.saved = this.mostSaved;
 	}
 
 	/**
@@ -33,7 +35,7 @@
 	 */
 	plan(map: ExpertMap, loads: LayerLoads): ExpertMap {
 		this.forecast.observe(loads);
-		this.saved = Math.min(this.budgetPerInterval * savedIntervals, this.saved + this.budgetPerInterval);
+		this.saved = Math.min(this.mostSaved, this.saved + this.budgetPerInterval);
 		const next = planMap({
 			map, shape: this.shape, forecast: this.forecast, weights: this.weights, budget: Math.floor(this.saved),
 		});
@@ -45,6 +47,10 @@
 		return next;
 	}
 
+	private get mostSaved(): number {
+		return Math.max(leastSaved, this.budgetPerInterval * savedIntervals);
+	}
+
 	private get budgetPerInterval(): number {
 		return this.shape.layers * this.shape.ranks * this.shape.slots * this.share;
 	}
--- a/src/target/start-target.ts
+++ b/src/target/start-target.ts
@@ -2,14 +2,17 @@
 import {Agent} from 'undici';
 import {AdmissionQueue} from '../admission/admission-queue.js';
 import {type TargetSettings} from '../config/target-settings.js';
+import {connectLink} from '../link/connect-link.js';
 import {type LinkConnection} from '../link/link-connection.js';
 import {type LinkMessage} from '../link/link-message.js';
 import {linkProtocol} from '../link/link-protocol.js';
 import {listenLink} from '../link/listen-link.js';
 import {type MessageOf} from '../link/message-of.js';
 import {getLogger} from '../log/get-logger.js';
+import {GroupMember} from '../map-switch/group-member.js';
 import {ProcessMetrics} from '../metrics/process-metrics.js';
 import {startAdminServer} from '../metrics/start-admin-server.js';
+import {createEtcdKeyValue} from '../platform/create-etcd-key-value.js';
 import {callEngine} from './call-engine.js';
 import {Lifecycle} from './lifecycle.js';
 import {RecordTable} from './record-table.js';
@@ -146,6 +149,7 @@
 					}
 
 					requests.receive(message, send, clock());
+					member?.receive(message, send);
 				}
 			}
 		});
@@ -159,6 +163,36 @@
 		});
 	};
 
+	const keyValue = createEtcdKeyValue({
+		url: settings.platform.keyValue,
+		timeoutMs: settings.platform.timeoutMs,
+		onCall(operation) {
+			metrics.platformCalls.inc({operation});
+		},
+	});
+	const member = settings.group === undefined || settings.rank === undefined
+		? undefined
+		: new GroupMember({
+			settings,
+			keyValue,
+			connect: async vm => connectLink({
+				address: vm.address,
+				port: vm.linkPort,
+				key: settings.link.key,
+				maximumFrameBytes: settings.link.maximumFrameBytes,
+				timeoutMs: settings.platform.timeoutMs,
+				meter: metrics.meterLink,
+			}),
+			hello: () => ({
+				type: 'hello', protocol: linkProtocol, id: settings.id, role: 'target', availabilityZone: settings.availabilityZone, incarnation, tableVersion,
+			}),
+			clock,
+			random: Math.random,
+			log(message) {
+				logger.info(`maps: ${message}`);
+			},
+		});
+
 	const listener = await listenLink({
 		address: settings.address,
 		port: settings.linkPort,
@@ -192,6 +226,7 @@
 	}, reportMs);
 
 	async function close(): Promise<void> {
+		member?.close();
 		clearInterval(ticker);
 		clearInterval(reporter);
 		// The last parts of answers leave before the links do.
@@ -212,6 +247,7 @@
 			await stopped;
 		},
 		async kill() {
+			member?.close();
 			clearInterval(ticker);
 			clearInterval(reporter);
 			admin.close();
--- a/stand-ins/engine/engine-group.ts
+++ b/stand-ins/engine/engine-group.ts
@@ -18,6 +18,9 @@
 	step = 0;
 	readonly records: StepRecord[] = [];
 	readonly ranks: RankState[];
+	/** Map that the engine starts with, and the loads it reports; scenarios set them. */
+	firstMap: number[][][];
+	expertLoads: number[][] = [[1]];
 	private readonly listeners = new Set<() => void>();
 
 	/**
@@ -25,6 +28,7 @@
 	 * @param checksFencing - whether an order with an old fencing number is refused
 	 */
 	constructor(size: number, readonly checksFencing: boolean) {
+		this.firstMap = [Array.from({length: size}, () => [0])];
 		this.ranks = Array.from({length: size}, () => ({
 			epoch: 0, inUse: undefined, fence: 0, staged: undefined, holdStep: undefined, switchStep: undefined, isStalled: false,
 		}));
--- a/stand-ins/engine/start-engine.ts
+++ b/stand-ins/engine/start-engine.ts
@@ -122,6 +122,12 @@
 			return;
 		}
 
+		if (path === '/expert-loads') {
+			const {epoch, inUse} = group.ranks[rank];
+			sendJson(response, 200, {epoch, map: inUse ?? group.firstMap, loads: group.expertLoads});
+			return;
+		}
+
 		if (path === '/maps') {
 			const {epoch, fence, staged, holdStep, switchStep} = group.ranks[rank];
 			sendJson(response, 200, {
--- a/stand-ins/system/system.ts
+++ b/stand-ins/system/system.ts
@@ -112,7 +112,7 @@
 		});
 		this.engines.set(id, engine);
 		await this.addTarget(id, rank, {
-			service: 'stone-drafts', kind: 'model', group: 'stone-drafts-a', rank, url: engine.url,
+			service: 'stone-drafts', kind: 'model', group: 'stone-drafts-a', rank, ranks: this.options.ranks, url: engine.url,
 		});
 	}
 
