--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -136,10 +136,11 @@
 
 /* A whole small answer, as a target keeps it for a second copy of its request. */
 const fillAnswer = (execution: Execution): void => {
-	execution.push({
+	execution.addPart({
 		type: 'head', status: 200, headers: {'content-type': 'application/json'}, tableVersion: 1,
 	});
-	execution.push({type: 'data', chunk: new Uint8Array(512)}, {type: 'end'});
+	execution.addPart({type: 'data', chunk: new Uint8Array(512)});
+	execution.addPart({type: 'end'});
 };
 
 const measureRecords = (): Sample => {
--- a/features/support/link-pair.ts
+++ b/features/support/link-pair.ts
@@ -77,24 +77,24 @@
 	/** Lets the engine write parts of an answer, and end it. */
 	write(words: readonly string[], isLast: boolean): void {
 		const execution = this.running.at(-1)!;
-		execution.push({
+		execution.addPart({
 			type: 'head', status: 200, headers: {}, tableVersion: 0,
 		});
 		for (const word of words) {
-			execution.push({type: 'data', chunk: new TextEncoder().encode(word)});
+			execution.addPart({type: 'data', chunk: new TextEncoder().encode(word)});
 		}
 
 		if (isLast) {
-			execution.push({type: 'end'});
+			execution.addPart({type: 'end'});
 		}
 	}
 
 	/** Adds a part without a head, for an answer that has begun. */
 	writeMore(word: string, isLast: boolean): void {
 		const execution = this.running.at(-1)!;
-		execution.push({type: 'data', chunk: new TextEncoder().encode(word)});
+		execution.addPart({type: 'data', chunk: new TextEncoder().encode(word)});
 		if (isLast) {
-			execution.push({type: 'end'});
+			execution.addPart({type: 'end'});
 		}
 	}
 
--- a/src/target/call-engine.ts
+++ b/src/target/call-engine.ts
@@ -41,7 +41,7 @@
 		throw neverConnectedCodes.has(code ?? '') ? new EngineRefusal(message) : error;
 	}
 
-	execution.push({
+	execution.addPart({
 		type: 'head',
 		status: answer.statusCode,
 		headers: keepEndToEnd(answer.headers),
@@ -49,9 +49,9 @@
 	});
 	for await (const chunk of answer.body) {
 		// A copy: the chunk is a view of a read buffer many times its size, which a kept part would hold on to.
-		execution.push({type: 'data', chunk: new Uint8Array(chunk as Uint8Array)});
+		execution.addPart({type: 'data', chunk: new Uint8Array(chunk as Uint8Array)});
 		await execution.waitForRoom();
 	}
 
-	execution.push({type: 'end'});
+	execution.addPart({type: 'end'});
 }
--- a/src/target/execution.ts
+++ b/src/target/execution.ts
@@ -48,7 +48,7 @@
 	}
 
 	/** Adds a part of the answer and sends it to each reader. */
-	push(part: AnswerPart): void {
+	addPart(part: AnswerPart): void {
 		if (this.isEnded) {
 			return;
 		}
--- a/src/target/request-controller.ts
+++ b/src/target/request-controller.ts
@@ -283,7 +283,7 @@
 				this.options.records.drop(execution);
 				this.refuse(request, send, 'unavailable', now);
 			} else {
-				execution.push({type: 'broken', reason: (error as Error).message});
+				execution.addPart({type: 'broken', reason: (error as Error).message});
 			}
 		}
 
