Ask around before a request waits, and count what control costs

Change: a target that would make a request wait refuses it at once with its expected wait; after four such refusals the request waits at the shortest. Entries just listed count as live, unknown ones are looked up when they connect, and a message waits for a link that is being opened. Heartbeats go to one peer of the zone and one beyond every 2 s, with four others' news. Spans a hop, log level, longest planned stop. Pages from schemas.

Conclusion: asking beats any report that lags.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -11,6 +11,18 @@
 		const {benchCapacity} = await import('./capacity.js');
 		return benchCapacity;
 	},
+	async routing() {
+		const {benchRouting} = await import('./routing.js');
+		return benchRouting;
+	},
+	async limits() {
+		const {benchLimits} = await import('./limits.js');
+		return benchLimits;
+	},
+	async table() {
+		const {benchTable} = await import('./table.js');
+		return benchTable;
+	},
 	async maps() {
 		const {benchMaps} = await import('./maps.js');
 		return benchMaps;
--- a/bench/path.ts
+++ b/bench/path.ts
@@ -48,6 +48,7 @@
 	const hash = createHash('sha256').update(token).digest('hex');
 	const table = parseTable(`service,organisation,group,token_sha256\n*,bench,*,${hash}\n`)._unsafeUnwrap();
 	const keyValue = createEtcdKeyValue({url: node.platform.keyValue, timeoutMs: 2000, onCall: () => undefined});
+	await fleet.waitForKeyValue(keyValue);
 	const applied = await applyTable(keyValue, table, {
 		changeId: randomUUID(), operator: 'bench', now: Date.now(), knownVersion: 0,
 	});
--- /dev/null
+++ b/bench/support/make-pages.ts
@@ -0,0 +1,38 @@
+import {readFileSync} from 'node:fs';
+import {OperatorSettings} from '../../src/cli/operator-settings.js';
+import {describeSettings} from '../../src/config/describe-settings.js';
+import {EntrySettings} from '../../src/config/entry-settings.js';
+import {TargetSettings} from '../../src/config/target-settings.js';
+import {type CapacityFigure} from './capacity-figure.js';
+import {formatFigures} from './format-figures.js';
+import {replaceSection} from './replace-section.js';
+
+type Page = {readonly file: string; readonly text: string};
+
+/** Makes the pages that are written from schemas and measured figures. */
+export function makePages(): Page[] {
+	const settings = [
+		'# Settings',
+		'',
+		'Written by `npm run docs` from the schemas in `src/config` and `src/cli`. Files are TOML; unknown keys are errors.',
+		'',
+		'## wardswitch-entry',
+		'',
+		describeSettings(EntrySettings),
+		'',
+		'## wardswitch-target',
+		'',
+		describeSettings(TargetSettings),
+		'',
+		'## wardswitch',
+		'',
+		describeSettings(OperatorSettings),
+		'',
+	].join('\n');
+	const figures = JSON.parse(readFileSync('docs/capacity-figures.json', 'utf8')) as CapacityFigure[];
+	const capacity = readFileSync('docs/CAPACITY.md', 'utf8');
+	return [
+		{file: 'docs/SETTINGS.md', text: settings},
+		{file: 'docs/CAPACITY.md', text: replaceSection(capacity, 'figures', formatFigures(figures))},
+	];
+}
--- a/bench/support/process-fleet.ts
+++ b/bench/support/process-fleet.ts
@@ -6,6 +6,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {stringify} from 'smol-toml';
 import {request} from 'undici';
+import {type KeyValue} from '../../src/platform/key-value.js';
 import {type ProcessUsage} from './process-usage.js';
 
 const patienceMs = 15_000;
@@ -55,6 +56,20 @@
 		throw new Error(`${url} did not answer in time`);
 	}
 
+	/** Waits until the key-value stand-in answers. */
+	async waitForKeyValue(keyValue: KeyValue): Promise<void> {
+		for (let waitedMs = 0; waitedMs < patienceMs; waitedMs += pollMs) {
+			const answer = await keyValue.get('wardswitch/table/head');
+			if (answer.isOk()) {
+				return;
+			}
+
+			await delay(pollMs);
+		}
+
+		throw new Error('the key-value stand-in did not answer in time');
+	}
+
 	/** Memory and processor time of a process, from its own metrics. */
 	async readUsage(adminPort: number): Promise<ProcessUsage> {
 		const answer = await request(`http://127.0.0.1:${adminPort}/metrics`);
--- /dev/null
+++ b/bench/support/simulate-limits.ts
@@ -0,0 +1,68 @@
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {Lender} from '../../src/limits/lender.js';
+import {LimitController} from '../../src/limits/limit-controller.js';
+import {type LimitDemand} from '../../src/limits/limit-demand.js';
+
+type Options = {
+	/** Limit of the whole system, requests a second. */
+	readonly limit: number;
+	/** Requests offered a second, by all entries together. */
+	readonly offered: number;
+	readonly seconds: number;
+	/** When the two zones are cut off from each other, and how long until the entries notice. */
+	readonly cutFromMs: number;
+	readonly noticedAfterMs: number;
+};
+
+const entries = 8;
+const stepMs = 1;
+
+/**
+ * Offers seeded requests to eight entries in two zones that share a limit, on an argument clock. Entry 0 is the
+ * limit's home; while the second zone is cut off and has noticed it, entry 4 is its home.
+ *
+ * @returns requests admitted in each second
+ */
+export async function simulateLimits(options: Options): Promise<number[]> {
+	const {limit, offered, seconds, cutFromMs, noticedAfterMs} = options;
+	const generator = xoroshiro128plus(9);
+	const clock = {now: 0};
+	const isCut = (): boolean => clock.now >= cutFromMs;
+	const isNoticed = (): boolean => clock.now >= cutFromMs + noticedAfterMs;
+	const zoneOf = (entry: number): number => entry < entries / 2 ? 0 : 1;
+	const demand: LimitDemand = {
+		name: 'requestsPerSecond/service/organisation', kind: 'requestsPerSecond', value: limit, amount: 1,
+	};
+	const controllers: LimitController[] = Array.from({length: entries}, (_, entry) => new LimitController({
+		id: String(entry),
+		lender: new Lender(),
+		clock: () => clock.now,
+		findHome: () => isNoticed() && zoneOf(entry) === 1 ? '4' : '0',
+		ask(home, message) {
+			if (isCut() && zoneOf(Number(home)) !== zoneOf(entry)) {
+				return false;
+			}
+
+			const loan = controllers[Number(home)].lend(message, String(entry), demand, clock.now);
+			queueMicrotask(() => {
+				controllers[entry].takeLoan(loan);
+			});
+			return true;
+		},
+		getVisibleShare: () => isNoticed() ? 0.5 : 1,
+		countEntries: () => isNoticed() ? entries / 2 : entries,
+	}));
+	const admitted: number[] = Array.from({length: seconds}, () => 0);
+	for (; clock.now < seconds * 1000; clock.now += stepMs) {
+		if (uniformFloat64(generator) < offered * stepMs / 1000) {
+			const entry = Math.floor(uniformFloat64(generator) * entries);
+			const held = await controllers[entry].acquire([demand]);
+			if (held.isOk()) {
+				admitted[Math.floor(clock.now / 1000)]++;
+			}
+		}
+	}
+
+	return admitted;
+}
--- /dev/null
+++ b/bench/write-pages.ts
@@ -0,0 +1,6 @@
+import {writeFileSync} from 'node:fs';
+import {makePages} from './support/make-pages.js';
+
+for (const {file, text} of makePages()) {
+	writeFileSync(file, text);
+}
--- /dev/null
+++ b/features/docs.feature
@@ -0,0 +1,25 @@
+Feature: Pages and programs agree
+
+  Scenario: Pages written from schemas and figures are up to date
+    Then every page written by "npm run docs" is as it would be written now
+
+  Scenario Outline: The example settings are accepted by their program
+    When "<program>" checks "<file>"
+    Then the settings are accepted
+
+    Examples:
+      | program          | file                 |
+      | wardswitch-entry | examples/entry.toml  |
+      | wardswitch-target | examples/target.toml |
+
+  Scenario Outline: Settings that cannot be used are refused with file, key and expectation
+    Given example settings of "<program>" with '<line>' in place of '<old>'
+    When they are read
+    Then the problem names the file, "<key>" and "<expectation>"
+
+    Examples:
+      | program           | old             | line               | key       | expectation     |
+      | wardswitch-entry  | httpPort = 8080 | httpPort = 80800   | httpPort  | 65535           |
+      | wardswitch-entry  | httpPort = 8080 | httpport = 8080    | httpport  | unknown         |
+      | wardswitch-entry  | httpPort = 8080 | httpPort =         | TOML      | Invalid         |
+      | wardswitch-target | kind = "model"  | kind = "modell"    | kind      | model           |
--- /dev/null
+++ b/features/steps/docs-steps.ts
@@ -0,0 +1,46 @@
+import assert from 'node:assert/strict';
+import {mkdtempSync, readFileSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {makePages} from '../../bench/support/make-pages.js';
+import {EntrySettings} from '../../src/config/entry-settings.js';
+import {readSettings} from '../../src/config/read-settings.js';
+import {TargetSettings} from '../../src/config/target-settings.js';
+import {type SystemWorld} from '../support/system-world.js';
+
+const read = (program: string, file: string) => readSettings(file, program === 'wardswitch-entry' ? EntrySettings : TargetSettings);
+
+Then('every page written by {string} is as it would be written now', (_command: string) => {
+	for (const {file, text} of makePages()) {
+		assert.equal(readFileSync(file, 'utf8'), text, `${file} is out of date; run "npm run docs"`);
+	}
+});
+
+When('{string} checks {string}', function (this: SystemWorld, program: string, file: string) {
+	this.notes.set('settings', read(program, file));
+});
+
+Then('the settings are accepted', function (this: SystemWorld) {
+	(this.notes.get('settings') as ReturnType<typeof read>)._unsafeUnwrap();
+});
+
+Given('example settings of {string} with {string} in place of {string}', function (this: SystemWorld, program: string, line: string, old: string) {
+	const example = readFileSync(program === 'wardswitch-entry' ? 'examples/entry.toml' : 'examples/target.toml', 'utf8');
+	assert.ok(example.includes(old));
+	const file = path.join(mkdtempSync(path.join(tmpdir(), 'wardswitch-settings-')), 'settings.toml');
+	writeFileSync(file, example.replace(old, line));
+	this.notes.set('program', program);
+	this.notes.set('file', file);
+});
+
+When('they are read', function (this: SystemWorld) {
+	this.notes.set('settings', read(this.notes.get('program') as string, this.notes.get('file') as string));
+});
+
+Then('the problem names the file, {string} and {string}', function (this: SystemWorld, key: string, expectation: string) {
+	const {message} = (this.notes.get('settings') as ReturnType<typeof read>)._unsafeUnwrapErr();
+	assert.ok(message.includes(this.notes.get('file') as string), message);
+	assert.ok(message.includes(key), message);
+	assert.ok(message.includes(expectation), message);
+});
--- a/features/support/link-pair.ts
+++ b/features/support/link-pair.ts
@@ -58,7 +58,19 @@
 	makeRequest(key?: string, owner?: string): MessageOf<'request'> {
 		const id = owner ?? `request-${this.nextId++}`;
 		return {
-			type: 'request', id, attempt: 1, method: 'POST', path: '/', headers: {}, body: new Uint8Array(), organisation: 'granite', weight: 1, urgency: 3, timeoutMs: 10_000, tableVersion: 0,
+			type: 'request',
+			id,
+			attempt: 1,
+			method: 'POST',
+			path: '/',
+			headers: {},
+			body: new Uint8Array(),
+			organisation: 'granite',
+			weight: 1,
+			urgency: 3,
+			timeoutMs: 10_000,
+			mayWait: true,
+			tableVersion: 0,
 			...(key !== undefined && {
 				once: {
 					key, owner: id, incarnation: 'life-1', expiresAt: this.now + 60_000,
--- a/src/admission/admission-queue.ts
+++ b/src/admission/admission-queue.ts
@@ -49,6 +49,10 @@
 		}
 
 		const expectedWaitMs = this.expectWait(request, now);
+		if (!request.mayWait) {
+			return {kind: 'refuse', reason: 'busy', retryAfterMs: expectedWaitMs};
+		}
+
 		if (this.queue.length >= this.options.queueLength) {
 			return {kind: 'refuse', reason: 'full', retryAfterMs: expectedWaitMs};
 		}
--- a/src/admission/admission-request.ts
+++ b/src/admission/admission-request.ts
@@ -9,4 +9,6 @@
 	readonly arrivedAt: number;
 	/** Moment after which starting the request is of no use. */
 	readonly deadline: number;
+	/** Whether it may wait; otherwise it starts at once or is refused. */
+	readonly mayWait: boolean;
 };
--- a/src/admission/admission-verdict.ts
+++ b/src/admission/admission-verdict.ts
@@ -2,4 +2,4 @@
 export type AdmissionVerdict
 	= | {readonly kind: 'start'}
 		| {readonly kind: 'wait'}
-		| {readonly kind: 'refuse'; readonly reason: 'full' | 'late'; readonly retryAfterMs: number};
+		| {readonly kind: 'refuse'; readonly reason: 'busy' | 'full' | 'late'; readonly retryAfterMs: number};
--- a/src/bin/run-process.ts
+++ b/src/bin/run-process.ts
@@ -1,6 +1,8 @@
 import process from 'node:process';
 import {type Result} from 'neverthrow';
+import {type NodeSettings} from '../config/node-settings.js';
 import {type SettingsError} from '../config/settings-error.js';
+import {startLogging} from '../log/start-logging.js';
 
 /** A process that runs until it is told to stop. */
 type Running = {
@@ -25,7 +27,7 @@
  *
  * Exit codes: 0 after a planned stop, 1 when cut short, 2 for wrong arguments, 78 for unusable settings.
  */
-export async function runProcess<Settings>(options: ProcessOptions<Settings>, words: readonly string[]): Promise<void> {
+export async function runProcess<Settings extends {readonly logLevel: NodeSettings['logLevel']}>(options: ProcessOptions<Settings>, words: readonly string[]): Promise<void> {
 	const isCheck = words.includes('--check-settings');
 	const files = words.filter(word => !word.startsWith('--'));
 	const unknown = words.find(word => word.startsWith('--') && word !== '--check-settings');
@@ -47,6 +49,7 @@
 		return;
 	}
 
+	startLogging(settings.value.logLevel);
 	const running = await options.start(settings.value);
 	let isStopping = false;
 	const handleSignal = (): void => {
--- a/src/config/node-settings.ts
+++ b/src/config/node-settings.ts
@@ -13,6 +13,7 @@
 	platform: z.strictObject({
 		keyValue: z.url().meta({description: 'Base URL of the key-value service (etcd v3 JSON gateway)'}),
 		vmList: z.url().meta({description: 'URL of the list of live and leaving VMs'}),
+		vmListIntervalMs: z.int().min(100).default(5000).meta({description: 'Time between two readings of the list of VMs, milliseconds'}),
 		timeoutMs: z.int().min(10).default(2000).meta({description: 'Longest wait for one answer of the platform, milliseconds'}),
 	}),
 	link: z.strictObject({
--- a/src/entry/entry-controller.ts
+++ b/src/entry/entry-controller.ts
@@ -32,8 +32,7 @@
 };
 
 const tickMs = 250;
-const heartbeatMs = 1000;
-const listMs = 5000;
+const heartbeatMs = 2000;
 /** Entries of a zone that watch the platform for all of it. */
 const watchersPerZone = 2;
 /** How long a starting entry waits to hear of newer tables before it is ready, milliseconds. */
@@ -88,6 +87,13 @@
 		}
 	}
 
+	/** Learns that an entry has opened a link; one that is not known yet is looked up at once. */
+	greet(id: string): void {
+		if (this.options.membership.getVm(id) === undefined) {
+			this.nextListAt = 0;
+		}
+	}
+
 	/** Learns of a table version from a target; asks a peer of the zone for it. */
 	noteVersion(version: number): void {
 		const {table, clock, membership, peers} = this.options;
@@ -198,13 +204,13 @@
 		if (now >= this.nextHeartbeatAt) {
 			this.nextHeartbeatAt = now + heartbeatMs;
 			const heartbeat = this.makeHeartbeat();
-			for (const vm of membership.pickPeers(now)) {
+			for (const vm of membership.pickNext(now)) {
 				peers.send(vm, heartbeat);
 			}
 		}
 
 		if (now >= this.nextListAt) {
-			this.nextListAt = now + (listMs * (0.5 + this.options.random()));
+			this.nextListAt = now + (this.options.platform.vmListIntervalMs * (0.5 + this.options.random()));
 			void this.readList();
 		}
 	}
--- a/src/entry/request-server.ts
+++ b/src/entry/request-server.ts
@@ -87,7 +87,7 @@
 		const id = randomUUID();
 		const span = startSpan(tracer, 'entry', request.headers);
 		const exchange = new Exchange({
-			id, method: request.method ?? 'GET', url: request.url ?? '/', headers: request.headers, response, arrivedAt: clock(), span,
+			id, method: request.method ?? 'GET', url: request.url ?? '/', headers: request.headers, response, arrivedAt: clock(), span, tracer,
 		});
 		writeTraceParent(span, exchange.headers);
 		response.setHeader('wardswitch-request-id', id);
--- a/src/entry/start-entry.ts
+++ b/src/entry/start-entry.ts
@@ -175,6 +175,10 @@
 		connection.onMessage(message => {
 			if (message.type === 'hello' && message.protocol === linkProtocol) {
 				peer = message;
+				if (message.role === 'entry') {
+					controller.greet(message.id);
+				}
+
 				connection.send({
 					type: 'welcome', protocol: linkProtocol, id, availabilityZone, incarnation, tableVersion: table.version, leaving: false,
 				});
--- a/src/link/link-message.ts
+++ b/src/link/link-message.ts
@@ -50,6 +50,8 @@
 		weight: z.number().positive(),
 		urgency: z.number(),
 		timeoutMs: z.number(),
+		/** Whether the request may wait before the engine; if not, a busy target refuses it at once. */
+		mayWait: z.boolean(),
 		tableVersion,
 		once: once.optional(),
 	}),
@@ -87,7 +89,7 @@
 	z.object({
 		type: z.literal('refused'),
 		...call,
-		reason: z.enum(['leaving', 'full', 'late', 'cancelled', 'incarnation', 'expired', 'duplicate', 'unavailable', 'unknown-call']),
+		reason: z.enum(['leaving', 'busy', 'full', 'late', 'cancelled', 'incarnation', 'expired', 'duplicate', 'unavailable', 'unknown-call']),
 		retryAfterMs: z.number().min(0),
 		record: recordState.optional(),
 	}),
--- a/src/map-switch/group-member.ts
+++ b/src/map-switch/group-member.ts
@@ -28,7 +28,6 @@
 type Send = (message: LinkMessage) => boolean;
 
 const tickMs = 100;
-const listMs = 10_000;
 const recordMs = 5000;
 const expertLoads = z.object({
 	epoch: z.int(),
@@ -125,7 +124,7 @@
 	private async tick(): Promise<void> {
 		const now = this.options.clock();
 		if (now >= this.nextListAt) {
-			this.nextListAt = now + (listMs * (0.5 + this.options.random()));
+			this.nextListAt = now + (this.options.settings.platform.vmListIntervalMs * (0.5 + this.options.random()));
 			await this.readList();
 		}
 
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -5,7 +5,7 @@
 
 type Heartbeat = MessageOf<'heartbeat'>;
 type Rumour = Heartbeat['peers'][number];
-type Member = {vm: Vm; incarnation: string; counter: number; heardAt: number | undefined; isListed: boolean};
+type Member = {vm: Vm; incarnation: string; counter: number; heardAt: number | undefined; listedAt: number; isListed: boolean};
 
 type MembershipOptions = {
 	readonly id: string;
@@ -13,12 +13,15 @@
 	readonly incarnation: string;
 };
 
-const suspectMs = 5000;
+/** Silence after which an entry is suspect, and dead, while there are few of them. */
+const suspectMs = 6000;
 const deadMs = 15_000;
+/** Entries up to which these times hold; news of each gets rarer in proportion beyond. */
+const promptMembers = 16;
 /** Members whose counters one heartbeat carries. */
-const rumours = 8;
+const rumours = 4;
 /** Peers in the own zone, and in each other zone, that heartbeats go to. */
-const localPeers = 5;
+const localPeers = 3;
 const remotePeers = 1;
 
 /**
@@ -30,6 +33,7 @@
 export class Membership {
 	private readonly members = new Map<string, Member>();
 	private counter = 0;
+	private turn = 0;
 
 	constructor(private readonly options: MembershipOptions) {}
 
@@ -50,7 +54,7 @@
 				member.isListed = true;
 			} else {
 				this.members.set(vm.id, {
-					vm, incarnation: '', counter: 0, heardAt: undefined, isListed: true,
+					vm, incarnation: '', counter: 0, heardAt: undefined, listedAt: now, isListed: true,
 				});
 			}
 		}
@@ -78,11 +82,12 @@
 		}
 
 		const silenceMs = now - heardAt;
-		if (silenceMs < suspectMs) {
+		const slowness = Math.max(1, this.members.size / promptMembers);
+		if (silenceMs < suspectMs * slowness) {
 			return 'live';
 		}
 
-		return silenceMs < deadMs ? 'suspect' : 'dead';
+		return silenceMs < deadMs * slowness ? 'suspect' : 'dead';
 	}
 
 	/** Where another entry is; undefined when it is not known. */
@@ -95,7 +100,7 @@
 		return [...this.members.values()].map(({vm}) => vm);
 	}
 
-	/** Ids of the entries that are heard, this one included; in one zone if given. */
+	/** Ids of the entries that are heard or were just listed, this one included; in one zone if given. */
 	listLive(now: number, availabilityZone?: string): string[] {
 		const live = [...this.members]
 			.filter(([id, {vm}]) => (availabilityZone === undefined || vm.availabilityZone === availabilityZone) && this.isHeard(id, now))
@@ -135,6 +140,15 @@
 		});
 	}
 
+	/** Whom the next heartbeat goes to: one peer of the zone and one of the others, each in turn. */
+	pickNext(now: number): Vm[] {
+		this.turn++;
+		const peers = this.pickPeers(now);
+		const local = peers.filter(vm => vm.availabilityZone === this.options.availabilityZone);
+		const remote = peers.filter(vm => vm.availabilityZone !== this.options.availabilityZone);
+		return [local, remote].filter(({length}) => length > 0).map(list => list[this.turn % list.length]);
+	}
+
 	/** Makes the next heartbeat; `random` picks whom it passes on. */
 	makeHeartbeat(table: {readonly tableVersion: number; readonly changeId: string}, random: () => number, now: number): Heartbeat {
 		this.counter++;
@@ -151,7 +165,9 @@
 
 	private isHeard(id: string, now: number): boolean {
 		const state = this.getState(id, now);
-		return state === 'live' || state === 'suspect';
+		// An entry that starts has heard nobody yet: it must not take itself for the only one.
+		const isNew = state === 'unheard' && now - this.members.get(id)!.listedAt < deadMs;
+		return isNew || state === 'live' || state === 'suspect';
 	}
 
 	/* Incarnations begin with their time of start, so that the later one is the greater. */
--- a/src/membership/peer-pool.ts
+++ b/src/membership/peer-pool.ts
@@ -11,10 +11,17 @@
 	readonly random: () => number;
 };
 
-type PeerLink = {readonly link: PersistentLink; readonly vm: Vm; usedAt: number};
+type PeerLink = {
+	readonly link: PersistentLink;
+	readonly vm: Vm;
+	/** Messages for a link that is being opened for the first time; undefined once that has succeeded or failed. */
+	queue: LinkMessage[] | undefined;
+	usedAt: number;
+};
 
 /** A link that nobody used for this long is closed, milliseconds. */
 const idleMs = 60_000;
+const maximumQueue = 16;
 
 /** The links to other entries, opened when first needed and closed when long unused. */
 export class PeerPool {
@@ -26,7 +33,7 @@
 		return this.links.size;
 	}
 
-	/** Sends a message to an entry; false when there is no link yet, which is then being opened. */
+	/** Sends a message to an entry, opening a link if need be; false when the entry cannot be reached now. */
 	send(vm: Vm, message: LinkMessage): boolean {
 		const known = this.links.get(vm.id);
 		const isMoved = known && (known.vm.address !== vm.address || known.vm.linkPort !== vm.linkPort);
@@ -36,6 +43,11 @@
 
 		const peer = known && !isMoved ? known : this.open(vm);
 		peer.usedAt = this.options.clock();
+		if (peer.queue && peer.queue.length < maximumQueue) {
+			peer.queue.push(message);
+			return true;
+		}
+
 		return peer.link.current?.send(message) ?? false;
 	}
 
@@ -66,15 +78,23 @@
 		const peer: PeerLink = {
 			vm,
 			usedAt: 0,
+			queue: [],
 			link: new PersistentLink({
 				connect: async () => this.options.connect(vm),
 				random: this.options.random,
-				onLost: () => undefined,
+				onLost() {
+					peer.queue = undefined;
+				},
 				onOpen: connection => {
 					connection.onMessage(message => {
 						this.options.onMessage(message, reply => connection.send(reply));
 					});
 					connection.send(this.options.hello());
+					for (const message of peer.queue ?? []) {
+						connection.send(message);
+					}
+
+					peer.queue = undefined;
 				},
 			}),
 		};
--- a/src/metrics/process-metrics.ts
+++ b/src/metrics/process-metrics.ts
@@ -3,6 +3,9 @@
 	Counter, Gauge, Histogram, Registry, collectDefaultMetrics,
 } from 'prom-client';
 
+/** Time between two samples of the event loop's lag, milliseconds; the default of 10 alone costs 1% of a core. */
+const lagSampleMs = 500;
+
 /** The metrics that every process of the system has, in one registry. */
 export class ProcessMetrics {
 	readonly registry = new Registry();
@@ -63,7 +66,7 @@
 	});
 
 	constructor() {
-		collectDefaultMetrics({register: this.registry});
+		collectDefaultMetrics({register: this.registry, eventLoopMonitoringPrecision: lagSampleMs});
 	}
 
 	/** A meter for links that feeds `linkBytes`. */
--- a/src/requests/dispatcher.ts
+++ b/src/requests/dispatcher.ts
@@ -4,6 +4,7 @@
 import {type MessageOf} from '../link/message-of.js';
 import {type RunGuard} from '../once/run-guard.js';
 import {type RunPermit} from '../once/run-permit.js';
+import {writeTraceParent} from '../tracing/write-trace-parent.js';
 import {type AttemptResult} from './attempt-result.js';
 import {type Exchange} from './exchange.js';
 import {followCall} from './follow-call.js';
@@ -24,12 +25,20 @@
 type Join = Extract<RunPermit, {kind: 'join'}>;
 type Progress = {
 	attempt: number;
+	/** Attempts that do not count, since they only asked. */
+	attemptsSaved: number;
+	/** How many targets may still be asked to take the request at once or not at all. */
+	probesLeft: number;
+	/** Targets that were asked and were busy, with the wait that each expects. */
+	readonly busy: Map<string, number>;
 	retryAfterMs: number;
 	reason: string;
 	readonly excluded: Set<string>;
 };
 
 const defaultRetryAfterMs = 1000;
+/** Targets that are asked to start a request at once before it may wait at one of them. */
+const maximumProbes = 4;
 const forwardedHeaders = ['content-type', 'accept', 'accept-language', 'traceparent', 'tracestate', 'idempotency-key'];
 
 /** Sends requests to targets: one attempt, or more where that is safe and the budget allows it. */
@@ -39,10 +48,10 @@
 	/** Runs a request to its end; the caller has had the answer, or the problem is returned. */
 	async run(exchange: Exchange, guard: RunGuard): Promise<Result<void, Problem>> {
 		const progress: Progress = {
-			attempt: 0, retryAfterMs: 0, reason: 'no target is ready', excluded: new Set(),
+			attempt: 0, attemptsSaved: 0, probesLeft: maximumProbes, busy: new Map(), retryAfterMs: 0, reason: 'no target is ready', excluded: new Set(),
 		};
 		this.options.budget.earn();
-		while (progress.attempt < this.options.maximumAttempts) {
+		while (progress.attempt - progress.attemptsSaved < this.options.maximumAttempts) {
 			const link = this.choose(exchange, guard, progress);
 			if (!link) {
 				break;
@@ -58,24 +67,39 @@
 	}
 
 	private choose(exchange: Exchange, guard: RunGuard, progress: Progress): TargetLink | undefined {
+		if (progress.busy.size >= maximumProbes) {
+			return this.takeLeastBusy(progress);
+		}
+
 		if (guard.target !== undefined) {
 			const link = this.options.pool.get(guard.target);
 			return link?.isReady && !progress.excluded.has(guard.target) ? link : undefined;
 		}
 
 		const now = this.options.clock();
-		return this.options.pool.choose({
+		const link = this.options.pool.choose({
 			service: exchange.service,
 			prefixHash: exchange.prefixHash,
 			random: this.options.random,
 			excluded: progress.excluded,
 			now,
 		});
+		// With fewer targets than may be asked, the request waits at the best of them.
+		return link ?? (progress.busy.size > 0 ? this.takeLeastBusy(progress) : undefined);
+	}
+
+	/* What a target says of itself when it refuses is fresher than any report: the shortest wait is taken. */
+	private takeLeastBusy(progress: Progress): TargetLink | undefined {
+		const [least] = [...progress.busy].toSorted(([, one], [, other]) => one - other);
+		progress.busy.clear();
+		progress.probesLeft = 0;
+		const link = this.options.pool.get(least[0]);
+		return link?.isReady ? link : undefined;
 	}
 
 	/* Gives the end of the request, or undefined when another target may be tried. */
 	private async tryOnce(exchange: Exchange, guard: RunGuard, link: TargetLink, progress: Progress): Promise<Result<void, Problem> | undefined> {
-		const permit = await guard.admit(link);
+		const permit = await exchange.trace('guard', async () => guard.admit(link));
 		if (permit.isErr()) {
 			return err(permit.error);
 		}
@@ -88,15 +112,18 @@
 		const timeoutMs = exchange.deadline - this.options.clock();
 		if (timeoutMs <= 0) {
 			progress.reason = 'late';
-			progress.attempt = this.options.maximumAttempts;
+			progress.attempt = this.options.maximumAttempts + progress.attemptsSaved;
 			return undefined;
 		}
 
 		const {once} = permit.value;
 		exchange.note(`attempt ${progress.attempt} at ${link.vm.id}`);
-		const call = link.request(this.makeRequest(exchange, progress.attempt, timeoutMs, once));
-		const result = await followCall(call, {
-			link, exchange, timeoutMs, mayCancel: once === undefined,
+		const result = await exchange.trace('link', async span => {
+			const request = this.makeRequest(exchange, progress, timeoutMs, once);
+			writeTraceParent(span, request.headers);
+			return followCall(link.request(request), {
+				link, exchange, timeoutMs, mayCancel: once === undefined,
+			});
 		});
 		return this.judge(result, exchange, guard, link, progress);
 	}
@@ -134,10 +161,25 @@
 		progress.retryAfterMs = Math.max(progress.retryAfterMs, result.retryAfterMs);
 		const isTargetFault = result.reason === 'unavailable' || result.reason === 'unsent';
 		this.options.pool.noteResult(id, !isTargetFault, this.options.clock());
-		if (result.reason === 'cancelled' || result.reason === 'duplicate') {
-			guard.doubt();
-		} else {
-			progress.excluded.add(id);
+		switch (result.reason) {
+			case 'cancelled':
+			case 'duplicate': {
+				guard.doubt();
+				break;
+			}
+
+			case 'busy': {
+				// Asking costs a round trip and no attempt.
+				progress.probesLeft--;
+				progress.attemptsSaved++;
+				progress.busy.set(id, result.retryAfterMs);
+				progress.excluded.add(id);
+				break;
+			}
+
+			default: {
+				progress.excluded.add(id);
+			}
 		}
 	}
 
@@ -186,7 +228,7 @@
 		}));
 	}
 
-	private makeRequest(exchange: Exchange, attempt: number, timeoutMs: number, once: MessageOf<'request'>['once']): MessageOf<'request'> {
+	private makeRequest(exchange: Exchange, progress: Progress, timeoutMs: number, once: MessageOf<'request'>['once']): MessageOf<'request'> {
 		const headers: Record<string, string> = {};
 		for (const name of forwardedHeaders) {
 			const value = exchange.headers[name];
@@ -198,7 +240,7 @@
 		return {
 			type: 'request',
 			id: exchange.id,
-			attempt,
+			attempt: progress.attempt,
 			method: exchange.method,
 			path: exchange.path,
 			headers,
@@ -207,6 +249,8 @@
 			weight: exchange.row?.weight ?? 1,
 			urgency: exchange.urgency,
 			timeoutMs,
+			// Refusing a keyed request is final and moves its claim, so such a request waits where it was sent.
+			mayWait: once !== undefined || progress.probesLeft === 0,
 			tableVersion: this.options.tableVersion(),
 			...(once && {once}),
 		};
--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -1,8 +1,9 @@
 import {type IncomingHttpHeaders, type ServerResponse} from 'node:http';
-import {type Span} from '@opentelemetry/api';
+import {type Span, type Tracer} from '@opentelemetry/api';
+import {traceHop} from '../tracing/trace-hop.js';
 import {type Row} from '../table/row.js';
 
-type Origin = Pick<Exchange, 'id' | 'method' | 'url' | 'headers' | 'response' | 'arrivedAt' | 'span'>;
+type Origin = Pick<Exchange, 'id' | 'method' | 'url' | 'headers' | 'response' | 'arrivedAt' | 'span' | 'tracer'>;
 
 /** One request of a caller on its way through the filters; each filter fills in what it finds. */
 export class Exchange {
@@ -38,6 +39,7 @@
 	/** Milliseconds since the epoch. */
 	readonly arrivedAt: number;
 	readonly span: Span;
+	readonly tracer: Tracer;
 
 	constructor(origin: Origin) {
 		this.id = origin.id;
@@ -47,6 +49,12 @@
 		this.response = origin.response;
 		this.arrivedAt = origin.arrivedAt;
 		this.span = origin.span;
+		this.tracer = origin.tracer;
+	}
+
+	/** Runs one hop of the request under a span of its own. */
+	async trace<Value>(name: string, work: (span: Span) => Promise<Value>): Promise<Value> {
+		return traceHop(this.tracer, name, this.span, work);
 	}
 
 	/** Notes a decision for `explain`. */
--- a/src/requests/filters/make-limit-filter.ts
+++ b/src/requests/filters/make-limit-filter.ts
@@ -13,7 +13,7 @@
 			return next();
 		}
 
-		const held = await limits.acquire(demands);
+		const held = await exchange.trace('limits', async () => limits.acquire(demands));
 		if (held.isErr()) {
 			exchange.note(held.error.message);
 			return err(new Problem({
--- a/src/target/request-controller.ts
+++ b/src/target/request-controller.ts
@@ -135,6 +135,7 @@
 			urgency: request.urgency,
 			arrivedAt: now,
 			deadline: now + request.timeoutMs,
+			mayWait: request.mayWait,
 		}, now);
 		if (verdict.kind === 'refuse') {
 			this.refuse(request, send, verdict.reason, now, verdict.retryAfterMs);
--- a/src/target/start-target.ts
+++ b/src/target/start-target.ts
@@ -1,4 +1,3 @@
-import {randomUUID} from 'node:crypto';
 import {Agent} from 'undici';
 import {AdmissionQueue} from '../admission/admission-queue.js';
 import {type TargetSettings} from '../config/target-settings.js';
@@ -10,9 +9,14 @@
 import {type MessageOf} from '../link/message-of.js';
 import {getLogger} from '../log/get-logger.js';
 import {GroupMember} from '../map-switch/group-member.js';
+import {makeIncarnation} from '../membership/make-incarnation.js';
 import {ProcessMetrics} from '../metrics/process-metrics.js';
 import {startAdminServer} from '../metrics/start-admin-server.js';
 import {createEtcdKeyValue} from '../platform/create-etcd-key-value.js';
+import {createTracer} from '../tracing/create-tracer.js';
+import {startSpan} from '../tracing/start-span.js';
+import {traceHop} from '../tracing/trace-hop.js';
+import {writeTraceParent} from '../tracing/write-trace-parent.js';
 import {callEngine} from './call-engine.js';
 import {Lifecycle} from './lifecycle.js';
 import {RecordTable} from './record-table.js';
@@ -30,9 +34,10 @@
 
 /** Starts a target process: the links to entries, the controllers, and the admin server. */
 export async function startTarget(settings: TargetSettings, clock: () => number): Promise<RunningTarget> {
-	const incarnation = randomUUID();
+	const incarnation = makeIncarnation(clock());
 	const metrics = new ProcessMetrics();
 	const dispatcher = new Agent({connections: settings.admission.concurrency * 2});
+	const tracer = createTracer(settings.tracing.otlpUrl);
 	const queue = new AdmissionQueue(settings.admission);
 	const peers = new Map<LinkConnection, Peer>();
 	let tableVersion = 0;
@@ -54,8 +59,18 @@
 		serviceMs: queue.serviceMs,
 	});
 
+	let stopTimer: NodeJS.Timeout | undefined;
 	const lifecycle = new Lifecycle(() => {
 		const isLeaving = lifecycle.state !== 'serving';
+		clearTimeout(stopTimer);
+		if (lifecycle.state === 'leaving') {
+			stopTimer = setTimeout(() => {
+				logger.warn('what still runs is cut off, the longest wait is over');
+				lifecycle.drain();
+				void close();
+			}, settings.stopMs);
+		}
+
 		logger.info(isLeaving ? 'leaving, nothing new is taken' : 'serving');
 		broadcast({type: 'leaving', leaving: isLeaving});
 		drainIfIdle();
@@ -69,7 +84,16 @@
 		resumeMs: settings.records.resumeMs,
 		clock,
 		isLeaving: () => lifecycle.state !== 'serving',
-		call: async execution => callEngine(execution, {url: settings.url, dispatcher, tableVersion: () => tableVersion}),
+		async call(execution) {
+			const {headers} = execution.request;
+			const span = startSpan(tracer, 'target', headers, execution.arrivedAt);
+			await traceHop(tracer, 'engine', span, async engineSpan => {
+				writeTraceParent(engineSpan, headers);
+				await callEngine(execution, {url: settings.url, dispatcher, tableVersion: () => tableVersion});
+			}).finally(() => {
+				span.end();
+			});
+		},
 		onIdle: drainIfIdle,
 	});
 
@@ -247,6 +271,7 @@
 			await stopped;
 		},
 		async kill() {
+			clearTimeout(stopTimer);
 			member?.close();
 			clearInterval(ticker);
 			clearInterval(reporter);
--- a/src/tracing/create-tracer.ts
+++ b/src/tracing/create-tracer.ts
@@ -4,12 +4,15 @@
 	AlwaysOffSampler, AlwaysOnSampler, BasicTracerProvider, BatchSpanProcessor, type SpanExporter,
 } from '@opentelemetry/sdk-trace-base';
 
+/** Longest time that a span waits to be sent with others, milliseconds. */
+const batchMs = 1000;
+
 /** Makes the tracer of a process; spans are recorded only if there is somewhere to send them. */
 export function createTracer(otlpUrl: string | undefined, exporter?: SpanExporter): Tracer {
 	const sink = exporter ?? (otlpUrl === undefined ? undefined : new OTLPTraceExporter({url: otlpUrl}));
 	const provider = new BasicTracerProvider({
 		sampler: sink ? new AlwaysOnSampler() : new AlwaysOffSampler(),
-		spanProcessors: sink ? [new BatchSpanProcessor(sink)] : [],
+		spanProcessors: sink ? [new BatchSpanProcessor(sink, {scheduledDelayMillis: batchMs})] : [],
 	});
 	return provider.getTracer('wardswitch');
 }
--- /dev/null
+++ b/src/tracing/trace-hop.ts
@@ -0,0 +1,16 @@
+import {
+	ROOT_CONTEXT, SpanStatusCode, trace, type Span, type Tracer,
+} from '@opentelemetry/api';
+
+/** Runs the work of one hop under a span below `parent`; the span ends with the work, marked if it fails. */
+export async function traceHop<Value>(tracer: Tracer, name: string, parent: Span, work: (span: Span) => Promise<Value>): Promise<Value> {
+	const span = tracer.startSpan(name, {}, trace.setSpan(ROOT_CONTEXT, parent));
+	try {
+		return await work(span);
+	} catch (error) {
+		span.setStatus({code: SpanStatusCode.ERROR, message: String(error)});
+		throw error;
+	} finally {
+		span.end();
+	}
+}
--- a/stand-ins/engine/start-engine.ts
+++ b/stand-ins/engine/start-engine.ts
@@ -23,6 +23,10 @@
 	readonly port: number;
 	readonly runs: Map<string, number>;
 	readonly active: Set<string>;
+	/** Requests that began, attempts counted one by one. */
+	total: number;
+	/** While set, every answer is broken off before it begins. */
+	isBreaking: boolean;
 	close(): Promise<void>;
 };
 
@@ -145,6 +149,12 @@
 
 		const id = String(request.headers['x-request-id'] ?? '');
 		runs.set(id, (runs.get(id) ?? 0) + 1);
+		engine.total++;
+		if (engine.isBreaking) {
+			request.socket.destroy();
+			return;
+		}
+
 		active.add(id);
 		response.on('close', () => active.delete(id));
 		await writeAnswer(options, body as ChatBody, response);
@@ -158,15 +168,18 @@
 	server.listen(options.port ?? 0, '127.0.0.1');
 	await once(server, 'listening');
 	const {port} = server.address() as AddressInfo;
-	return {
+	const engine: Engine = {
 		url: `http://127.0.0.1:${port}`,
 		port,
 		runs,
 		active,
+		total: 0,
+		isBreaking: false,
 		async close() {
 			server.close();
 			server.closeAllConnections();
 			await Promise.resolve();
 		},
 	};
+	return engine;
 }
--- a/stand-ins/system/system.ts
+++ b/stand-ins/system/system.ts
@@ -20,6 +20,7 @@
 
 const linkKey = 'a1'.repeat(32);
 const platformTimeoutMs = 400;
+const listMs = 200;
 
 /** A whole system with its stand-ins in one process, on loopback: for the demonstration, scenarios and benchmarks. */
 export class System {
@@ -72,8 +73,8 @@
 	/** Waits until every entry is ready and has its links. */
 	async waitUntilReady(): Promise<void> {
 		await this.until('every entry is ready and linked', () => [...this.entries.values()].every(entry => {
-			const status = entry.getStatus() as {targets: Array<{isReady: boolean}>};
-			return entry.isReady() && status.targets.length > 0 && status.targets.every(target => target.isReady);
+			const status = entry.getStatus() as {targets: Array<{isReady: boolean}>; entries: unknown[]};
+			return entry.isReady() && status.entries.length === this.entries.size - 1 && status.targets.length > 0 && status.targets.every(target => target.isReady);
 		}));
 	}
 
@@ -153,7 +154,9 @@
 			availabilityZone,
 			linkPort: 0,
 			adminPort: 0,
-			platform: {keyValue: this.platform.url, vmList: this.vmList.url, timeoutMs: platformTimeoutMs},
+			platform: {
+				keyValue: this.platform.url, vmList: this.vmList.url, timeoutMs: platformTimeoutMs, vmListIntervalMs: listMs,
+			},
 			link: {key: linkKey},
 		};
 	}
