Show that each guard is needed

Cause: scenarios that pass prove little if they pass without the guard.

Change: two scenarios that could not fail are mended: the lost answer hit the pages' write and not the head's, and the late order met a rank that refused it for another reason.

--- a/features/steps/map-switch-steps.ts
+++ b/features/steps/map-switch-steps.ts
@@ -139,9 +139,10 @@
 
 When('the delayed orders arrive after those of proposal 6', async function (this: SystemWorld) {
 	const group = getGroup(this);
-	assert.ok(await group.runUntil(() => group.coordinator.state === 'preparing'));
+	assert.ok(await group.runUntil(() => group.engines.ranks[3].staged?.map[0][0][0] === 6));
 	group.isLost = () => false;
-	group.parcels.push(...this.notes.get('delayed') as MapGroup['parcels']);
+	// They come before anything that is on the way now.
+	group.parcels.unshift(...this.notes.get('delayed') as MapGroup['parcels']);
 });
 
 Given('the platform cannot be asked for fencing numbers', function (this: SystemWorld) {
--- a/features/steps/table-steps.ts
+++ b/features/steps/table-steps.ts
@@ -118,21 +118,31 @@
 	assert.deepEqual([findWeight(snapshot, one), findWeight(snapshot, other)], [oneWeight, otherWeight]);
 });
 
-Given('the platform loses the answers to the next {int} writes', function (this: SystemWorld, count: number) {
-	this.system.platform.faults.lostAnswers = count;
-});
-
-Given('the platform takes the next change of the table and goes down', function (this: SystemWorld) {
-	const {faults, store} = this.system.platform;
+const onHeadWritten = (world: SystemWorld, work: () => void): void => {
+	const {store} = world.system.platform;
 	const head = Buffer.from(tableKeys.head).toString('base64');
 	const stop = store.subscribe(() => {
-		const isHeadWritten = store.changes.some(({key, revision}) => key === head && revision === store.revision);
-		if (isHeadWritten) {
-			faults.lostAnswers = 1;
-			faults.isDown = true;
+		if (store.changes.some(({key, revision}) => key === head && revision === store.revision)) {
 			stop();
+			work();
 		}
 	});
+};
+
+Given('the platform loses the answers to the next write of pages and of the head', function (this: SystemWorld) {
+	const {faults} = this.system.platform;
+	faults.lostAnswers = 1;
+	onHeadWritten(this, () => {
+		faults.lostAnswers = 1;
+	});
+});
+
+Given('the platform takes the next change of the table and goes down', function (this: SystemWorld) {
+	const {faults} = this.system.platform;
+	onHeadWritten(this, () => {
+		faults.lostAnswers = 1;
+		faults.isDown = true;
+	});
 });
 
 When('the platform is up again', function (this: SystemWorld) {
--- a/features/table.feature
+++ b/features/table.feature
@@ -27,9 +27,10 @@
 
   Scenario: The answer to the write is lost after it took effect
     Given a running system
-    And the platform loses the answers to the next 2 writes
+    And the platform loses the answers to the next write of pages and of the head
     When an operator sets the weight of "granite" to 5
     Then the command says "accepted as version 2" and exits with 0
+    And every entry and target knows version 2
 
   Scenario: The platform goes down right after a write whose answer is lost
     Given a running system
