Take the links and the refusals out of the target's start

Change: EntryLinks owns the links, findRefusal is a pure function; the capacity bench measures links in its own process after a collection, and lets processes settle for 12 s.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -3,8 +3,11 @@
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
+import {connectLink} from '../src/link/connect-link.js';
 import {encodeFrame} from '../src/link/encode-frame.js';
+import {type LinkConnection} from '../src/link/link-connection.js';
 import {type LinkMessage} from '../src/link/link-message.js';
+import {listenLink} from '../src/link/listen-link.js';
 import {generateTrace} from '../src/maps/generate-trace.js';
 import {makePolicy} from '../src/maps/make-policy.js';
 import {replayTrace} from '../src/maps/replay-trace.js';
@@ -26,6 +29,8 @@
 
 const linkKey = 'c3'.repeat(32);
 const runs = 3;
+/** Time after the start in which V8 still compiles and collects, milliseconds. */
+const settleMs = 12_000;
 const resultFile = 'docs/capacity-figures.json';
 
 type Sample = Readonly<Record<string, number>>;
@@ -187,6 +192,36 @@
 	return sample;
 };
 
+/* Both ends of links in this process, after a collection: half of the growth is one end. */
+const measureLinks = async (): Promise<Sample> => {
+	const listener = await listenLink({
+		address: '127.0.0.1', port: 0, key: linkKey, maximumFrameBytes: 1_000_000, meter: () => undefined, onConnection: () => undefined, onRejection: () => undefined,
+	});
+	const links: LinkConnection[] = [];
+	const grow = async (count: number): Promise<number> => {
+		while (links.length < count) {
+			links.push(await connectLink({
+				address: '127.0.0.1', port: listener.port, key: linkKey, maximumFrameBytes: 1_000_000, timeoutMs: 5000, meter: () => undefined,
+			}));
+		}
+
+		await delay(200);
+		globalThis.gc!();
+		const {heapUsed, external} = process.memoryUsage();
+		return heapUsed + external;
+	};
+
+	const few = await grow(50);
+	const residentBefore = process.memoryUsage().rss;
+	const many = await grow(350);
+	const residentAfter = process.memoryUsage().rss;
+	await listener.close();
+	return {
+		'link: heap and buffer kilobytes of one end': (many - few) / 300 / 2 / 1e3,
+		'link: resident kilobytes of one end': (residentAfter - residentBefore) / 300 / 2 / 1e3,
+	};
+};
+
 /* Idle processes in one zone: what control costs beside requests. */
 const measureFleet = async (entries: number, targets: number, seconds: number): Promise<Sample> => {
 	const ports = await findFreePorts(2 + (3 * entries) + (2 * targets));
@@ -244,7 +279,7 @@
 		await fleet.waitFor(`http://127.0.0.1:${adminPort}/readyz`);
 	}
 
-	await delay(3000);
+	await delay(settleMs);
 	const before = await Promise.all(admins.map(async port => fleet.readUsage(port)));
 	await delay(seconds * 1000);
 	const after = await Promise.all(admins.map(async port => fleet.readUsage(port)));
@@ -289,7 +324,6 @@
 		'entry: platform calls/s, 8 entries in a zone': moreEntries.entryPlatformCalls,
 		'entry: resident megabytes, 2 entries and 2 targets': base.entryResident / 1e6,
 		'entry: heap megabytes, 2 entries and 2 targets': base.entryHeap / 1e6,
-		'entry: heap kilobytes per further link to a target': (moreTargets.entryHeap - base.entryHeap) / 18 / 1e3,
 		'target: share of a core, idle, 2 entries': base.targetCpu,
 		'target: control bytes/s, 2 entries': base.targetControlBytes,
 		'target: control bytes/s, 8 entries': moreEntries.targetControlBytes,
@@ -304,7 +338,7 @@
 	const samples: Sample[] = [];
 	for (let run = 0; run < runs; run++) {
 		samples.push({
-			...measureTable(), ...measureMembership(), ...measureRecords(), ...measurePlanner(), ...await measureSlopes(seconds),
+			...measureTable(), ...measureMembership(), ...measureRecords(), ...measurePlanner(), ...await measureLinks(), ...await measureSlopes(seconds),
 		});
 	}
 
--- /dev/null
+++ b/src/target/find-refusal.ts
@@ -0,0 +1,39 @@
+import {type MessageOf} from '../link/message-of.js';
+import {type RecordTable} from './record-table.js';
+
+type TargetState = {
+	readonly incarnation: string;
+	readonly isLeaving: boolean;
+	readonly records: RecordTable;
+};
+
+/** Difference of clocks between VMs that an expiry allows for, milliseconds. */
+const clockSkewMs = 5000;
+
+/** Why a request must not start at this target process, whatever room there is; undefined when it may. */
+export function findRefusal(request: MessageOf<'request'>, target: TargetState, now: number): MessageOf<'refused'>['reason'] | undefined {
+	const {records, incarnation, isLeaving} = target;
+	const {id, attempt, once} = request;
+	if (records.isBuried(`${id}/${attempt}`) || (once && records.isBuried(once.owner))) {
+		return 'cancelled';
+	}
+
+	// What this process knows of the key comes before its leaving: a second copy may still join the first.
+	return (once && findKeyRefusal(once, records, incarnation, now)) ?? (isLeaving ? 'leaving' : undefined);
+}
+
+function findKeyRefusal(once: NonNullable<MessageOf<'request'>['once']>, records: RecordTable, incarnation: string, now: number): MessageOf<'refused'>['reason'] | undefined {
+	if (once.incarnation !== incarnation) {
+		return 'incarnation';
+	}
+
+	if (now + clockSkewMs > once.expiresAt) {
+		return 'expired';
+	}
+
+	if (records.getByKey(once.key)) {
+		return 'duplicate';
+	}
+
+	return records.isFull ? 'full' : undefined;
+}
--- a/src/target/request-controller.ts
+++ b/src/target/request-controller.ts
@@ -3,6 +3,7 @@
 import {type MessageOf} from '../link/message-of.js';
 import {EngineRefusal} from './engine-refusal.js';
 import {Execution} from './execution.js';
+import {findRefusal} from './find-refusal.js';
 import {type RecordTable} from './record-table.js';
 
 type Send = (message: LinkMessage) => boolean;
@@ -22,9 +23,6 @@
 	readonly onIdle: () => void;
 };
 
-/** Difference of clocks between VMs that an expiry allows for, milliseconds. */
-const clockSkewMs = 5000;
-
 /** The serial point before an engine: decides for every request whether it starts, waits, joins another or is refused. */
 export class RequestController {
 	private readonly waiting = new Map<string, {execution: Execution; send: Send}>();
@@ -121,7 +119,8 @@
 			return;
 		}
 
-		const refusal = this.findRefusal(request, now);
+		const {incarnation, isLeaving} = this.options;
+		const refusal = findRefusal(request, {records, incarnation, isLeaving: isLeaving()}, now);
 		if (refusal) {
 			this.refuse(request, send, refusal, now);
 			return;
@@ -151,34 +150,6 @@
 		}
 	}
 
-	private findRefusal(request: MessageOf<'request'>, now: number): Reason | undefined {
-		const {records, incarnation} = this.options;
-		const {once} = request;
-		if (records.isBuried(`${request.id}/${request.attempt}`) || (once && records.isBuried(once.owner))) {
-			return 'cancelled';
-		}
-
-		if (once) {
-			if (once.incarnation !== incarnation) {
-				return 'incarnation';
-			}
-
-			if (now + clockSkewMs > once.expiresAt) {
-				return 'expired';
-			}
-
-			if (records.getByKey(once.key)) {
-				return 'duplicate';
-			}
-
-			if (records.isFull) {
-				return 'full';
-			}
-		}
-
-		return this.options.isLeaving() ? 'leaving' : undefined;
-	}
-
 	/* Refusing a request that may run only once is final: a late copy of it is refused too. */
 	private refuse(request: MessageOf<'request'>, send: Send, reason: Reason, now: number, retryAfterMs = 0): void {
 		const {once, id, attempt} = request;
--- a/src/target/start-target.ts
+++ b/src/target/start-target.ts
@@ -2,7 +2,6 @@
 import {AdmissionQueue} from '../admission/admission-queue.js';
 import {type TargetSettings} from '../config/target-settings.js';
 import {connectLink} from '../link/connect-link.js';
-import {type LinkConnection} from '../link/link-connection.js';
 import {type LinkMessage} from '../link/link-message.js';
 import {linkProtocol} from '../link/link-protocol.js';
 import {listenLink} from '../link/listen-link.js';
@@ -18,13 +17,12 @@
 import {traceHop} from '../tracing/trace-hop.js';
 import {writeTraceParent} from '../tracing/write-trace-parent.js';
 import {callEngine} from './call-engine.js';
+import {EntryLinks} from './entry-links.js';
 import {Lifecycle} from './lifecycle.js';
 import {RecordTable} from './record-table.js';
 import {RequestController} from './request-controller.js';
 import {type RunningTarget} from './running-target.js';
 
-type Peer = {readonly id: string; readonly incarnation: string; readonly connection: LinkConnection};
-
 const logger = getLogger('target');
 const tombstoneAgeMs = 600_000;
 /** Time between two load reports. Since a busy target refuses at once, older reports cost little and fewer save bytes. */
@@ -40,19 +38,12 @@
 	const dispatcher = new Agent({connections: settings.admission.concurrency * 2});
 	const tracer = createTracer(settings.tracing.otlpUrl);
 	const queue = new AdmissionQueue(settings.admission);
-	const peers = new Map<LinkConnection, Peer>();
 	let tableVersion = 0;
 	let resolveStopped: () => void;
 	const stopped = new Promise<void>(resolve => {
 		resolveStopped = resolve;
 	});
 
-	const broadcast = (message: LinkMessage): void => {
-		for (const {connection} of peers.values()) {
-			connection.send(message);
-		}
-	};
-
 	const describeLoad = (): MessageOf<'load'>['load'] => ({
 		running: queue.running,
 		waiting: queue.waiting,
@@ -73,7 +64,7 @@
 		}
 
 		logger.info(isLeaving ? 'leaving, nothing new is taken' : 'serving');
-		broadcast({type: 'leaving', leaving: isLeaving});
+		links.broadcast({type: 'leaving', leaving: isLeaving});
 		drainIfIdle();
 	});
 
@@ -110,23 +101,8 @@
 		metrics.tableVersion.set(tableVersion);
 	};
 
-	const welcome = (hello: MessageOf<'hello'>, connection: LinkConnection): void => {
-		if (hello.protocol !== linkProtocol) {
-			logger.warn({peer: hello.id}, 'peer speaks another version of the protocol');
-			connection.destroy();
-			return;
-		}
-
-		// What an older connection of the same process still holds must not arrive after what it says on this one.
-		for (const peer of peers.values()) {
-			if (peer.id === hello.id && peer.incarnation === hello.incarnation) {
-				peer.connection.destroy();
-			}
-		}
-
-		peers.set(connection, {id: hello.id, incarnation: hello.incarnation, connection});
-		noteVersion(hello.tableVersion);
-		connection.send({
+	const links = new EntryLinks({
+		welcome: () => ({
 			type: 'welcome',
 			protocol: linkProtocol,
 			id: settings.id,
@@ -136,57 +112,44 @@
 			leaving: lifecycle.state !== 'serving',
 			service: settings.service,
 			load: describeLoad(),
-		});
-	};
+		}),
+		onTableVersion: noteVersion,
+		onMessage: handle,
+		onLost(send) {
+			requests.loseLink(send, clock());
+		},
+		warn(message) {
+			logger.warn(message);
+		},
+	});
 
-	const accept = (connection: LinkConnection): void => {
-		const send = (message: LinkMessage): boolean => connection.send(message);
-		connection.onMessage(message => {
-			if (message.type === 'hello') {
-				welcome(message, connection);
-				return;
+	function handle(message: LinkMessage, send: (message: LinkMessage) => boolean): void {
+		switch (message.type) {
+			case 'heartbeat': {
+				noteVersion(message.tableVersion);
+				break;
 			}
 
-			if (!peers.has(connection)) {
-				connection.destroy();
-				return;
+			case 'stop': {
+				lifecycle.stop();
+				break;
 			}
 
-			switch (message.type) {
-				case 'heartbeat': {
-					noteVersion(message.tableVersion);
-					break;
-				}
-
-				case 'stop': {
-					lifecycle.stop();
-					break;
-				}
+			case 'start': {
+				lifecycle.start();
+				break;
+			}
 
-				case 'start': {
-					lifecycle.start();
-					break;
+			default: {
+				if (message.type === 'request') {
+					noteVersion(message.tableVersion);
 				}
 
-				default: {
-					if (message.type === 'request') {
-						noteVersion(message.tableVersion);
-					}
-
-					requests.receive(message, send, clock());
-					member?.receive(message, send);
-				}
-			}
-		});
-		connection.onClose(error => {
-			if (error) {
-				logger.warn({reason: error.reason}, `link lost: ${error.message}`);
+				requests.receive(message, send, clock());
+				member?.receive(message, send);
 			}
-
-			peers.delete(connection);
-			requests.loseLink(send, clock());
-		});
-	};
+		}
+	}
 
 	const keyValue = createEtcdKeyValue({
 		url: settings.platform.keyValue,
@@ -224,13 +187,15 @@
 		key: settings.link.key,
 		maximumFrameBytes: settings.link.maximumFrameBytes,
 		meter: metrics.meterLink,
-		onConnection: accept,
+		onConnection(connection) {
+			links.accept(connection);
+		},
 		onRejection(reason) {
 			logger.warn(`peer turned away: ${reason}`);
 		},
 	});
 	const getStatus: RunningTarget['getStatus'] = () => ({
-		id: settings.id, service: settings.service, state: lifecycle.state, incarnation, tableVersion, load: describeLoad(), links: peers.size,
+		id: settings.id, service: settings.service, state: lifecycle.state, incarnation, tableVersion, load: describeLoad(), links: links.size,
 	});
 	const admin = await startAdminServer({
 		address: settings.address,
@@ -246,7 +211,7 @@
 	}, tickMs);
 	const reporter = setInterval(() => {
 		metrics.measureControl(() => {
-			broadcast({type: 'load', load: describeLoad(), tableVersion});
+			links.broadcast({type: 'load', load: describeLoad(), tableVersion});
 		});
 	}, reportMs);
 
