Let operators bring an older platform back to the table in force

Cause: table apply rightly refuses to write on a platform that came back older, and pointed to a command that did not exist.

Change: table restore writes the table in force at the entries as the next version; writing pages and making heads are files of their own; stand-ins keep one export a file.

Conclusion: the way back from a lost platform is whole.

--- a/features/steps/table-steps.ts
+++ b/features/steps/table-steps.ts
@@ -82,6 +82,10 @@
 	this.notes.set('outcome', await runCommand(['table', 'apply', file, ...getAddresses(this)]));
 });
 
+When('an operator restores the table', async function (this: SystemWorld) {
+	this.notes.set('outcome', await runCommand(['table', 'restore', ...getAddresses(this)]));
+});
+
 Then('the command says {string} and exits with {int}', function (this: SystemWorld, text: string, code: number) {
 	const outcome = getOutcome(this);
 	assert.ok(outcome.stdout.includes(text), outcome.stdout + outcome.stderr);
--- a/features/table.feature
+++ b/features/table.feature
@@ -66,6 +66,10 @@
     And every entry and target knows version 2
     When an operator applies a table based on the restored platform
     Then the command complains of "version 2 is in force" and exits with 1
+    When an operator restores the table
+    Then the command says "restored as version 3" and exits with 0
+    And every entry and target knows version 3
+    And every entry gives "granite" the weight 5
 
   Scenario: The watch breaks without a word, and the change comes by the peers
     Given a running system
--- a/src/cli/create-command-line.ts
+++ b/src/cli/create-command-line.ts
@@ -8,12 +8,13 @@
 import {TableDiff} from './commands/table-diff.js';
 import {TableGet} from './commands/table-get.js';
 import {TableHistory} from './commands/table-history.js';
+import {TableRestore} from './commands/table-restore.js';
 import {TableStatus} from './commands/table-status.js';
 import {TargetList} from './commands/target-list.js';
 import {TargetOrder} from './commands/target-order.js';
 
 const commands = [
-	Builtins.HelpCommand, TableCheck, TableGet, TableDiff, TableApply, TableStatus, TableHistory, TargetList, TargetOrder, Status, Explain, MapReplay, MapTrace,
+	Builtins.HelpCommand, TableCheck, TableGet, TableDiff, TableApply, TableStatus, TableRestore, TableHistory, TargetList, TargetOrder, Status, Explain, MapReplay, MapTrace,
 ];
 
 /** The operator's command line; a new command is a new file and a line here. */
--- a/src/entry/start-entry.ts
+++ b/src/entry/start-entry.ts
@@ -214,6 +214,7 @@
 		isReady: () => controller.isReady,
 		pages: {
 			status: getStatus,
+			table: () => table.current && {head: table.current.head, rows: table.current.rows},
 			explain: argument => explanations.get(argument) ?? groups.explain(argument),
 		},
 	});
--- a/src/table/apply-table.ts
+++ b/src/table/apply-table.ts
@@ -1,31 +1,18 @@
 import {err, ok, type Result} from 'neverthrow';
 import {type KeyValue} from '../platform/key-value.js';
-import {type Transaction} from '../platform/transaction.js';
-import {encodePages} from './encode-pages.js';
 import {fetchTable} from './fetch-table.js';
+import {makeHead} from './make-head.js';
 import {mergeTables} from './merge-tables.js';
 import {type ParsedTable} from './parsed-table.js';
 import {readTable} from './read-table.js';
 import {type Row} from './row.js';
 import {type StoredTable} from './stored-table.js';
+import {type TableChange} from './table-change.js';
 import {TableError} from './table-error.js';
-import {type TableHead} from './table-head.js';
 import {tableKeys} from './table-keys.js';
+import {writePages} from './write-pages.js';
 
-type Change = {
-	/** Names the change, so that a lost answer can be settled. */
-	readonly changeId: string;
-	readonly operator: string;
-	/** The present, milliseconds since the epoch. */
-	readonly now: number;
-	/** Highest version that any process was seen to have in force; an older platform is not written to. */
-	readonly knownVersion: number;
-};
-
-const recentChanges = 64;
 const attempts = 5;
-/** Pages written in one transaction; at 64 KB each it stays under the service's megabyte. */
-const pagesPerWrite = 8;
 
 const fetchBase = async (keyValue: KeyValue, basedOn: number, stored: StoredTable): Promise<Result<Row[], TableError>> => {
 	if (basedOn === 0 || !stored.snapshot) {
@@ -49,51 +36,6 @@
 	return base.map(({rows}) => rows);
 };
 
-/* Pages alone change nothing, since no head names them yet; so a lost answer is met by writing again. */
-const writeAgain = async (keyValue: KeyValue, puts: Transaction['puts']): Promise<Result<void, TableError>> => {
-	let message = '';
-	for (let attempt = 0; attempt < attempts; attempt++) {
-		const answer = await keyValue.commit({conditions: [], puts});
-		if (answer.isOk()) {
-			return ok();
-		}
-
-		({message} = answer.error);
-		if (answer.error.written === 'no') {
-			break;
-		}
-	}
-
-	return err(new TableError('unavailable', message));
-};
-
-const writePages = async (keyValue: KeyValue, rows: readonly Row[], stored: StoredTable): Promise<Result<string[], TableError>> => {
-	const pages = encodePages(rows);
-	const missing = pages.filter(({hash}) => !stored.snapshot?.pages.has(hash));
-	for (let start = 0; start < missing.length; start += pagesPerWrite) {
-		const puts = missing.slice(start, start + pagesPerWrite).map(({hash, text}) => ({key: tableKeys.page(hash), value: text}));
-		const answer = await writeAgain(keyValue, puts);
-		if (answer.isErr()) {
-			return err(answer.error);
-		}
-	}
-
-	return ok(pages.map(({hash}) => hash));
-};
-
-const makeHead = (stored: StoredTable, pages: string[], change: Change): TableHead => {
-	const version = (stored.snapshot?.version ?? 0) + 1;
-	const earlier = stored.snapshot?.head.recent ?? [];
-	return {
-		version,
-		changeId: change.changeId,
-		recent: [{changeId: change.changeId, version}, ...earlier].slice(0, recentChanges),
-		at: change.now,
-		operator: change.operator,
-		pages,
-	};
-};
-
 const findAccepted = (stored: StoredTable, changeId: string): number | undefined =>
 	stored.snapshot?.head.recent.find(recent => recent.changeId === changeId)?.version;
 
@@ -105,7 +47,7 @@
  *
  * @returns the version in which the change is in force
  */
-export async function applyTable(keyValue: KeyValue, edited: ParsedTable, change: Change): Promise<Result<number, TableError>> {
+export async function applyTable(keyValue: KeyValue, edited: ParsedTable, change: TableChange): Promise<Result<number, TableError>> {
 	let mayBeWritten = false;
 	for (let attempt = 0; attempt < attempts; attempt++) {
 		const stored = await fetchTable(keyValue);
@@ -139,7 +81,7 @@
 }
 
 /* Gives the new version, or undefined when another change came first. */
-async function swapHead(keyValue: KeyValue, edited: ParsedTable, stored: StoredTable, change: Change): Promise<Result<number | undefined, TableError>> {
+async function swapHead(keyValue: KeyValue, edited: ParsedTable, stored: StoredTable, change: TableChange): Promise<Result<number | undefined, TableError>> {
 	const base = await fetchBase(keyValue, edited.basedOn, stored);
 	if (base.isErr()) {
 		return err(base.error);
@@ -150,12 +92,12 @@
 		return err(new TableError('conflict', 'rows were changed by someone else since the export', merged.error));
 	}
 
-	const pages = await writePages(keyValue, merged.value, stored);
+	const pages = await writePages(keyValue, merged.value, stored.snapshot?.pages);
 	if (pages.isErr()) {
 		return err(pages.error);
 	}
 
-	const head = makeHead(stored, pages.value, change);
+	const head = makeHead(stored.snapshot?.head, pages.value, change);
 	const text = JSON.stringify(head);
 	const answer = await keyValue.commit({
 		conditions: [{key: tableKeys.head, revision: stored.revision}],
--- /dev/null
+++ b/src/table/make-head.ts
@@ -0,0 +1,18 @@
+import {type TableChange} from './table-change.js';
+import {type TableHead} from './table-head.js';
+
+/** Changes whose names a head keeps, to settle writes whose answer was lost. */
+const recentChanges = 64;
+
+/** Makes the head that follows another, or the first. */
+export function makeHead(before: TableHead | undefined, pages: string[], change: TableChange): TableHead {
+	const version = (before?.version ?? 0) + 1;
+	return {
+		version,
+		changeId: change.changeId,
+		recent: [{changeId: change.changeId, version}, ...(before?.recent ?? [])].slice(0, recentChanges),
+		at: change.now,
+		operator: change.operator,
+		pages,
+	};
+}
--- /dev/null
+++ b/src/table/restore-table.ts
@@ -0,0 +1,43 @@
+import {err, ok, type Result} from 'neverthrow';
+import {type KeyValue} from '../platform/key-value.js';
+import {makeHead} from './make-head.js';
+import {type Row} from './row.js';
+import {type TableChange} from './table-change.js';
+import {TableError} from './table-error.js';
+import {type TableHead} from './table-head.js';
+import {tableKeys} from './table-keys.js';
+import {writePages} from './write-pages.js';
+
+type TableInForce = {readonly head: TableHead; readonly rows: readonly Row[]};
+
+/**
+ * Brings a platform that was put back to older data up to the table in force at some entry, as the version after it:
+ * no process then goes back, and all go on together.
+ *
+ * @returns the version written
+ */
+export async function restoreTable(keyValue: KeyValue, inForce: TableInForce, change: TableChange): Promise<Result<number, TableError>> {
+	const stored = await keyValue.get(tableKeys.head);
+	if (stored.isErr()) {
+		return err(new TableError('unavailable', stored.error.message));
+	}
+
+	const pages = await writePages(keyValue, inForce.rows);
+	if (pages.isErr()) {
+		return err(pages.error);
+	}
+
+	const head = makeHead(inForce.head, pages.value, change);
+	const text = JSON.stringify(head);
+	const answer = await keyValue.commit({
+		conditions: [{key: tableKeys.head, revision: stored.value?.revision ?? 0}],
+		puts: [{key: tableKeys.head, value: text}, {key: tableKeys.history(head.version), value: text}],
+	});
+	if (answer.isErr()) {
+		return err(new TableError(answer.error.written === 'no' ? 'unavailable' : 'unknown', answer.error.message));
+	}
+
+	return answer.value === undefined
+		? err(new TableError('stale', 'someone else changed the table meanwhile; look at it again'))
+		: ok(head.version);
+}
--- /dev/null
+++ b/src/table/write-pages.ts
@@ -0,0 +1,50 @@
+import {err, ok, type Result} from 'neverthrow';
+import {type KeyValue} from '../platform/key-value.js';
+import {type Transaction} from '../platform/transaction.js';
+import {encodePages} from './encode-pages.js';
+import {type Row} from './row.js';
+import {TableError} from './table-error.js';
+import {tableKeys} from './table-keys.js';
+import {type TablePage} from './table-page.js';
+
+const attempts = 5;
+/** Pages written in one transaction; at 64 KB each it stays under the service's megabyte. */
+const pagesPerWrite = 8;
+
+/* Pages alone change nothing, since no head names them yet; so a lost answer is met by writing again. */
+const writeAgain = async (keyValue: KeyValue, puts: Transaction['puts']): Promise<Result<void, TableError>> => {
+	let message = '';
+	for (let attempt = 0; attempt < attempts; attempt++) {
+		const answer = await keyValue.commit({conditions: [], puts});
+		if (answer.isOk()) {
+			return ok();
+		}
+
+		({message} = answer.error);
+		if (answer.error.written === 'no') {
+			break;
+		}
+	}
+
+	return err(new TableError('unavailable', message));
+};
+
+/**
+ * Writes the pages of a table that are not stored yet.
+ *
+ * @param known - pages that the platform has
+ * @returns the hashes of all pages, for the head
+ */
+export async function writePages(keyValue: KeyValue, rows: readonly Row[], known: ReadonlyMap<string, TablePage> = new Map()): Promise<Result<string[], TableError>> {
+	const pages = encodePages(rows);
+	const missing = pages.filter(({hash}) => !known.has(hash));
+	for (let start = 0; start < missing.length; start += pagesPerWrite) {
+		const puts = missing.slice(start, start + pagesPerWrite).map(({hash, text}) => ({key: tableKeys.page(hash), value: text}));
+		const answer = await writeAgain(keyValue, puts);
+		if (answer.isErr()) {
+			return err(answer.error);
+		}
+	}
+
+	return ok(pages.map(({hash}) => hash));
+}
--- a/stand-ins/engine/start-engine.ts
+++ b/stand-ins/engine/start-engine.ts
@@ -3,6 +3,7 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {type EngineGroup} from './engine-group.js';
+import {type Engine} from './engine.js';
 
 type ChatBody = {stream?: boolean; max_tokens?: number; messages?: Array<{content: string}>; prompt?: string};
 
@@ -17,19 +18,6 @@
 	readonly port?: number;
 };
 
-/** A running stand-in engine; `runs` counts each request that began, by its x-request-id. */
-export type Engine = {
-	readonly url: string;
-	readonly port: number;
-	readonly runs: Map<string, number>;
-	readonly active: Set<string>;
-	/** Requests that began, attempts counted one by one. */
-	total: number;
-	/** While set, every answer is broken off before it begins. */
-	isBreaking: boolean;
-	close(): Promise<void>;
-};
-
 const readBody = async (request: IncomingMessage): Promise<unknown> => {
 	const chunks: Buffer[] = [];
 	for await (const chunk of request) {
--- a/stand-ins/platform/start-key-value-service.ts
+++ b/stand-ins/platform/start-key-value-service.ts
@@ -4,6 +4,7 @@
 import {type AddressInfo} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {KeyValueStore} from './key-value-store.js';
+import {type KeyValueService} from './key-value-service.js';
 
 type Body = Record<string, any>;
 
@@ -28,16 +29,6 @@
 	isWatchSilent: boolean;
 };
 
-/** A running key-value stand-in. */
-export type KeyValueService = {
-	readonly url: string;
-	readonly store: KeyValueStore;
-	readonly faults: Faults;
-	readonly calls: Map<string, number>;
-	breakWatches(): void;
-	close(): Promise<void>;
-};
-
 const serveWatch = (store: KeyValueStore, faults: Faults, body: Body, response: ServerResponse): void => {
 	const {key, range_end: end, start_revision: start} = body.create_request as {key: string; range_end: string; start_revision: string};
 	const first = Buffer.from(key, 'base64').toString('latin1');
--- a/stand-ins/platform/start-trace-collector.ts
+++ b/stand-ins/platform/start-trace-collector.ts
@@ -1,17 +1,11 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
 import {type AddressInfo} from 'node:net';
+import {type TraceCollector} from './trace-collector.js';
 
 type SpanDocument = {readonly name: string; readonly traceId: string};
 type TraceDocument = {readonly resourceSpans: ReadonlyArray<{readonly scopeSpans: ReadonlyArray<{readonly spans: readonly SpanDocument[]}>}>};
 
-/** A running stand-in of an OTLP/HTTP collector; `spans` holds what arrived. */
-export type TraceCollector = {
-	readonly url: string;
-	readonly spans: SpanDocument[];
-	close(): void;
-};
-
 /** Starts the stand-in of an OTLP/HTTP collector on loopback. */
 export async function startTraceCollector(): Promise<TraceCollector> {
 	const spans: SpanDocument[] = [];
--- a/stand-ins/platform/start-vm-list.ts
+++ b/stand-ins/platform/start-vm-list.ts
@@ -3,14 +3,7 @@
 import {createServer} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {type Vm} from '../../src/platform/vm.js';
-
-/** A running stand-in of the platform's list of VMs; scenarios change `vms` and `isDown`. */
-export type VmListService = {
-	readonly url: string;
-	readonly vms: Vm[];
-	isDown: boolean;
-	close(): Promise<void>;
-};
+import {type VmListService} from './vm-list-service.js';
 
 /** Starts the stand-in of the list of VMs on loopback. */
 export async function startVmList(port = 0): Promise<VmListService> {
--- /dev/null
+++ b/stand-ins/platform/trace-collector.ts
@@ -0,0 +1,8 @@
+type SpanDocument = {readonly name: string; readonly traceId: string};
+
+/** A running stand-in of an OTLP/HTTP collector; `spans` holds what arrived. */
+export type TraceCollector = {
+	readonly url: string;
+	readonly spans: SpanDocument[];
+	close(): void;
+};
--- a/stand-ins/service/start-plain-service.ts
+++ b/stand-ins/service/start-plain-service.ts
@@ -2,18 +2,7 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
 import {type AddressInfo} from 'node:net';
-
-/** A running stand-in of a plain service; it counts runs by request id and can hold its answers. */
-export type PlainService = {
-	readonly url: string;
-	readonly runs: Map<string, number>;
-	/** Total requests that began. */
-	total: number;
-	/** While set, requests run but their answers wait for `release`. */
-	isHolding: boolean;
-	release(): void;
-	close(): Promise<void>;
-};
+import {type PlainService} from './plain-service.js';
 
 /** Starts a plain HTTP service on loopback that answers each request with what it received. */
 export async function startPlainService(port = 0): Promise<PlainService> {
--- a/stand-ins/system/system.ts
+++ b/stand-ins/system/system.ts
@@ -10,10 +10,14 @@
 import {type RunningTarget} from '../../src/target/running-target.js';
 import {startTarget} from '../../src/target/start-target.js';
 import {type EngineGroup} from '../engine/engine-group.js';
-import {startEngine, type Engine} from '../engine/start-engine.js';
-import {startKeyValueService, type KeyValueService} from '../platform/start-key-value-service.js';
-import {startVmList, type VmListService} from '../platform/start-vm-list.js';
-import {startPlainService, type PlainService} from '../service/start-plain-service.js';
+import {startEngine} from '../engine/start-engine.js';
+import {type Engine} from '../engine/engine.js';
+import {startKeyValueService} from '../platform/start-key-value-service.js';
+import {type KeyValueService} from '../platform/key-value-service.js';
+import {startVmList} from '../platform/start-vm-list.js';
+import {type VmListService} from '../platform/vm-list-service.js';
+import {startPlainService} from '../service/start-plain-service.js';
+import {type PlainService} from '../service/plain-service.js';
 import {type SystemOptions} from './system-options.js';
 
 type RunningWorker = {readonly id: string; readonly zone: string; readonly url: string; target: RunningTarget; readonly settings: TargetSettings};
