Prove the heartbeats and the binaries, and let the log speak

Cause: membership had no scenarios of its own, and no scenario ran a binary; the first one found that nothing was ever logged, since the log library looks at its switch when it is loaded.

--- /dev/null
+++ b/features/steps/membership-steps.ts
@@ -0,0 +1,102 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {Membership} from '../../src/membership/membership.js';
+import {type Vm} from '../../src/platform/vm.js';
+import {type SystemWorld} from '../support/system-world.js';
+
+type Scene = {readonly membership: Membership; readonly vms: Vm[]; now: number; counter: number};
+
+const getScene = (world: SystemWorld): Scene => world.notes.get('scene') as Scene;
+
+const hear = (scene: Scene, id: string, incarnation = 'a', peers: Array<{id: string; incarnation: string; counter: number}> = []): void => {
+	scene.membership.hear({
+		type: 'heartbeat', id, incarnation, counter: scene.counter, tableVersion: 0, changeId: '', peers,
+	}, scene.now);
+};
+
+const hearAll = (scene: Scene, vms: readonly Vm[]): void => {
+	scene.counter++;
+	for (const {id} of vms) {
+		hear(scene, id);
+	}
+};
+
+Given('an entry that lists {int} others in {string} and {int} in {string}', function (this: SystemWorld, near: number, nearZone: string, far: number, farZone: string) {
+	const makeVms = (count: number, zone: string): Vm[] => Array.from({length: count}, (_, index) => ({
+		id: `${zone.split('-')[0]}-${index + 1}`, role: 'entry', availabilityZone: zone, region: 'default', address: '127.0.0.1', linkPort: 1, state: 'live',
+	}));
+	const vms = [...makeVms(near, nearZone), ...makeVms(far, farZone)];
+	const membership = new Membership({id: 'self', availabilityZone: nearZone, incarnation: 'a'});
+	membership.noteList(vms, 0);
+	this.notes.set('scene', {
+		membership, vms, now: 0, counter: 0,
+	} satisfies Scene);
+});
+
+When('all others are heard', function (this: SystemWorld) {
+	const scene = getScene(this);
+	hearAll(scene, scene.vms);
+});
+
+When('{int} seconds pass without a word', function (this: SystemWorld, seconds: number) {
+	getScene(this).now += seconds * 1000;
+});
+
+When('{int} seconds pass in which only {string} is heard', function (this: SystemWorld, seconds: number, zone: string) {
+	const scene = getScene(this);
+	for (let second = 0; second < seconds; second++) {
+		scene.now += 1000;
+		hearAll(scene, scene.vms.filter(vm => vm.availabilityZone === zone));
+	}
+});
+
+When('{string} is heard with a higher counter', function (this: SystemWorld, id: string) {
+	const scene = getScene(this);
+	scene.counter++;
+	hear(scene, id);
+});
+
+When('{string} is heard from a later life', function (this: SystemWorld, id: string) {
+	hear(getScene(this), id, 'b');
+});
+
+When('{string} passes on a higher counter of {string}', function (this: SystemWorld, id: string, about: string) {
+	const scene = getScene(this);
+	scene.counter++;
+	hear(scene, id, 'a', [{id: about, incarnation: 'a', counter: scene.counter}]);
+});
+
+When('{string} passes on the same counter of {string}', function (this: SystemWorld, id: string, about: string) {
+	const scene = getScene(this);
+	const {counter} = scene;
+	scene.counter++;
+	hear(scene, id, 'a', [{id: about, incarnation: 'a', counter}]);
+});
+
+When('{string} passes on a high counter of the earlier life of {string}', function (this: SystemWorld, id: string, about: string) {
+	hear(getScene(this), id, 'a', [{id: about, incarnation: 'a', counter: 1000}]);
+});
+
+When('the list no longer names {string}', function (this: SystemWorld, id: string) {
+	const scene = getScene(this);
+	scene.membership.noteList(scene.vms.filter(vm => vm.id !== id), scene.now);
+});
+
+Then('{string} is {string}', function (this: SystemWorld, id: string, state: string) {
+	const scene = getScene(this);
+	assert.equal(scene.membership.getState(id, scene.now), state);
+});
+
+Then('{string} is forgotten', function (this: SystemWorld, id: string) {
+	assert.equal(getScene(this).membership.getVm(id), undefined);
+});
+
+Then('half of the zones are visible', function (this: SystemWorld) {
+	const scene = getScene(this);
+	assert.equal(scene.membership.getVisibleShare(scene.now), 0.5);
+});
+
+Then(/^(\d+) entr(?:y|ies) (?:is|are) counted as live$/, function (this: SystemWorld, count: string) { // eslint-disable-line require-unicode-regexp
+	const scene = getScene(this);
+	assert.equal(scene.membership.listLive(scene.now).length, Number(count));
+});
--- a/src/bin/wardswitch-target.ts
+++ b/src/bin/wardswitch-target.ts
@@ -1,4 +1,6 @@
 #!/usr/bin/env node
+/* eslint-disable import-x/order, import-x/no-unassigned-import -- the log must be on before anything loads it */
+import '../log/enable-log.js';
 import process from 'node:process';
 import {readClock} from '../config/read-clock.js';
 import {readSettings} from '../config/read-settings.js';
