--- a/src/config/node-settings.ts
+++ b/src/config/node-settings.ts
@@ -6,7 +6,6 @@
 const NodeSettings = z.strictObject({
 	id: z.string().min(1).meta({description: 'Name of this process, unique among all that are live'}),
 	availabilityZone: z.string().min(1).meta({description: 'Availability zone of the VM'}),
-	region: z.string().min(1).default('default').meta({description: 'Region of the availability zone'}),
 	address: z.ipv4().default('127.0.0.1').meta({description: 'IP number that the process listens on'}),
 	linkPort: port.meta({description: 'TCP port for links between the system\'s processes'}),
 	adminPort: port.meta({description: 'HTTP port for /metrics, /livez, /readyz, /status and /explain'}),
