--- a/src/maps/load-forecast.ts
+++ b/src/maps/load-forecast.ts
@@ -49,6 +49,8 @@
 	readonly ownShare: number;
 	/** Whether popularity does not seem to change, so that the plain mean is believed. */
 	readonly isSteady: boolean;
+	/** Intervals that it was learnt from, since the start or the last sudden change. */
+	readonly count: number;
 	/** Intervals that the expectation is likely to hold for. */
 	readonly horizon: number;
 };
@@ -81,6 +83,7 @@
 			// The variance of an exponential mean of independent samples, by that of one sample.
 			ownShare: best < predictors.length ? gain / (2 - gain) : gain,
 			isSteady: best === predictors.length,
+			count,
 			horizon: Math.min(maximumHorizon, 1 / gain, count),
 		};
 	}
--- a/src/maps/map-planner.ts
+++ b/src/maps/map-planner.ts
@@ -12,6 +12,8 @@
 const greatestShare = 0.038;
 /** Intervals whose unused budget is kept. */
 const savedIntervals = 9;
+/** Copies that one plan places at most, which bounds its time. */
+const mostCopies = 1500;
 /** Copies that a small group may save up for, so that it can change at all. */
 const leastSaved = 8;
 
@@ -37,7 +39,7 @@
 		this.forecast.observe(loads);
 		this.saved = Math.min(this.mostSaved, this.saved + this.budgetPerInterval);
 		const next = planMap({
-			map, shape: this.shape, forecast: this.forecast, weights: this.weights, budget: Math.floor(this.saved),
+			map, shape: this.shape, forecast: this.forecast, weights: this.weights, budget: Math.min(mostCopies, Math.floor(this.saved)),
 		});
 		if (!next) {
 			return map;
--- a/src/maps/plan-map.ts
+++ b/src/maps/plan-map.ts
@@ -34,6 +34,9 @@
 /** And by this share of its mean rank load, in either case. */
 const leastReliefShare = 0.002;
 const steadyReliefShare = 0.03;
+/** After so many intervals without a change, a layer is left alone for anything less than this share. */
+const settledCount = 24;
+const settledReliefShare = 0.08;
 /** A layer whose peak a fresh packing would lower by this share of the mean is stuck. */
 const stuckShare = 0.02;
 /** Layers that are packed afresh to see whether they are stuck, in one plan. */
@@ -62,12 +65,13 @@
 
 /* A gain that the forecast's own error may explain is not worth a copy. */
 const isCertain = (plan: LayerPlan): boolean => {
-	const {isSteady, ownShare} = plan.forecast;
+	const {isSteady, ownShare, count} = plan.forecast;
 	const relief = plan.peakBefore - plan.search.peak;
 	const error = plan.search.getPeakDeviation() * Math.sqrt(ownShare);
 	const {meanLoad} = plan.search;
+	const steadyRelief = count >= settledCount ? settledReliefShare : steadyReliefShare;
 	return isSteady
-		? relief > Math.max(steadyCertainty * error, steadyReliefShare * meanLoad)
+		? relief > Math.max(steadyCertainty * error, steadyRelief * meanLoad)
 		: relief > Math.max(certainty * error, leastReliefShare * meanLoad);
 };
 
