Ask for each newer version at once, and give balancers time at a stop

Cause: of changes in quick succession the second was asked for only at the next heartbeat, since a wish held back any other for half a second; an entry's planned stop refused connections before a balancer could know; a tracer that samples nothing still cost each request.

Scenarios: a watch that goes back and skips, a platform of 5 s a call, two changes at once.

--- a/features/steps/table-steps.ts
+++ b/features/steps/table-steps.ts
@@ -4,6 +4,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {ok} from 'neverthrow';
 import {type KeyValue} from '../../src/platform/key-value.js';
 import {diffTables} from '../../src/table/diff-tables.js';
 import {encodePages} from '../../src/table/encode-pages.js';
@@ -193,6 +194,56 @@
 	await this.system.startEntry('late-entry', zone);
 });
 
+/* A platform in memory whose head the scenario sets; pages are there for every version. */
+const makeWatchedPlatform = (world: SystemWorld): KeyValue => {
+	const pages = encodePages([]);
+	const platform = {
+		get: async (key: string) => ok(key === tableKeys.head ? undefined : {key, value: pages[0].text, revision: 1}),
+		async watch(_prefix: string, _revision: number, onChange: (change: {key: string; value: string; revision: number}) => void) {
+			world.notes.set('onChange', onChange);
+			// The watch never ends.
+			return new Promise<never>(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function
+		},
+	};
+	return platform as unknown as KeyValue;
+};
+
+Given('a table controller that watches the platform', async function (this: SystemWorld) {
+	const installed: number[] = [];
+	const reports: string[] = [];
+	const controller = new TableController({
+		keyValue: makeWatchedPlatform(this), random: () => 0, log: message => reports.push(message), onInstall: ({version}) => installed.push(version),
+	});
+	controller.setWatcher(true, 0);
+	controller.tick(0);
+	while (!this.notes.has('onChange')) {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+
+	this.notes.set('installed', installed);
+	this.notes.set('reports', reports);
+});
+
+When('the watch tells of versions {string}', async function (this: SystemWorld, versions: string) {
+	const onChange = this.notes.get('onChange') as (change: {key: string; value: string; revision: number}) => void;
+	for (const version of versions.split(', ').map(Number)) {
+		onChange({key: tableKeys.head, value: JSON.stringify(makeSnapshot([], version, `change-${version}`).head), revision: version});
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+});
+
+Then('versions came into force in the order {string}', function (this: SystemWorld, versions: string) {
+	assert.equal((this.notes.get('installed') as number[]).join(', '), versions);
+});
+
+When('the platform answers at once again', function (this: SystemWorld) {
+	this.system.platform.faults.delayMs = 0;
+});
+
 Given('a table controller at version {int}', function (this: SystemWorld, version: number) {
 	const reports: string[] = [];
 	const controller = new TableController({
@@ -214,6 +265,15 @@
 	(this.notes.get('controller') as TableController).noteVersion(version, 'theirs', 0);
 });
 
+When('a peer says that it holds version 4, and at once another that it holds version 5', function (this: SystemWorld) {
+	const controller = this.notes.get('controller') as TableController;
+	this.notes.set('wishes', [4, 5, 5, 4].map(version => controller.noteVersion(version, '', 1000)?.type));
+});
+
+Then('the controller asks for both, and for neither twice', function (this: SystemWorld) {
+	assert.deepEqual(this.notes.get('wishes'), ['table-wanted', 'table-wanted', undefined, undefined]);
+});
+
 Then('the controller stays at version {int}', function (this: SystemWorld, version: number) {
 	const controller = this.notes.get('controller') as TableController;
 	assert.deepEqual([controller.version, controller.changeId], [version, 'ours']);
--- a/features/table.feature
+++ b/features/table.feature
@@ -92,6 +92,11 @@
     When another entry starts in "barre-hall"
     Then every entry and target knows version 2
 
+  Scenario: Two changes at once are both asked for
+    Given a table controller at version 3
+    When a peer says that it holds version 4, and at once another that it holds version 5
+    Then the controller asks for both, and for neither twice
+
   Scenario: A peer offers an older version, or another one of the same number
     Given a table controller at version 3
     When a peer offers version 2
@@ -99,6 +104,21 @@
     Then the controller stays at version 3
     And the controller reports "another version 3"
 
+  Scenario: A watch that repeats, goes back and skips
+    Given a table controller that watches the platform
+    When the watch tells of versions "5, 3, 5, 7, 6"
+    Then versions came into force in the order "5, 7"
+    And the controller reports "older than version 7 in force"
+
+  Scenario: The platform takes 5 seconds for each call
+    Given a running system
+    And the platform takes 5000 ms for an answer
+    When a caller asks "stone-drafts" for 2 tokens about "granite"
+    Then the reply has status 200
+    When the platform answers at once again
+    And an operator sets the weight of "granite" to 6
+    Then every entry and target knows version 2
+
   Scenario: Every problem of a file is named at once and nothing is applied
     Given a running system
     When an operator applies this table:
--- a/src/entry/start-entry.ts
+++ b/src/entry/start-entry.ts
@@ -1,3 +1,4 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import {TargetLink} from '../calls/target-link.js';
 import {TargetPool} from '../calls/target-pool.js';
 import {type EntrySettings} from '../config/entry-settings.js';
@@ -243,6 +244,7 @@
 		},
 		async stop() {
 			controller.leave();
+			await delay(settings.stopDelayMs);
 			await server.drain();
 			await close();
 		},
--- a/src/table/table-controller.ts
+++ b/src/table/table-controller.ts
@@ -16,7 +16,7 @@
 	readonly onInstall: (table: TableSnapshot) => void;
 };
 
-/** A wish for pages that was sent to a peer; another is sent only after this time, milliseconds. */
+/** A wish for the pages of one version is sent again only after this time, milliseconds. */
 const askAgainMs = 500;
 const firstBackoffMs = 200;
 const maximumBackoffMs = 30_000;
@@ -41,6 +41,7 @@
 	private nextFetchAt = 0;
 	private backoffMs = firstBackoffMs;
 	private askedAt = 0;
+	private askedVersion = 0;
 	private isFetching = false;
 
 	constructor(private readonly options: ControllerOptions) {}
@@ -84,11 +85,13 @@
 			this.report(`a peer holds another version ${version} (change ${changeId})`);
 		}
 
-		if (version <= this.version || now - this.askedAt < askAgainMs) {
+		const isAsked = version <= this.askedVersion && now - this.askedAt < askAgainMs;
+		if (version <= this.version || isAsked) {
 			return undefined;
 		}
 
 		this.askedAt = now;
+		this.askedVersion = version;
 		return {type: 'table-wanted', tableVersion: this.version, pages: [...this.pages.keys()]};
 	}
 
--- a/src/tracing/create-tracer.ts
+++ b/src/tracing/create-tracer.ts
@@ -1,7 +1,7 @@
-import {type Tracer} from '@opentelemetry/api';
+import {trace, type Tracer} from '@opentelemetry/api';
 import {OTLPTraceExporter} from '@opentelemetry/exporter-trace-otlp-http';
 import {
-	AlwaysOffSampler, AlwaysOnSampler, BasicTracerProvider, BatchSpanProcessor, type SpanExporter,
+	AlwaysOnSampler, BasicTracerProvider, BatchSpanProcessor, type SpanExporter,
 } from '@opentelemetry/sdk-trace-base';
 
 /** Longest time that a span waits to be sent with others, milliseconds. */
@@ -10,9 +10,14 @@
 /** Makes the tracer of a process; spans are recorded only if there is somewhere to send them. */
 export function createTracer(otlpUrl: string | undefined, exporter?: SpanExporter): Tracer {
 	const sink = exporter ?? (otlpUrl === undefined ? undefined : new OTLPTraceExporter({url: otlpUrl}));
+	if (!sink) {
+		// The API's own tracer does nothing and passes the caller's context on.
+		return trace.getTracer('wardswitch');
+	}
+
 	const provider = new BasicTracerProvider({
-		sampler: sink ? new AlwaysOnSampler() : new AlwaysOffSampler(),
-		spanProcessors: sink ? [new BatchSpanProcessor(sink, {scheduledDelayMillis: batchMs})] : [],
+		sampler: new AlwaysOnSampler(),
+		spanProcessors: [new BatchSpanProcessor(sink, {scheduledDelayMillis: batchMs})],
 	});
 	return provider.getTracer('wardswitch');
 }
--- a/stand-ins/system/system.ts
+++ b/stand-ins/system/system.ts
@@ -57,6 +57,7 @@
 		const {clock, random, firstHttpPort, entrySettings} = this.options;
 		const settings = EntrySettings.parse({
 			...this.makeNodeSettings(id, availabilityZone),
+			stopDelayMs: 0,
 			httpPort: firstHttpPort ? firstHttpPort + this.entries.size : 0,
 			...entrySettings,
 		});
