Take no other request's refusal for proof, leave silent connections, send nothing for callers that left

Cause: found by reading. A target that answers twice may refuse an earlier request where the next answer is due; that refusal was taken as proof that the present one had not run, so one that runs at most once could be refused as not run while it ran. A connection that goes silent alone held its stream until the caller left, since the watch looked at whole targets. A caller that left while its request waited for a stopped group could still have it sent.

--- a/features/forward.feature
+++ b/features/forward.feature
@@ -51,6 +51,7 @@
       | cut            | 502    | unknown | 1    |
       | unframed-reset | 502    | unknown | 1    |
       | wrong-id       | 502    | unknown | 1    |
+      | late-refusal   | 502    | unknown | 1    |
       | unsigned       | 502    | unknown | 1    |
 
   Scenario: An answer without a length that ends with its connection is whole
--- /dev/null
+++ b/features/stall.feature
@@ -0,0 +1,27 @@
+Feature: What has gone silent is left, and nothing that is only slow
+
+  Scenario: One connection to a target goes silent while the target goes on with others
+    Given two streams at one target, both with their first event
+    When one gets an event each 50 ms and the other none, for 2000 ms
+    Then only the silent one is ended, and idle connections to that target are dropped
+
+  Scenario: A stream that its caller does not read is not silent
+    Given two streams at one target, both with their first event
+    And the caller of the second does not read
+    When one gets an event each 50 ms and the other none, for 2000 ms
+    Then neither is ended
+
+  Scenario: A stream that waits for its first event is not silent
+    Given two streams at one target, one with its first event
+    When one gets an event each 50 ms and the other none, for 2000 ms
+    Then neither is ended
+
+  Scenario: A target that stops with its whole service is not silent
+    Given two streams at one target, both with their first event
+    When neither gets an event for 2000 ms
+    Then neither is ended
+
+  Scenario: A caller that left while its request waited for the service is sent nowhere
+    Given a service that has been down for 5000 ms
+    When a caller that has come back leaves while it waits for the service
+    Then its request is sent to no target
--- /dev/null
+++ b/features/steps/stall-steps.ts
@@ -0,0 +1,163 @@
+import assert from 'node:assert/strict';
+import {IncomingMessage, ServerResponse} from 'node:http';
+import {Socket} from 'node:net';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {LoadBoard} from '../../src/balance/load-board.js';
+import {RepeatBudget} from '../../src/balance/repeat-budget.js';
+import {ServiceGate} from '../../src/balance/service-gate.js';
+import {TargetHealth} from '../../src/balance/target-health.js';
+import {TargetDirectory} from '../../src/fleet/target-directory.js';
+import {ForwardDispatcher} from '../../src/forward/forward-dispatcher.js';
+import {ForwardExchange} from '../../src/forward/forward-exchange.js';
+import {StallWatch} from '../../src/forward/stall-watch.js';
+import {type SystemWorld} from '../support/system-world.js';
+
+const tickMs = 50;
+const target = {
+	id: 'target-1', service: 'desk', address: '127.0.0.1', port: 1, availabilityZone: 'a', slots: 8, isLeaving: false,
+};
+const route = {
+	name: 'draft',
+	host: 'desk.example',
+	prefix: '/stream/',
+	kind: 'stream' as const,
+	timeoutMs: 8000,
+	targetLatencyMs: 400,
+	destinations: [{service: 'desk', weight: 1}],
+	maximumAttempts: 2,
+	isPublic: false,
+	isResumable: true,
+};
+
+/** Two streams at one target, watched by a clock that the scenario moves. */
+class Streams {
+	now = 0;
+	readonly dropped: string[] = [];
+	readonly aborts = [new AbortController(), new AbortController()];
+	readonly heldUp = [false, false];
+	private readonly board = new LoadBoard();
+	private readonly watch = new StallWatch({
+		board: this.board,
+		health: new TargetHealth(),
+		clock: () => this.now,
+		log() {
+			// Nothing is looked for in the log.
+		},
+		onSilentConnection: id => {
+			this.dropped.push(id);
+		},
+	});
+
+	private readonly watches = this.aborts.map((abort, index) => {
+		this.board.begin(target.id, this.now);
+		return this.watch.watch({target, abort, isHeldUp: () => this.heldUp[index]});
+	});
+
+	progress(index: number): void {
+		this.board.progress(target.id, this.now);
+		this.watches[index].progress();
+	}
+
+	pass(ms: number, live: readonly number[]): void {
+		for (const end = this.now + ms; this.now < end; this.now += tickMs) {
+			for (const index of live) {
+				this.progress(index);
+			}
+
+			this.watch.tick();
+		}
+	}
+}
+
+const getStreams = (world: SystemWorld): Streams => world.notes.get('streams') as Streams;
+
+Given('two streams at one target, {word} with their/its first event', function (this: SystemWorld, which: string) {
+	const streams = new Streams();
+	streams.progress(0);
+	if (which === 'both') {
+		streams.progress(1);
+	}
+
+	this.notes.set('streams', streams);
+});
+
+Given('the caller of the second does not read', function (this: SystemWorld) {
+	getStreams(this).heldUp[1] = true;
+});
+
+When('one gets an event each 50 ms and the other none, for {int} ms', function (this: SystemWorld, ms: number) {
+	getStreams(this).pass(ms, [0]);
+});
+
+When('neither gets an event for {int} ms', function (this: SystemWorld, ms: number) {
+	getStreams(this).pass(ms, []);
+});
+
+Then('only the silent one is ended, and idle connections to that target are dropped', function (this: SystemWorld) {
+	const {aborts, dropped} = getStreams(this);
+	assert.deepEqual(aborts.map(({signal}) => signal.aborted), [false, true]);
+	assert.ok(dropped.includes(target.id));
+});
+
+Then('neither is ended', function (this: SystemWorld) {
+	const {aborts, dropped} = getStreams(this);
+	assert.deepEqual(aborts.map(({signal}) => signal.aborted), [false, false]);
+	assert.deepEqual(dropped, []);
+});
+
+Given('a service that has been down for {int} ms', function (this: SystemWorld, ms: number) {
+	const gate = new ServiceGate();
+	gate.close(route.destinations[0].service, -ms);
+	this.notes.set('gate', gate);
+});
+
+When('a caller that has come back leaves while it waits for the service', async function (this: SystemWorld) {
+	const sent: string[] = [];
+	const directory = new TargetDirectory();
+	directory.replace([target], 0, false);
+	const board = new LoadBoard();
+	const health = new TargetHealth();
+	const clock = (): number => 0;
+	const dispatcher = new ForwardDispatcher({
+		async send(options) {
+			sent.push(options.target.id);
+			return {kind: 'lost', reason: 'not looked at'};
+		},
+		directory,
+		board,
+		gate: this.notes.get('gate') as ServiceGate,
+		health,
+		budget: new RepeatBudget({
+			ratio: 0.2, slack: 90, windowMs: 10_000, countEntries: () => 1,
+		}),
+		stalls: new StallWatch({
+			board,
+			health,
+			clock,
+			log: String,
+			onSilentConnection: String,
+		}),
+		availabilityZone: 'a',
+		clock,
+		random: () => 0,
+		onSend: String,
+	});
+	const incoming = new IncomingMessage(new Socket());
+	const exchange = new ForwardExchange({
+		incoming,
+		response: new ServerResponse(incoming),
+		arrivedAt: 0,
+		marks: {id: 'the-request', deadlineMs: 5000, lastEventId: undefined},
+		isAllowedToKeepOpen: () => true,
+	});
+	exchange.route = route;
+	exchange.deadline = 5000;
+	const end = dispatcher.run(exchange);
+	exchange.departure.abort();
+	await end;
+	this.notes.set('sent', sent);
+});
+
+Then('its request is sent to no target', function (this: SystemWorld) {
+	assert.deepEqual(this.notes.get('sent'), []);
+});
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -23,6 +23,8 @@
 	readonly target: Target;
 	readonly delivery: StreamDelivery;
 	readonly signal: AbortSignal;
+	/** Called for each piece of the target's answer. */
+	readonly onProgress: () => void;
 }) => Promise<SendOutcome>;
 
 type DispatcherOptions = {
@@ -150,6 +152,10 @@
 		const now = clock();
 		const abort = new AbortController();
 		const remainingMs = exchange.deadline - now;
+		if (exchange.departure.signal.aborted) {
+			return {kind: 'not-run', reason: 'the caller left', wasSent: false};
+		}
+
 		if (remainingMs <= 0) {
 			progress.isExpired = true;
 			return {kind: 'not-run', reason: 'the deadline passed', wasSent: false};
@@ -174,17 +180,23 @@
 		};
 
 		exchange.departure.signal.addEventListener('abort', leave, {once: true});
-		const stopWatching = exchange.isRepeatable ? stalls.watch(target, abort) : undefined;
+		const watch = exchange.isRepeatable ? stalls.watch({target, abort, isHeldUp: () => exchange.response.writableNeedDrain}) : undefined;
 		board.begin(target.id, now);
 		this.options.onSend(exchange.service, progress.sent > 0);
 		progress.tries++;
 		try {
 			return await send({
-				exchange, target, delivery: progress.delivery, signal: abort.signal,
+				exchange,
+				target,
+				delivery: progress.delivery,
+				signal: abort.signal,
+				onProgress() {
+					watch?.progress();
+				},
 			});
 		} finally {
 			board.end(target.id);
-			stopWatching?.();
+			watch?.stop();
 			exchange.departure.signal.removeEventListener('abort', leave);
 			for (const timer of timers) {
 				clearTimeout(timer);
--- a/src/forward/stall-watch.ts
+++ b/src/forward/stall-watch.ts
@@ -7,6 +7,24 @@
 	readonly health: TargetHealth;
 	readonly clock: () => number;
 	readonly log: (message: string) => void;
+	/** Told of a target at which a connection has gone silent: others to it, idle until then, may have as well. */
+	readonly onSilentConnection: (target: string) => void;
+};
+
+/** A request at a target, as far as the watch needs to know it. */
+type Watched = {
+	readonly target: Target;
+	readonly abort: AbortController;
+	/** Whether its caller has yet to read what was sent, so that nothing is asked of the target meanwhile. */
+	readonly isHeldUp: () => boolean;
+	/** When the target sent something for it; undefined before the first. */
+	progressAt: number | undefined;
+};
+
+type Watch = {
+	/** Notes that the target sent something for the request. */
+	progress(): void;
+	stop(): void;
 };
 
 /** A target that sends nothing for so long, while others of its service do, is taken for dead, milliseconds. */
@@ -14,29 +32,47 @@
 /** Another target of the service counts as alive if it sent something within this time, milliseconds. */
 const aliveMs = 250;
 
-/** Ends the requests at targets that have gone silent alone, so that they can go on elsewhere. */
+/** Ends requests at targets, or on connections, that have gone silent alone, so that they can go on elsewhere. */
 export class StallWatch {
 	/** Since when each service has been seen at work without a break. */
 	private readonly activeSince = new Map<string, number>();
-	private readonly watched = new Map<AbortController, Target>();
+	private readonly watched = new Set<Watched>();
 
 	constructor(private readonly options: WatchOptions) {}
 
-	/** Watches a request at a target; gives the function that ends the watch. */
-	watch(target: Target, abort: AbortController): () => void {
-		this.watched.set(abort, target);
-		return () => {
-			this.watched.delete(abort);
+	/** Watches a request at a target until it is stopped. */
+	watch(request: Pick<Watched, 'target' | 'abort' | 'isHeldUp'>): Watch {
+		const watched: Watched = {...request, progressAt: undefined};
+		this.watched.add(watched);
+		return {
+			progress: () => {
+				watched.progressAt = this.options.clock();
+			},
+			stop: () => {
+				this.watched.delete(watched);
+			},
 		};
 	}
 
 	/** Looks at every watched request. */
 	tick(): void {
-		const {board, health, clock, log} = this.options;
-		const now = clock();
+		const now = this.options.clock();
+		this.noteActive(now);
+		for (const watched of this.watched) {
+			if (watched.isHeldUp()) {
+				watched.progressAt &&= now;
+			} else if (this.isTargetSilent(watched.target, now)) {
+				this.endAtTarget(watched, now);
+			} else if (this.isConnectionSilent(watched, now)) {
+				this.endOnConnection(watched, now);
+			}
+		}
+	}
+
+	private noteActive(now: number): void {
 		const alive = new Set<string>();
-		for (const {id, service} of this.watched.values()) {
-			if (board.getSilence(id, now) < aliveMs) {
+		for (const {target: {id, service}} of this.watched) {
+			if (this.options.board.getSilence(id, now) < aliveMs) {
 				alive.add(service);
 			}
 		}
@@ -50,16 +86,30 @@
 		for (const service of alive) {
 			this.activeSince.set(service, this.activeSince.get(service) ?? now);
 		}
+	}
 
-		for (const [abort, target] of this.watched) {
-			const silenceMs = board.getSilence(target.id, now);
-			// A group that stops as a whole, and then goes on, is silent at every target: none of them is to blame.
-			const activeMs = now - (this.activeSince.get(target.service) ?? now);
-			if (silenceMs > silentMs && activeMs > silentMs) {
-				log(`target ${target.id} of ${target.service} silent for ${Math.round(silenceMs)} ms while others answer`);
-				health.avoid(target.id, now);
-				abort.abort('the target has gone silent');
-			}
-		}
+	/* A group that stops as a whole, and then goes on, is silent at every target: none of them is to blame. */
+	private isTargetSilent({id, service}: Target, now: number): boolean {
+		const activeMs = now - (this.activeSince.get(service) ?? now);
+		return this.options.board.getSilence(id, now) > silentMs && activeMs > silentMs;
+	}
+
+	/* A target that has begun an answer goes on with all of its answers together; a connection can be lost alone. */
+	private isConnectionSilent({target, progressAt}: Watched, now: number): boolean {
+		return progressAt !== undefined && now - progressAt > silentMs && this.options.board.getSilence(target.id, now) < aliveMs;
+	}
+
+	private endAtTarget({target, abort}: Watched, now: number): void {
+		const {board, health, log} = this.options;
+		log(`target ${target.id} of ${target.service} silent for ${Math.round(board.getSilence(target.id, now))} ms while others answer`);
+		health.avoid(target.id, now);
+		abort.abort('the target has gone silent');
+	}
+
+	private endOnConnection({target, abort, progressAt}: Watched, now: number): void {
+		const {log, onSilentConnection} = this.options;
+		log(`a connection to target ${target.id} of ${target.service} silent for ${Math.round(now - progressAt!)} ms while others go on`);
+		onSilentConnection(target.id);
+		abort.abort('the connection has gone silent');
 	}
 }
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -125,6 +125,9 @@
 		log(message) {
 			requestLog.info(message);
 		},
+		onSilentConnection(target) {
+			pool.drop(target);
+		},
 	});
 	const sender = new TargetSender({
 		pool,
--- a/src/forward/target-sender.ts
+++ b/src/forward/target-sender.ts
@@ -23,6 +23,8 @@
 	readonly delivery: StreamDelivery;
 	/** Ends the send from outside; the reason says why. */
 	readonly signal: AbortSignal;
+	/** Called for each piece of the target's answer. */
+	readonly onProgress: () => void;
 };
 
 /** Answers that are not streams are held until they are whole; a larger one is not relayed, bytes. */
@@ -119,18 +121,20 @@
 		this.headers = headers;
 		const index = indexHeaders(headers);
 		const marks = this.sender.dialect.readAnswer(status, index);
-		if (marks.isNotRun) {
-			this.cause = marks.isMisdirected ? 'gone' : (marks.isGroupDown ? 'group-down' : 'busy');
-			this.mode = 'reject';
+		// A target that answers twice may refuse an earlier request here: that proves nothing of this one.
+		const isForeign = marks.requestId !== exchange.marks.id && (marks.requestId !== undefined || !marks.isNotRun);
+		if (isForeign) {
+			this.fail('the answer belongs to another request');
 			return;
 		}
 
-		if (marks.requestId !== exchange.marks.id) {
-			this.fail('the answer belongs to another request');
+		if (marks.isNotRun) {
+			this.cause = marks.isMisdirected ? 'gone' : (marks.isGroupDown ? 'group-down' : 'busy');
+			this.mode = 'reject';
 			return;
 		}
 
-		this.sender.onProgress(target);
+		this.noteProgress(target);
 		const isSuccess = status < 300;
 		if (isSuccess && (!marks.isSigned || index.has('content-encoding'))) {
 			this.fail('the answer is not the target\'s own');
@@ -150,7 +154,7 @@
 		}
 
 		if (this.mode !== 'reject') {
-			this.sender.onProgress(this.options.target);
+			this.noteProgress(this.options.target);
 		}
 
 		if (this.mode === 'stream') {
@@ -167,6 +171,11 @@
 		return true;
 	}
 
+	private noteProgress(target: Target): void {
+		this.sender.onProgress(target);
+		this.options.onProgress();
+	}
+
 	private takeEnd(): void {
 		switch (this.mode) {
 			case 'reject': {
--- a/stand-ins/forward/start-http-target.ts
+++ b/stand-ins/forward/start-http-target.ts
@@ -136,6 +136,11 @@
 			break;
 		}
 
+		case 'late-refusal': {
+			socket.write('HTTP/1.1 503 Service Unavailable\r\nx-request: an-earlier-one\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n');
+			break;
+		}
+
 		case 'reset': {
 			resetConnection(socket);
 			break;
