Refuse at once what a stopped service would only hold, and ask a lost store less often

Change: a service none of whose three or more streams went on for half a second counts as stopped (the gate says so in the log, and when it runs again); entries pause up to 1 s and rank processes up to 2 s between failed calls. Ruled out: a longer wait on the store (a silent outage could then be noticed later than its return plus 3 s).

--- a/features/stall.feature
+++ b/features/stall.feature
@@ -21,6 +21,17 @@
     When neither gets an event for 2000 ms
     Then neither is ended
 
+  Scenario Outline: A service is known to have stopped when none of its streams goes on: <streams> silent for <ms> ms
+    Given <streams> streams at one target, all with their first event
+    When none gets an event for <ms> ms
+    Then the service <known> known to have stopped
+
+    Examples:
+      | streams | ms  | known |
+      | 3       | 650 | is    |
+      | 3       | 450 | isn't |
+      | 2       | 650 | isn't |
+
   Scenario: A caller that left while its request waited for the service is sent nowhere
     Given a service that has been down for 5000 ms
     When a caller that has come back leaves while it waits for the service
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -29,12 +29,13 @@
 	isResumable: true,
 };
 
-/** Two streams at one target, watched by a clock that the scenario moves. */
+/** Streams at one target, watched by a clock that the scenario moves. */
 class Streams {
 	now = 0;
 	readonly dropped: string[] = [];
-	readonly aborts = [new AbortController(), new AbortController()];
-	readonly heldUp = [false, false];
+	readonly stopped = new Set<string>();
+	readonly aborts: AbortController[] = [];
+	readonly heldUp: boolean[] = [];
 	private readonly board = new LoadBoard();
 	private readonly watch = new StallWatch({
 		board: this.board,
@@ -46,12 +47,22 @@
 		onSilentConnection: id => {
 			this.dropped.push(id);
 		},
+		onStopped: service => {
+			this.stopped.add(service);
+		},
 	});
 
-	private readonly watches = this.aborts.map((abort, index) => {
-		this.board.begin(target.id, this.now);
-		return this.watch.watch({target, abort, isHeldUp: () => this.heldUp[index]});
-	});
+	private readonly watches: Array<ReturnType<StallWatch['watch']>> = [];
+
+	constructor(streams: number) {
+		for (let index = 0; index < streams; index++) {
+			const abort = new AbortController();
+			this.aborts.push(abort);
+			this.heldUp.push(false);
+			this.board.begin(target.id, this.now);
+			this.watches.push(this.watch.watch({target, abort, isHeldUp: () => this.heldUp[index]}));
+		}
+	}
 
 	progress(index: number): void {
 		this.board.progress(target.id, this.now);
@@ -72,7 +83,7 @@
 const getStreams = (world: SystemWorld): Streams => world.notes.get('streams') as Streams;
 
 Given('two streams at one target, {word} with their/its first event', function (this: SystemWorld, which: string) {
-	const streams = new Streams();
+	const streams = new Streams(2);
 	streams.progress(0);
 	if (which === 'both') {
 		streams.progress(1);
@@ -81,6 +92,23 @@
 	this.notes.set('streams', streams);
 });
 
+Given('{int} streams at one target, all with their first event', function (this: SystemWorld, count: number) {
+	const streams = new Streams(count);
+	for (let index = 0; index < count; index++) {
+		streams.progress(index);
+	}
+
+	this.notes.set('streams', streams);
+});
+
+When('none gets an event for {int} ms', function (this: SystemWorld, ms: number) {
+	getStreams(this).pass(ms, []);
+});
+
+Then('the service {word} known to have stopped', function (this: SystemWorld, known: string) {
+	assert.equal(getStreams(this).stopped.has(target.service), known === 'is');
+});
+
 Given('the caller of the second does not read', function (this: SystemWorld) {
 	getStreams(this).heldUp[1] = true;
 });
@@ -106,8 +134,8 @@
 });
 
 Given('a service that has been down for {int} ms', function (this: SystemWorld, ms: number) {
-	const gate = new ServiceGate();
-	gate.close(route.destinations[0].service, -ms);
+	const gate = new ServiceGate(String);
+	gate.close(route.destinations[0].service, -ms, 'as the scenario says');
 	this.notes.set('gate', gate);
 });
 
@@ -136,6 +164,7 @@
 			clock,
 			log: String,
 			onSilentConnection: String,
+			onStopped: String,
 		}),
 		availabilityZone: 'a',
 		clock,
--- a/src/balance/service-gate.ts
+++ b/src/balance/service-gate.ts
@@ -10,18 +10,26 @@
 export class ServiceGate {
 	private readonly outages = new Map<string, Outage>();
 
-	/** Notes that a target refused since its group does not run. */
-	close(service: string, now: number): void {
+	constructor(private readonly log: (message: string) => void) {}
+
+	/** Notes that a service does not run, and how that is known. */
+	close(service: string, now: number, cause: string): void {
 		if (!this.outages.has(service)) {
 			this.outages.set(service, {since: now, nextProbeAt: now + probeMs, waiting: new Set()});
+			this.log(`service ${service} is down: ${cause}`);
 		}
 	}
 
 	/** Notes that a target of the service does its work. */
-	open(service: string): void {
+	open(service: string, now: number): void {
 		const outage = this.outages.get(service);
+		if (!outage) {
+			return;
+		}
+
 		this.outages.delete(service);
-		for (const wake of outage?.waiting ?? []) {
+		this.log(`service ${service} runs again after ${Math.round(now - outage.since)} ms`);
+		for (const wake of outage.waiting) {
 			wake();
 		}
 	}
--- a/src/expert-balance/start-rank-process.ts
+++ b/src/expert-balance/start-rank-process.ts
@@ -48,6 +48,8 @@
 const leastWaitMs = 10;
 /** Longest wait of one call for changes of the office, milliseconds: a lost planner shows on its link much sooner. */
 const viewWaitMs = 12_000;
+/** Longest pause before a failed call is tried again, milliseconds: nothing is decided on the office while it is away. */
+const longestPauseMs = 2000;
 const linkTimeoutMs = 1000;
 /** A group that is held this long at the step it has reached is taken over by another planner, milliseconds. */
 const stuckMs = 400;
@@ -66,6 +68,7 @@
 		feed,
 		prefix: key,
 		waitMs: viewWaitMs,
+		longestPauseMs,
 		clock,
 		random,
 		delay,
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -269,7 +269,7 @@
 	private noteCause({cause, wasSent}: Extract<SendOutcome, {kind: 'not-run'}>, target: Target, isOver: boolean, now: number): void {
 		const {gate, directory, health} = this.options;
 		if (cause === 'group-down') {
-			gate.close(target.service, now);
+			gate.close(target.service, now, `target ${target.id} refuses since its group has stopped`);
 		} else if (cause === 'gone') {
 			directory.drop(target.id);
 		} else if (!wasSent && !isOver) {
--- /dev/null
+++ b/src/forward/make-forward-path.ts
@@ -0,0 +1,91 @@
+import {LoadBoard} from '../balance/load-board.js';
+import {RepeatBudget} from '../balance/repeat-budget.js';
+import {ServiceGate} from '../balance/service-gate.js';
+import {TargetHealth} from '../balance/target-health.js';
+import {type ForwardEntrySettings} from '../config/forward-entry-settings.js';
+import {TargetDirectory} from '../fleet/target-directory.js';
+import {ConnectionPool} from './connection-pool.js';
+import {ForwardDispatcher} from './forward-dispatcher.js';
+import {type ForwardSurroundings} from './forward-surroundings.js';
+import {StallWatch} from './stall-watch.js';
+import {TargetSender} from './target-sender.js';
+
+type PathOptions = Pick<ForwardEntrySettings, 'availabilityZone' | 'repeats'> & Pick<ForwardSurroundings, 'dialect' | 'clock' | 'random'> & {
+	/** Called when this entry's own requests in flight change. */
+	readonly onLoad: () => void;
+	readonly onSend: (service: string, isRepeat: boolean) => void;
+	readonly log: (message: string) => void;
+};
+
+type ForwardPath = {
+	readonly board: LoadBoard;
+	readonly directory: TargetDirectory;
+	readonly dispatcher: ForwardDispatcher;
+	/** Looks for what has gone silent. */
+	tick(): void;
+	/** Drops what is kept for a target that takes no more requests. */
+	forget(target: string): void;
+	close(): void;
+};
+
+/** Puts together what takes a request from the filters to a target: choice, gate, budget, connections, watch. */
+export function makeForwardPath({availabilityZone, repeats, dialect, clock, random, onLoad, onSend, log}: PathOptions): ForwardPath {
+	const board = new LoadBoard(onLoad);
+	const health = new TargetHealth();
+	const directory = new TargetDirectory();
+	const gate = new ServiceGate(log);
+	const pool = new ConnectionPool();
+	const stalls = new StallWatch({
+		board,
+		health,
+		clock,
+		log,
+		onStopped(service) {
+			gate.close(service, clock(), 'none of its streams goes on');
+		},
+		onSilentConnection(target) {
+			pool.drop(target);
+		},
+	});
+	const sender = new TargetSender({
+		pool,
+		dialect,
+		clock,
+		onProgress(target) {
+			const now = clock();
+			board.progress(target.id, now);
+			gate.open(target.service, now);
+		},
+	});
+	const dispatcher = new ForwardDispatcher({
+		send: async options => sender.send(options),
+		directory,
+		board,
+		gate,
+		health,
+		budget: new RepeatBudget({...repeats, countEntries: now => board.countPeers(now) + 1}),
+		stalls,
+		availabilityZone,
+		clock,
+		random,
+		onSend,
+	});
+	const isKnown = (target: string): boolean => directory.get(target) !== undefined;
+
+	return {
+		board,
+		directory,
+		dispatcher,
+		tick() {
+			stalls.tick();
+		},
+		forget(target) {
+			pool.drop(target);
+			board.prune(isKnown);
+			health.prune(isKnown);
+		},
+		close() {
+			pool.close();
+		},
+	};
+}
--- a/src/forward/stall-watch.ts
+++ b/src/forward/stall-watch.ts
@@ -7,6 +7,8 @@
 	readonly health: TargetHealth;
 	readonly clock: () => number;
 	readonly log: (message: string) => void;
+	/** Told of a service that has stopped as a whole. */
+	readonly onStopped: (service: string) => void;
 	/** Told of a target at which a connection has gone silent: others to it, idle until then, may have as well. */
 	readonly onSilentConnection: (target: string) => void;
 };
@@ -31,6 +33,13 @@
 const silentMs = 900;
 /** Another target of the service counts as alive if it sent something within this time, milliseconds. */
 const aliveMs = 250;
+/**
+ * A service of which nothing came for so long, on any of several streams under way, has stopped, milliseconds. Passes
+ * of a group take 35 to 60 ms, and a change of its map up to 150.
+ */
+const stoppedMs = 500;
+/** Streams under way that it takes to tell a stopped service from a slow answer. */
+const leastStreams = 3;
 
 /** Ends requests at targets, or on connections, that have gone silent alone, so that they can go on elsewhere. */
 export class StallWatch {
@@ -58,6 +67,7 @@
 	tick(): void {
 		const now = this.options.clock();
 		this.noteActive(now);
+		this.tellStopped(now);
 		for (const watched of this.watched) {
 			if (watched.isHeldUp()) {
 				watched.progressAt &&= now;
@@ -88,6 +98,22 @@
 		}
 	}
 
+	/* What is sent to a stopped service waits until it is refused, or its caller leaves. */
+	private tellStopped(now: number): void {
+		const services = new Map<string, number[]>();
+		for (const {target: {service}, progressAt, isHeldUp} of this.watched) {
+			if (progressAt !== undefined && !isHeldUp()) {
+				services.set(service, [...services.get(service) ?? [], progressAt]);
+			}
+		}
+
+		for (const [service, moments] of services) {
+			if (moments.length >= leastStreams && now - Math.max(...moments) > stoppedMs) {
+				this.options.onStopped(service);
+			}
+		}
+	}
+
 	/* A group that stops as a whole, and then goes on, is silent at every target: none of them is to blame. */
 	private isTargetSilent({id, service}: Target, now: number): boolean {
 		const activeMs = now - (this.activeSince.get(service) ?? now);
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -1,49 +1,26 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {LoadBoard} from '../balance/load-board.js';
-import {RepeatBudget} from '../balance/repeat-budget.js';
-import {ServiceGate} from '../balance/service-gate.js';
-import {TargetHealth} from '../balance/target-health.js';
 import {type ForwardEntrySettings} from '../config/forward-entry-settings.js';
-import {TargetDirectory} from '../fleet/target-directory.js';
-import {type ChangeFeed} from '../key-value/change-feed.js';
-import {type Registry} from '../key-value/registry.js';
 import {connectLink} from '../link/connect-link.js';
 import {linkProtocol} from '../link/link-protocol.js';
 import {type LinkConnection} from '../link/link-connection.js';
 import {listenLink} from '../link/listen-link.js';
 import {type MessageOf} from '../link/message-of.js';
 import {getLogger} from '../log/get-logger.js';
-import {type RankEngine} from '../expert-balance/rank-engine.js';
 import {makeIncarnation} from '../membership/make-incarnation.js';
 import {EntryMesh} from '../mesh/entry-mesh.js';
 import {Registration} from '../mesh/registration.js';
 import {ForwardMetrics} from '../metrics/forward-metrics.js';
 import {startAdminServer} from '../metrics/start-admin-server.js';
 import {StoreView} from '../view/store-view.js';
-import {ConnectionPool} from './connection-pool.js';
 import {describeEnd} from './describe-end.js';
 import {makeForwardFilter} from './filters/make-forward-filter.js';
 import {makeKeyFilter} from './filters/make-key-filter.js';
 import {makeReadFilter} from './filters/make-read-filter.js';
 import {makeRouteFilter} from './filters/make-route-filter.js';
-import {type FleetSource} from './fleet-source.js';
 import {FleetState} from './fleet-state.js';
-import {ForwardDispatcher} from './forward-dispatcher.js';
 import {ForwardServer} from './forward-server.js';
-import {type HeaderDialect} from './header-dialect.js';
-import {StallWatch} from './stall-watch.js';
-import {TargetSender} from './target-sender.js';
-
-type Surroundings = {
-	readonly feed: ChangeFeed;
-	readonly registry: Registry;
-	readonly source: FleetSource;
-	readonly dialect: HeaderDialect;
-	/** Reaches a rank's engine, to give orders for a planner; absent where there are none. */
-	readonly openEngine?: (address: string) => RankEngine;
-	readonly clock: () => number;
-	readonly random: () => number;
-};
+import {type ForwardSurroundings} from './forward-surroundings.js';
+import {makeForwardPath} from './make-forward-path.js';
 
 type RunningForwardEntry = {
 	readonly httpPort: number;
@@ -67,28 +44,38 @@
 const linkTimeoutMs = 1000;
 /** A process that was cut off must be up to date 3 s after its way to the store is back (the platform's bound). */
 const viewWaitMs = 2000;
+/** Even half as long again, and then the call, is within that bound; each refused call has its price. */
+const longestPauseMs = 1000;
 /** The process ends so long before it would be ended by force, milliseconds. */
 const graceMarginMs = 400;
 
 /** Starts an entry that forwards straight to registered targets: its parts, what they tell each other, its servers. */
-export async function startForwardEntry(settings: ForwardEntrySettings, surroundings: Surroundings): Promise<RunningForwardEntry> {
+export async function startForwardEntry(settings: ForwardEntrySettings, surroundings: ForwardSurroundings): Promise<RunningForwardEntry> {
 	const {feed, registry, source, dialect, openEngine, clock, random} = surroundings;
 	const {id, availabilityZone, callers: {host: address, port: httpPort}} = settings;
 	const incarnation = makeIncarnation(Date.now());
 	const metrics = new ForwardMetrics();
-	const board = new LoadBoard(() => {
-		mesh.reportSoon();
+	const path = makeForwardPath({
+		...settings,
+		...surroundings,
+		onLoad() {
+			mesh.reportSoon();
+		},
+		onSend(service, isRepeat) {
+			metrics.sends.inc({service, repeat: String(isRepeat)});
+		},
+		log(message) {
+			requestLog.info(message);
+		},
 	});
-	const health = new TargetHealth();
-	const directory = new TargetDirectory();
-	const gate = new ServiceGate();
-	const pool = new ConnectionPool();
+	const {board, directory, dispatcher} = path;
 	let isStopping = false;
 
 	const view: StoreView = new StoreView({
 		feed,
 		prefix: '',
 		waitMs: viewWaitMs,
+		longestPauseMs,
 		clock,
 		random,
 		delay,
@@ -112,45 +99,7 @@
 			server.limit(limits.headerTimeoutMs, limits.idleTimeoutMs);
 		},
 		onLeave(target) {
-			pool.drop(target);
-			const isKnown = (name: string) => directory.get(name) !== undefined;
-			board.prune(isKnown);
-			health.prune(isKnown);
-		},
-	});
-	const stalls = new StallWatch({
-		board,
-		health,
-		clock,
-		log(message) {
-			requestLog.info(message);
-		},
-		onSilentConnection(target) {
-			pool.drop(target);
-		},
-	});
-	const sender = new TargetSender({
-		pool,
-		dialect,
-		clock,
-		onProgress(target) {
-			board.progress(target.id, clock());
-			gate.open(target.service);
-		},
-	});
-	const dispatcher = new ForwardDispatcher({
-		send: async options => sender.send(options),
-		directory,
-		board,
-		gate,
-		health,
-		budget: new RepeatBudget({...settings.repeats, countEntries: now => board.countPeers(now) + 1}),
-		stalls,
-		availabilityZone,
-		clock,
-		random,
-		onSend(service, isRepeat) {
-			metrics.sends.inc({service, repeat: String(isRepeat)});
+			path.forget(target);
 		},
 	});
 	const getTable = () => state.table;
@@ -249,7 +198,7 @@
 	const timer = setInterval(() => {
 		const now = clock();
 		mesh.tick();
-		stalls.tick();
+		path.tick();
 		state.tick(now);
 		void registration.tick(now);
 	}, tickMs);
@@ -263,7 +212,7 @@
 		clearInterval(timer);
 		view.close();
 		mesh.close();
-		pool.close();
+		path.close();
 		ready.close();
 		admin.close();
 		await listener.close();
--- a/src/view/store-view.ts
+++ b/src/view/store-view.ts
@@ -8,6 +8,8 @@
 	readonly prefix: string;
 	/** Longest wait of one call for changes, milliseconds: a process cut off and back notices within it. */
 	readonly waitMs: number;
+	/** Longest pause before a failed call is tried again, milliseconds, half of it more or less by chance. */
+	readonly longestPauseMs: number;
 	readonly clock: () => number;
 	readonly random: () => number;
 	/** Waits; scenarios pass their own. */
@@ -19,9 +21,8 @@
 
 /** Changes come in bursts: after some, the next are gathered for this time, milliseconds, into one answer. */
 const gatherMs = 150;
-/** Pause after a failed call, growing to the longest, milliseconds. */
+/** Pause after the first failed call, milliseconds; it doubles with each one more. */
 const firstPauseMs = 50;
-const longestPauseMs = 500;
 /** A store that gave no answer for so long was away, milliseconds. */
 const outageMs = 800;
 /** For so long after the store is back, what is missing may still come back, milliseconds. */
@@ -87,7 +88,7 @@
 				await this.options.delay(gatherMs);
 			} else if (!isAnswered) {
 				await this.options.delay(this.pauseMs * (0.5 + this.options.random()));
-				this.pauseMs = Math.min(longestPauseMs, this.pauseMs * 2);
+				this.pauseMs = Math.min(this.options.longestPauseMs, this.pauseMs * 2);
 			}
 		}
 	}
