Notice within a second that a lost store is back

Change: calls for changes wait 0.3 s while the store does not answer; pauses count from the start of a call, so calls given up on follow each other at once, and refused ones are spaced. Ruled out: fewer waits in good times (a silent outage stays unnoticed for as long as a wait).

--- a/src/view/store-view.ts
+++ b/src/view/store-view.ts
@@ -8,7 +8,10 @@
 	readonly prefix: string;
 	/** Longest wait of one call for changes, milliseconds: a process cut off and back notices within it. */
 	readonly waitMs: number;
-	/** Longest pause before a failed call is tried again, milliseconds, half of it more or less by chance. */
+	/**
+	 * Longest time from a failed call to the next, milliseconds, half of it more or less by chance. Calls that are refused
+	 * at once are spaced by it; one that was only given up on is followed by the next without a pause.
+	 */
 	readonly longestPauseMs: number;
 	readonly clock: () => number;
 	readonly random: () => number;
@@ -23,6 +26,8 @@
 const gatherMs = 150;
 /** Pause after the first failed call, milliseconds; it doubles with each one more. */
 const firstPauseMs = 50;
+/** Wait of a call for changes while the store does not answer, milliseconds: its return shows as soon. */
+const lostWaitMs = 300;
 /** A store that gave no answer for so long was away, milliseconds. */
 const outageMs = 800;
 /** For so long after the store is back, what is missing may still come back, milliseconds. */
@@ -83,11 +88,13 @@
 	async run(): Promise<void> {
 		while (!this.isClosed) {
 			const revisionBefore = this.revision;
+			const startedAt = this.options.clock();
 			const isAnswered = await this.turn();
 			if (isAnswered && this.revision > revisionBefore) {
 				await this.options.delay(gatherMs);
 			} else if (!isAnswered) {
-				await this.options.delay(this.pauseMs * (0.5 + this.options.random()));
+				const tookMs = this.options.clock() - startedAt;
+				await this.options.delay(Math.max(firstPauseMs, (this.pauseMs * (0.5 + this.options.random())) - tookMs));
 				this.pauseMs = Math.min(this.options.longestPauseMs, this.pauseMs * 2);
 			}
 		}
@@ -142,7 +149,8 @@
 	}
 
 	private async readChanges(): Promise<boolean> {
-		const answer = await this.options.feed.poll(this.options.prefix, this.revision, this.options.waitMs);
+		const {feed, prefix, waitMs} = this.options;
+		const answer = await feed.poll(prefix, this.revision, this.isCutOff ? Math.min(lostWaitMs, waitMs) : waitMs);
 		const now = this.options.clock();
 		if (answer.isErr()) {
 			this.noteFailure(now, answer.error.message);
