--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -11,6 +11,7 @@
 import {chooseReturnTime} from './choose-return-time.js';
 import {concludeRequest} from './conclude-request.js';
 import {type ForwardExchange} from './forward-exchange.js';
+import {limitSend} from './limit-send.js';
 import {pickService} from './pick-service.js';
 import {relayHeldAnswer} from './relay-held-answer.js';
 import {type SendOutcome} from './send-outcome.js';
@@ -58,8 +59,6 @@
 /** An outage that has lasted for so long is waited out, milliseconds, for this time: callers leave 2 s after they ask. */
 const oldOutageMs = 4800;
 const outageWaitMs = 1800;
-/** An idempotent request that has no answer after this many times its latency objective is sent elsewhere. */
-const patienceFactor = 2.5;
 /** First status of the failures that another target may not give. */
 const serverError = 500;
 
@@ -148,9 +147,8 @@
 	}
 
 	private async sendTo(target: Target, exchange: ForwardExchange, progress: SendProgress): Promise<SendOutcome> {
-		const {board, clock, send, stalls} = this.options;
+		const {board, clock, send, stalls, onSend} = this.options;
 		const now = clock();
-		const abort = new AbortController();
 		const remainingMs = exchange.deadline - now;
 		if (exchange.departure.signal.aborted) {
 			return {kind: 'not-run', reason: 'the caller left', wasSent: false};
@@ -161,46 +159,22 @@
 			return {kind: 'not-run', reason: 'the deadline passed', wasSent: false};
 		}
 
-		const timers = [setTimeout(() => {
-			progress.isExpired = true;
-			abort.abort('the deadline passed');
-		}, remainingMs)];
-		const patienceMs = patienceFactor * exchange.route!.targetLatencyMs;
-		if (exchange.route!.kind === 'idempotent' && progress.sent + 1 < exchange.route!.maximumAttempts && patienceMs < remainingMs) {
-			timers.push(setTimeout(() => {
-				abort.abort('no answer in time to be useful');
-			}, patienceMs));
-		}
-
-		const leave = (): void => {
-			// What must not run twice is left to end by itself: nobody could tell how far it came.
-			if (exchange.isRepeatable || exchange.route!.kind === 'stream') {
-				abort.abort('the caller left');
-			}
-		};
-
-		exchange.departure.signal.addEventListener('abort', leave, {once: true});
-		const watch = exchange.isRepeatable ? stalls.watch({target, abort, isHeldUp: () => exchange.response.writableNeedDrain}) : undefined;
 		board.begin(target.id, now);
-		this.options.onSend(exchange.service, progress.sent > 0);
+		onSend(exchange.service, progress.sent > 0);
 		progress.tries++;
 		try {
-			return await send({
+			return await limitSend({
 				exchange,
 				target,
-				delivery: progress.delivery,
-				signal: abort.signal,
-				onProgress() {
-					watch?.progress();
-				},
+				progress,
+				stalls,
+				remainingMs,
+				send: async (signal, onProgress) => send({
+					exchange, target, delivery: progress.delivery, signal, onProgress,
+				}),
 			});
 		} finally {
 			board.end(target.id);
-			watch?.stop();
-			exchange.departure.signal.removeEventListener('abort', leave);
-			for (const timer of timers) {
-				clearTimeout(timer);
-			}
 		}
 	}
 
