--- a/features/forward.feature
+++ b/features/forward.feature
@@ -37,6 +37,13 @@
       | unframed-reset |
       | reset          |
 
+  Scenario: An entry that has heard no other takes only its part of the budget of repeats
+    Given an entry before 2 targets
+    And 6 other entries are registered that it cannot reach
+    And all targets fail
+    When a caller gets 40 requests one after another
+    Then targets have run 44 requests
+
   Scenario Outline: A request that runs at most once is not sent again when a target's answer is <manner>
     Given an entry before 2 targets
     And the next target answers "<manner>"
--- a/features/steps/forward-steps.ts
+++ b/features/steps/forward-steps.ts
@@ -50,6 +50,22 @@
 	}
 });
 
+Given('{int} other entries are registered that it cannot reach', async function (this: SystemWorld, count: number) {
+	const {store, entries} = getSystem(this);
+	for (let number = 1; number <= count; number++) {
+		// Nothing listens there.
+		store.put(`wardswitch/entries/away-${number}`, `127.0.0.1:${number}`);
+	}
+
+	await getSystem(this).until(() => entries.get('entry-1')!.getRevision() >= store.lastRevision);
+});
+
+Given('all targets fail', function (this: SystemWorld) {
+	for (const target of getSystem(this).targets.values()) {
+		target.manners.shift = () => 'fail';
+	}
+});
+
 Given('the next {int} answers are followed by another', function (this: SystemWorld, count: number) {
 	getTarget(this, 1).manners.push(...Array.from({length: count}, () => 'extra' as const));
 });
@@ -110,6 +126,12 @@
 	socket.destroy();
 });
 
+When('a caller gets {int} requests one after another', async function (this: SystemWorld, count: number) {
+	for (let number = 1; number <= count; number++) {
+		await getSystem(this).call({path: '/read/1', id: `read-${number}`});
+	}
+});
+
 When('{int} ms pass', function (this: SystemWorld, ms: number) {
 	getSystem(this).skip(ms);
 });
--- a/src/forward/make-forward-path.ts
+++ b/src/forward/make-forward-path.ts
@@ -11,6 +11,8 @@
 import {TargetSender} from './target-sender.js';
 
 type PathOptions = Pick<ForwardEntrySettings, 'availabilityZone' | 'repeats'> & Pick<ForwardSurroundings, 'dialect' | 'clock' | 'random'> & {
+	/** Entries that are registered, this one included; more are not heard yet after a start, and fewer in a cut. */
+	readonly countRegistered: () => number;
 	/** Called when this entry's own requests in flight change. */
 	readonly onLoad: () => void;
 	readonly onSend: (service: string, isRepeat: boolean) => void;
@@ -29,7 +31,7 @@
 };
 
 /** Puts together what takes a request from the filters to a target: choice, gate, budget, connections, watch. */
-export function makeForwardPath({availabilityZone, repeats, dialect, clock, random, onLoad, onSend, log}: PathOptions): ForwardPath {
+export function makeForwardPath({availabilityZone, repeats, dialect, clock, random, countRegistered, onLoad, onSend, log}: PathOptions): ForwardPath {
 	const board = new LoadBoard(onLoad);
 	const health = new TargetHealth();
 	const directory = new TargetDirectory();
@@ -63,7 +65,7 @@
 		board,
 		gate,
 		health,
-		budget: new RepeatBudget({...repeats, countEntries: now => board.countPeers(now) + 1}),
+		budget: new RepeatBudget({...repeats, countEntries: now => Math.max(board.countPeers(now) + 1, countRegistered())}),
 		stalls,
 		availabilityZone,
 		clock,
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -58,6 +58,7 @@
 	const path = makeForwardPath({
 		...settings,
 		...surroundings,
+		countRegistered: () => view.list(entriesPrefix).length,
 		onLoad() {
 			mesh.reportSoon();
 		},
