--- a/features/support/run-command.ts
+++ b/features/support/run-command.ts
@@ -1,4 +1,4 @@
-import {PassThrough} from 'node:stream';
+import {PassThrough, Readable} from 'node:stream';
 import {createCommandLine} from '../../src/cli/create-command-line.js';
 
 type Outcome = {readonly code: number; readonly stdout: string; readonly stderr: string};
@@ -13,10 +13,10 @@
 };
 
 /** Runs the operator's command line as a shell would, and gives what it printed. */
-export async function runCommand(words: readonly string[]): Promise<Outcome> {
+export async function runCommand(words: readonly string[], stdin = Readable.from([])): Promise<Outcome> {
 	const out = collect();
 	const error = collect();
-	const code = await createCommandLine().run([...words], {stdout: out.stream, stderr: error.stream});
+	const code = await createCommandLine().run([...words], {stdin, stdout: out.stream, stderr: error.stream});
 	await new Promise(resolve => {
 		setImmediate(resolve);
 	});
