Tell a slow service from a stopped one

With workers twelve times slower events come further apart than the half second after which a service counts as stopped: its gate would close between any two of them and refuse what is served, late. Change: the limit is at least four of the service's usual times between two events. Ruled out: a fixed limit of two seconds (a lost rank stalls a group for 1.5 s).

--- a/features/stall.feature
+++ b/features/stall.feature
@@ -32,6 +32,11 @@
       | 3       | 450 | isn't |
       | 2       | 650 | isn't |
 
+  Scenario: A service that has become slow is not taken for stopped again and again
+    Given 3 streams at one target, all with their first event
+    When each gets an event each 600 ms, 20 times
+    Then the service is taken for stopped at most 5 times
+
   Scenario: A caller that left while its request waited for the service is sent nowhere
     Given a service that has been down for 5000 ms
     When a caller that has come back leaves while it waits for the service
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -34,6 +34,8 @@
 	now = 0;
 	readonly dropped: string[] = [];
 	readonly stopped = new Set<string>();
+	/** Events between which the service was taken for stopped. */
+	timesStopped = 0;
 	readonly aborts: AbortController[] = [];
 	readonly heldUp: boolean[] = [];
 	private readonly board = new LoadBoard();
@@ -105,6 +107,23 @@
 	getStreams(this).pass(ms, []);
 });
 
+When('each gets an event each {int} ms, {int} times', function (this: SystemWorld, ms: number, times: number) {
+	const streams = getStreams(this);
+	for (let time = 0; time < times; time++) {
+		streams.stopped.clear();
+		streams.pass(ms, []);
+		streams.timesStopped += streams.stopped.size;
+		for (const index of streams.aborts.keys()) {
+			streams.progress(index);
+		}
+	}
+});
+
+Then('the service is taken for stopped at most {int} times', function (this: SystemWorld, most: number) {
+	const {timesStopped} = getStreams(this);
+	assert.ok(timesStopped <= most, String(timesStopped));
+});
+
 Then('the service {word} known to have stopped', function (this: SystemWorld, known: string) {
 	assert.equal(getStreams(this).stopped.has(target.service), known === 'is');
 });
--- a/src/forward/stall-watch.ts
+++ b/src/forward/stall-watch.ts
@@ -38,6 +38,10 @@
  * of a group take 35 to 60 ms, and a change of its map up to 150.
  */
 const stoppedMs = 500;
+/** A slow service is not a stopped one: it has stopped after this many of its usual times between two events. */
+const usualGaps = 4;
+/** Weight of the newest time between two events of a stream in its service's usual one. */
+const newestWeight = 0.1;
 /** Streams under way that it takes to tell a stopped service from a slow answer. */
 const leastStreams = 3;
 
@@ -46,6 +50,8 @@
 	/** Since when each service has been seen at work without a break. */
 	private readonly activeSince = new Map<string, number>();
 	private readonly watched = new Set<Watched>();
+	/** Usual time between two events of a stream, by service, milliseconds. */
+	private readonly gaps = new Map<string, number>();
 
 	constructor(private readonly options: WatchOptions) {}
 
@@ -55,7 +61,7 @@
 		this.watched.add(watched);
 		return {
 			progress: () => {
-				watched.progressAt = this.options.clock();
+				this.noteProgress(watched);
 			},
 			stop: () => {
 				this.watched.delete(watched);
@@ -79,6 +85,17 @@
 		}
 	}
 
+	private noteProgress(watched: Watched): void {
+		const now = this.options.clock();
+		const {target: {service}, progressAt} = watched;
+		if (progressAt !== undefined) {
+			const usualMs = this.gaps.get(service) ?? 0;
+			this.gaps.set(service, usualMs + (((now - progressAt) - usualMs) * newestWeight));
+		}
+
+		watched.progressAt = now;
+	}
+
 	private noteActive(now: number): void {
 		const alive = new Set<string>();
 		for (const {target: {id, service}} of this.watched) {
@@ -108,7 +125,8 @@
 		}
 
 		for (const [service, moments] of services) {
-			if (moments.length >= leastStreams && now - Math.max(...moments) > stoppedMs) {
+			const limitMs = Math.max(stoppedMs, usualGaps * (this.gaps.get(service) ?? 0));
+			if (moments.length >= leastStreams && now - Math.max(...moments) > limitMs) {
 				this.options.onStopped(service);
 			}
 		}
