Read the counts of large groups less often

Cause: worked out for the deployments to come: 72 ranks with 12 layers of 144 experts, each sending its counts five times a second, are 1.9 MB/s at one planner, whose link there has 0.7 MB/s. Change: the time between two readings grows with ranks and map, so that a third of that link carries them; what was heard of a rank lasts for one and a half times that. Figures: 200 ms as before for 16 ranks with 4 layers of 64; 1623 ms for 72, 12 and 144; with the memory of half a second the new scenario fails. Ruled out: differences in place of totals (smaller, but a new planner would know nothing of the past): later.

--- a/features/expert-balance.feature
+++ b/features/expert-balance.feature
@@ -73,3 +73,17 @@
     Examples:
       | first | last |
       | 1     | 60   |
+
+  Scenario Outline: The planner's link carries the counts of large groups: <ranks> ranks, <layers> layers of <experts> experts
+    Then counts of <ranks> ranks, <layers> layers and <experts> experts are read each <ms> ms
+
+    Examples:
+      | ranks | layers | experts | ms   |
+      | 16    | 4      | 64      | 200  |
+      | 72    | 12     | 144     | 1623 |
+      | 64    | 58     | 64      | 3099 |
+
+  Scenario: Choices of a large group last until each rank is heard again
+    Given ranks that are heard each 1600 ms, one after another
+    When each has chosen its own expert 100 times in each round
+    Then the load of no expert is below half of another's
--- a/features/steps/expert-balance-steps.ts
+++ b/features/steps/expert-balance-steps.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {getCountInterval} from '../../src/expert-balance/get-count-interval.js';
+import {LoadMeter} from '../../src/expert-balance/load-meter.js';
 import {RankFleet} from '../support/rank-fleet.js';
 import {type SystemWorld} from '../support/system-world.js';
 
@@ -187,3 +189,32 @@
 
 	assert.deepEqual(stuck, []);
 });
+
+Then('counts of {int} ranks, {int} layers and {int} experts are read each {int} ms', (ranks: number, layers: number, experts: number, ms: number) => {
+	const chosen = Array.from({length: layers}, () => Array.from({length: experts}, () => 0));
+	assert.equal(getCountInterval(ranks, {chosen}), ms);
+});
+
+Given('ranks that are heard each {int} ms, one after another', function (this: SystemWorld, intervalMs: number) {
+	this.notes.set('interval', intervalMs);
+});
+
+When('each has chosen its own expert {int} times in each round', function (this: SystemWorld, choices: number) {
+	const intervalMs = this.notes.get('interval') as number;
+	const ranks = 8;
+	const rounds = 5;
+	const meter = new LoadMeter();
+	for (let turn = 0; turn < ranks * rounds; turn++) {
+		const rank = turn % ranks;
+		const total = choices * (1 + Math.floor(turn / ranks));
+		const chosen = [Array.from({length: ranks}, (_empty, expert) => expert === rank ? total : 0)];
+		meter.take(rank, {step: turn, epoch: 1, chosen}, turn * intervalMs / ranks);
+	}
+
+	this.notes.set('loads', meter.get(((ranks * rounds) - 1) * intervalMs / ranks)[0]);
+});
+
+Then('the load of no expert is below half of another\'s', function (this: SystemWorld) {
+	const loads = this.notes.get('loads') as number[];
+	assert.ok(Math.min(...loads) >= Math.max(...loads) / 2, String(loads));
+});
--- a/src/expert-balance/load-meter.ts
+++ b/src/expert-balance/load-meter.ts
@@ -1,20 +1,28 @@
 import {type LayerLoads} from '../maps/layer-loads.js';
 import {type ExpertCounts} from './expert-counts.js';
 
-/** Time in which old choices fade to about a third, milliseconds: demand shifts every few seconds. */
-const memoryMs = 500;
+/** Time in which old choices fade to about a third, milliseconds, at the least: demand shifts every few seconds. */
+const leastMemoryMs = 500;
+/** Ranks are heard at different times: what each says must last until it is heard again, and half as long. */
+const memoryIntervals = 1.5;
+/** A rank that was away for long says nothing of how often the others are heard, milliseconds. */
+const mostMemoryMs = 5000;
 
 /** How often each expert of a group was chosen lately, from the ranks' running counts. */
 export class LoadMeter {
 	private readonly last = new Map<number, ExpertCounts>();
 	private readonly loads: number[][] = [];
+	private readonly takenAt = new Map<number, number>();
 	private fadedAt: number | undefined;
+	private memoryMs = leastMemoryMs;
 
 	/** Takes a rank's counts; those of another epoch begin anew. */
 	take(rank: number, counts: ExpertCounts, now: number): void {
 		this.fade(now);
 		const previous = this.last.get(rank);
 		this.last.set(rank, counts);
+		this.memoryMs = Math.min(mostMemoryMs, Math.max(leastMemoryMs, memoryIntervals * (now - (this.takenAt.get(rank) ?? now))));
+		this.takenAt.set(rank, now);
 		if (previous?.epoch !== counts.epoch) {
 			return;
 		}
@@ -34,7 +42,7 @@
 	}
 
 	private fade(now: number): void {
-		const share = Math.exp(((this.fadedAt ?? now) - now) / memoryMs);
+		const share = Math.exp(((this.fadedAt ?? now) - now) / this.memoryMs);
 		this.fadedAt = now;
 		for (const experts of this.loads) {
 			for (const expert of experts.keys()) {
--- a/src/expert-balance/rank-member.ts
+++ b/src/expert-balance/rank-member.ts
@@ -1,5 +1,6 @@
 import {type LinkMessage} from '../link/link-message.js';
 import {type MessageOf} from '../link/message-of.js';
+import {getCountInterval} from './get-count-interval.js';
 import {type RankEngine} from './rank-engine.js';
 import {type RankPlacement} from './rank-placement.js';
 import {type RankReport} from './rank-report.js';
@@ -18,8 +19,6 @@
 const switchMs = 40;
 /** A change of the map is taken to go on for so long after the last order, milliseconds. */
 const switchMemoryMs = 500;
-/** Time between two readings of the counts, milliseconds. */
-const countMs = 200;
 
 /**
  * The process beside one rank's engine: reports its state and counts to the planner in office and passes orders on.
@@ -116,7 +115,7 @@
 			this.noteReport(report);
 			const counts = wantsCounts && report.isOpen ? await engine.readCounts() : undefined;
 			if (counts) {
-				this.nextCountAt = clock() + countMs;
+				this.nextCountAt = clock() + getCountInterval(report.size, counts);
 			}
 
 			if (this.placement?.version !== report.mapVersion || this.placement.epoch !== report.epoch) {
