Gather changes of the store a little longer, and seek the planner's office less at once

Change: after some changes the next are gathered for 300 ms (150 before); the office is sought within 800 ms (250). Ruled out: longer waits on the store.

--- a/src/expert-balance/planner-election.ts
+++ b/src/expert-balance/planner-election.ts
@@ -15,8 +15,11 @@
 /** Life of the office without renewal, and time between renewals, milliseconds: a dead planner is replaced within it. */
 const lifeMs = 2500;
 const renewMs = 800;
-/** Longest pause before an empty office is sought, milliseconds, so that not all seek it at once. */
-const spreadMs = 250;
+/**
+ * Longest pause before an empty office is sought, milliseconds, so that most hear of the first who took it before they
+ * seek it themselves; the first of 16 does so after a twentieth of that.
+ */
+const spreadMs = 800;
 /** Pause after a try that failed, milliseconds. */
 const retryMs = 1000;
 
--- a/src/view/store-view.ts
+++ b/src/view/store-view.ts
@@ -22,8 +22,11 @@
 	readonly onChange: (now: number) => void;
 };
 
-/** Changes come in bursts: after some, the next are gathered for this time, milliseconds, into one answer. */
-const gatherMs = 150;
+/**
+ * Changes come in bursts: after some, the next are gathered for this time, milliseconds, into one answer. Each answer is
+ * a call at every entry, and two seconds are allowed for a change to be in force.
+ */
+const gatherMs = 300;
 /** Pause after the first failed call, milliseconds; it doubles with each one more. */
 const firstPauseMs = 50;
 /** Wait of a call for changes while the store does not answer, milliseconds: its return shows as soon. */
