--- /dev/null
+++ b/features/steps/directory-steps.ts
@@ -0,0 +1,36 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {TargetDirectory} from '../../src/fleet/target-directory.js';
+import {type SystemWorld} from '../support/system-world.js';
+
+const makeTarget = (number: number) => ({
+	id: `target-${number}`, service: 'desk', address: '127.0.0.1', port: 1, availabilityZone: 'a', slots: 1, isLeaving: false,
+});
+
+const listDirectory = (directory: TargetDirectory): string[] => directory.list('desk').map(({id}) => id);
+
+Given('a directory with targets 1 and 2', function (this: SystemWorld) {
+	const directory = new TargetDirectory();
+	directory.replace([makeTarget(1), makeTarget(2)], 0, false);
+	this.notes.set('directory', directory);
+});
+
+When('the store is back without their registrations', function (this: SystemWorld) {
+	(this.notes.get('directory') as TargetDirectory).replace([], 10_000, true);
+});
+
+Then('both targets are used for {int} ms more', function (this: SystemWorld, ms: number) {
+	const directory = this.notes.get('directory') as TargetDirectory;
+	directory.expire(10_000 + ms);
+	assert.deepEqual(listDirectory(directory), ['target-1', 'target-2']);
+});
+
+When('target 2 has registered again after {int} ms', function (this: SystemWorld, ms: number) {
+	(this.notes.get('directory') as TargetDirectory).replace([makeTarget(2)], 10_000 + ms, true);
+});
+
+Then('after {int} ms only target 2 is used', function (this: SystemWorld, ms: number) {
+	const directory = this.notes.get('directory') as TargetDirectory;
+	directory.expire(10_000 + ms);
+	assert.deepEqual(listDirectory(directory), ['target-2']);
+});
--- a/features/steps/forward-steps.ts
+++ b/features/steps/forward-steps.ts
@@ -2,7 +2,6 @@
 import {once} from 'node:events';
 import {connect} from 'node:net';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {TargetDirectory} from '../../src/fleet/target-directory.js';
 import {type HttpTarget} from '../../stand-ins/forward/http-target.js';
 import {ForwardSystem} from '../support/forward-system.js';
 import {type SystemWorld} from '../support/system-world.js';
@@ -50,16 +49,6 @@
 	}
 });
 
-Given('{int} other entries are registered that it cannot reach', async function (this: SystemWorld, count: number) {
-	const {store, entries} = getSystem(this);
-	for (let number = 1; number <= count; number++) {
-		// Nothing listens there.
-		store.put(`wardswitch/entries/away-${number}`, `127.0.0.1:${number}`);
-	}
-
-	await getSystem(this).until(() => entries.get('entry-1')!.getRevision() >= store.lastRevision);
-});
-
 Given('all targets fail', function (this: SystemWorld) {
 	for (const target of getSystem(this).targets.values()) {
 		target.manners.shift = () => 'fail';
@@ -136,52 +125,6 @@
 	getSystem(this).skip(ms);
 });
 
-When('target {int} says that it is leaving', async function (this: SystemWorld, number: number) {
-	const system = getSystem(this);
-	const {target} = getTarget(this, number);
-	system.store.put(`targets/${target.id}`, {...target, isLeaving: true});
-	// Entries have two seconds to hear of it; the request after that must not reach the target.
-	const revision = system.store.lastRevision;
-	await system.until(() => system.entries.get('entry-1')!.getRevision() >= revision);
-});
-
-When('the route {string} is taken away', function (this: SystemWorld, prefix: string) {
-	getSystem(this).configure(configuration => {
-		configuration.routes = configuration.routes.filter(route => route.prefix !== prefix);
-	});
-});
-
-When('the route {string} is taken away and the store forgets its history', function (this: SystemWorld, prefix: string) {
-	const system = getSystem(this);
-	system.store.setFault('entry-1', 'down');
-	system.configure(configuration => {
-		configuration.routes = configuration.routes.filter(route => route.prefix !== prefix);
-	});
-	system.store.compact();
-	system.store.setFault('entry-1', 'none');
-});
-
-When('the store names the first configuration again', function (this: SystemWorld) {
-	const system = getSystem(this);
-	system.store.put('configuration', {...new ForwardSystem().configuration, version: 1});
-});
-
-When('the store holds a configuration that cannot be used', async function (this: SystemWorld) {
-	const system = getSystem(this);
-	system.store.put('configuration', '{"version": 9, "routes": "none"}');
-	await new Promise(resolve => {
-		setImmediate(resolve);
-	});
-});
-
-When('the store stops answering {string}', function (this: SystemWorld, entry: string) {
-	getSystem(this).store.setFault(entry, 'down');
-});
-
-When('{string} starts', async function (this: SystemWorld, entry: string) {
-	await getSystem(this).addEntry(entry, false);
-});
-
 When('the entry is told to stop while a caller waits for {string}', async function (this: SystemWorld, path: string) {
 	const system = getSystem(this);
 	const target = getTarget(this, 1);
@@ -308,28 +251,6 @@
 	await getSystem(this).until(() => getTarget(this, 1).cuts.includes('leaver'));
 });
 
-Then('target {int} has run nothing', function (this: SystemWorld, number: number) {
-	assert.deepEqual(getTarget(this, number).runs, []);
-});
-
-Then('a caller soon gets status {int} for {string}', async function (this: SystemWorld, status: number, path: string) {
-	const system = getSystem(this);
-	await system.until(async () => {
-		const answer = await system.call({path, method: 'POST', body: 'a block'});
-		return answer.status === status;
-	});
-});
-
-Then('a caller still gets status {int} for {string}', async function (this: SystemWorld, status: number, path: string) {
-	const answer = await getSystem(this).call({path, method: 'POST', body: 'a block'});
-	assert.equal(answer.status, status);
-});
-
-Then('{string} is soon ready', async function (this: SystemWorld, entry: string) {
-	const system = getSystem(this);
-	await system.until(() => system.entries.get(entry)!.isReady());
-});
-
 Then('the entry is not ready at once', function (this: SystemWorld) {
 	assert.equal(this.notes.get('ready'), false);
 });
@@ -337,35 +258,3 @@
 Then('the entry has stopped', async function (this: SystemWorld) {
 	await (this.notes.get('stop') as Promise<void>);
 });
-
-const makeTarget = (number: number) => ({
-	id: `target-${number}`, service: 'desk', address: '127.0.0.1', port: 1, availabilityZone: 'a', slots: 1, isLeaving: false,
-});
-
-const listDirectory = (directory: TargetDirectory): string[] => directory.list('desk').map(({id}) => id);
-
-Given('a directory with targets 1 and 2', function (this: SystemWorld) {
-	const directory = new TargetDirectory();
-	directory.replace([makeTarget(1), makeTarget(2)], 0, false);
-	this.notes.set('directory', directory);
-});
-
-When('the store is back without their registrations', function (this: SystemWorld) {
-	(this.notes.get('directory') as TargetDirectory).replace([], 10_000, true);
-});
-
-Then('both targets are used for {int} ms more', function (this: SystemWorld, ms: number) {
-	const directory = this.notes.get('directory') as TargetDirectory;
-	directory.expire(10_000 + ms);
-	assert.deepEqual(listDirectory(directory), ['target-1', 'target-2']);
-});
-
-When('target 2 has registered again after {int} ms', function (this: SystemWorld, ms: number) {
-	(this.notes.get('directory') as TargetDirectory).replace([makeTarget(2)], 10_000 + ms, true);
-});
-
-Then('after {int} ms only target 2 is used', function (this: SystemWorld, ms: number) {
-	const directory = this.notes.get('directory') as TargetDirectory;
-	directory.expire(10_000 + ms);
-	assert.deepEqual(listDirectory(directory), ['target-2']);
-});
--- /dev/null
+++ b/features/steps/forward-store-steps.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {type HttpTarget} from '../../stand-ins/forward/http-target.js';
+import {ForwardSystem} from '../support/forward-system.js';
+import {type SystemWorld} from '../support/system-world.js';
+
+const getSystem = (world: SystemWorld): ForwardSystem => world.notes.get('forward') as ForwardSystem;
+const getTarget = (world: SystemWorld, number: number): HttpTarget => getSystem(world).targets.get(`target-${number}`)!;
+
+Given('{int} other entries are registered that it cannot reach', async function (this: SystemWorld, count: number) {
+	const {store, entries} = getSystem(this);
+	for (let number = 1; number <= count; number++) {
+		// Nothing listens there.
+		store.put(`wardswitch/entries/away-${number}`, `127.0.0.1:${number}`);
+	}
+
+	await getSystem(this).until(() => entries.get('entry-1')!.getRevision() >= store.lastRevision);
+});
+
+When('target {int} says that it is leaving', async function (this: SystemWorld, number: number) {
+	const system = getSystem(this);
+	const {target} = getTarget(this, number);
+	system.store.put(`targets/${target.id}`, {...target, isLeaving: true});
+	// Entries have two seconds to hear of it; the request after that must not reach the target.
+	const revision = system.store.lastRevision;
+	await system.until(() => system.entries.get('entry-1')!.getRevision() >= revision);
+});
+
+When('the route {string} is taken away', function (this: SystemWorld, prefix: string) {
+	getSystem(this).configure(configuration => {
+		configuration.routes = configuration.routes.filter(route => route.prefix !== prefix);
+	});
+});
+
+When('the route {string} is taken away and the store forgets its history', function (this: SystemWorld, prefix: string) {
+	const system = getSystem(this);
+	system.store.setFault('entry-1', 'down');
+	system.configure(configuration => {
+		configuration.routes = configuration.routes.filter(route => route.prefix !== prefix);
+	});
+	system.store.compact();
+	system.store.setFault('entry-1', 'none');
+});
+
+When('the store names the first configuration again', function (this: SystemWorld) {
+	const system = getSystem(this);
+	system.store.put('configuration', {...new ForwardSystem().configuration, version: 1});
+});
+
+When('the store holds a configuration that cannot be used', async function (this: SystemWorld) {
+	const system = getSystem(this);
+	system.store.put('configuration', '{"version": 9, "routes": "none"}');
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+});
+
+When('the store stops answering {string}', function (this: SystemWorld, entry: string) {
+	getSystem(this).store.setFault(entry, 'down');
+});
+
+When('{string} starts', async function (this: SystemWorld, entry: string) {
+	await getSystem(this).addEntry(entry, false);
+});
+
+Then('target {int} has run nothing', function (this: SystemWorld, number: number) {
+	assert.deepEqual(getTarget(this, number).runs, []);
+});
+
+Then('a caller soon gets status {int} for {string}', async function (this: SystemWorld, status: number, path: string) {
+	const system = getSystem(this);
+	await system.until(async () => {
+		const answer = await system.call({path, method: 'POST', body: 'a block'});
+		return answer.status === status;
+	});
+});
+
+Then('a caller still gets status {int} for {string}', async function (this: SystemWorld, status: number, path: string) {
+	const answer = await getSystem(this).call({path, method: 'POST', body: 'a block'});
+	assert.equal(answer.status, status);
+});
+
+Then('{string} is soon ready', async function (this: SystemWorld, entry: string) {
+	const system = getSystem(this);
+	await system.until(() => system.entries.get(entry)!.isReady());
+});
