Go on from targets that are gone, and replace them by those at their addresses

From second 42 to 45, 30 requests were refused after one or two targets had answered that they were others (421), which counted as attempts; and the one request in 300 ms that looks whether a stopped service runs again was used up by such targets, so that three of seven entries thought it down 1.4 s longer than the first. Change: of several targets at one address the last registered that is not known to be gone is used; meeting a target that is gone is no attempt (it stays one for the budget of repeats); it leaves the look at a stopped service to the next request. Ruled out: dropping the old id for good when another registers at its address (a late write of a dead worker would shut out the live one).

--- a/features/forward.feature
+++ b/features/forward.feature
@@ -149,6 +149,20 @@
     When target 2 has registered again after 1000 ms
     Then after 2000 ms only target 2 is used
 
+  Scenario: Of two targets at one address the one that registered last is used, unless it is gone
+    Given a directory with targets 1 and 2
+    When target 3 registers at the address of target 2
+    Then only targets 1 and 3 are used
+    When target 3 is found to be gone
+    Then only targets 1 and 2 are used
+
+  Scenario: A request that runs at most once is sent on after it has met targets that are gone
+    Given an entry before 1 target
+    And 3 targets that are gone are still registered at its address
+    When a caller posts "a block" to "/release/7"
+    Then the caller gets the whole answer to that request
+    And targets have run 1 requests
+
   Scenario: A planned stop cuts nothing off
     Given an entry before 1 target
     When the entry is told to stop while a caller waits for "/release/9"
--- a/features/stall.feature
+++ b/features/stall.feature
@@ -41,3 +41,10 @@
     Given a service that has been down for 5000 ms
     When a caller that has come back leaves while it waits for the service
     Then its request is sent to no target
+
+  Scenario: A request that was let through to a stopped service and met a target that is gone leaves its place to the next
+    Given a service that has been down for 5000 ms
+    When one request has been let through
+    Then the next isn't let through
+    When the first has met a target that is gone
+    Then the next is let through
--- a/features/steps/directory-steps.ts
+++ b/features/steps/directory-steps.ts
@@ -4,7 +4,7 @@
 import {type SystemWorld} from '../support/system-world.js';
 
 const makeTarget = (number: number) => ({
-	id: `target-${number}`, service: 'desk', address: '127.0.0.1', port: 1, availabilityZone: 'a', slots: 1, isLeaving: false,
+	id: `target-${number}`, service: 'desk', address: '127.0.0.1', port: number, availabilityZone: 'a', slots: 1, isLeaving: false,
 });
 
 const listDirectory = (directory: TargetDirectory): string[] => directory.list('desk').map(({id}) => id);
@@ -34,3 +34,16 @@
 	directory.expire(10_000 + ms);
 	assert.deepEqual(listDirectory(directory), ['target-2']);
 });
+
+When('target 3 registers at the address of target 2', function (this: SystemWorld) {
+	const directory = this.notes.get('directory') as TargetDirectory;
+	directory.replace([makeTarget(1), makeTarget(2), {...makeTarget(3), port: makeTarget(2).port}], 10_000, false);
+});
+
+When('target 3 is found to be gone', function (this: SystemWorld) {
+	(this.notes.get('directory') as TargetDirectory).drop('target-3');
+});
+
+Then('only targets {int} and {int} are used', function (this: SystemWorld, one: number, other: number) {
+	assert.deepEqual(listDirectory(this.notes.get('directory') as TargetDirectory), [`target-${one}`, `target-${other}`]);
+});
--- a/features/steps/forward-store-steps.ts
+++ b/features/steps/forward-store-steps.ts
@@ -84,3 +84,13 @@
 	const system = getSystem(this);
 	await system.until(() => system.entries.get(entry)!.isReady());
 });
+
+Given('{int} targets that are gone are still registered at its address', async function (this: SystemWorld, count: number) {
+	const system = getSystem(this);
+	const {target} = getTarget(this, 1);
+	for (let number = 1; number <= count; number++) {
+		system.store.put(`targets/gone-${number}`, {...target, id: `gone-${number}`});
+	}
+
+	await system.until(() => system.entries.get('entry-1')!.getRevision() >= system.store.lastRevision);
+});
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -209,3 +209,15 @@
 Then('its request is sent to no target', function (this: SystemWorld) {
 	assert.deepEqual(this.notes.get('sent'), []);
 });
+
+When('one request has been let through', function (this: SystemWorld) {
+	assert.ok((this.notes.get('gate') as ServiceGate).admit(target.service, 0));
+});
+
+When('the first has met a target that is gone', function (this: SystemWorld) {
+	(this.notes.get('gate') as ServiceGate).excuse(target.service, 1);
+});
+
+Then('the next {word} let through', function (this: SystemWorld, isLet: string) {
+	assert.equal((this.notes.get('gate') as ServiceGate).admit(target.service, 1), isLet === 'is');
+});
--- a/src/balance/service-gate.ts
+++ b/src/balance/service-gate.ts
@@ -61,6 +61,14 @@
 		});
 	}
 
+	/** Notes that the request let through told nothing of the service, so that the next may take its place. */
+	excuse(service: string, now: number): void {
+		const outage = this.outages.get(service);
+		if (outage) {
+			outage.nextProbeAt = now;
+		}
+	}
+
 	/** Whether a request may go to the service; while it is down, one now and then. */
 	admit(service: string, now: number): boolean {
 		const outage = this.outages.get(service);
--- a/src/fleet/target-directory.ts
+++ b/src/fleet/target-directory.ts
@@ -16,7 +16,7 @@
 	/**
 	 * Takes the whole list of registrations.
 	 *
-	 * @param targets - every target registered now
+	 * @param targets - every target registered now, the one written last at the end
 	 * @param now - the present, milliseconds
 	 * @param isStoreBack - whether the store has just returned from an outage, so that lapsed registrations may come back
 	 * @returns targets that may no longer be sent anything
@@ -70,10 +70,21 @@
 		return this.entries.get(id)?.target;
 	}
 
+	/*
+	 * A target that restarts at its address, or another that is given it, registers before the registration of the one
+	 * before has lapsed: of several at one address the last that is not known to be gone counts.
+	 */
 	private index(): void {
-		this.byService = new Map();
+		const holders = new Map<string, Target>();
 		for (const {target, isGone} of this.entries.values()) {
-			if (!target.isLeaving && !isGone) {
+			if (!isGone) {
+				holders.set(`${target.address}:${target.port}`, target);
+			}
+		}
+
+		this.byService = new Map();
+		for (const target of holders.values()) {
+			if (!target.isLeaving) {
 				const targets = this.byService.get(target.service) ?? [];
 				targets.push(target);
 				this.byService.set(target.service, targets);
--- a/src/forward/fleet-source.ts
+++ b/src/forward/fleet-source.ts
@@ -10,6 +10,6 @@
 	 * @throws Error naming the place when it cannot be used
 	 */
 	readConfiguration(view: Pick<StoreView, 'get'>): RoutingConfiguration | undefined;
-	/** The registered targets; `report` is told of each registration that cannot be used. */
+	/** The registered targets, the one written last at the end; `report` is told of each registration that cannot be used. */
 	readTargets(view: Pick<StoreView, 'list'>, report: (problem: string) => void): Target[];
 };
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -72,7 +72,7 @@
 		exchange.service = pickService(route, this.options.random);
 		this.options.budget.earn(exchange.service, this.options.clock());
 		const progress: SendProgress = {
-			delivery: new StreamDelivery(exchange), excluded: new Set(), sent: 0, tries: 0, isUnrun: true, reason: 'no target is registered', failure: undefined, isExpired: false,
+			delivery: new StreamDelivery(exchange), excluded: new Set(), sent: 0, misdirected: 0, tries: 0, isUnrun: true, reason: 'no target is registered', failure: undefined, isExpired: false,
 		};
 		await this.waitOutOutage(exchange);
 		for (;;) {
@@ -107,7 +107,7 @@
 	private choose(exchange: ForwardExchange, progress: SendProgress): Target | Refusal {
 		const {directory, board, gate, health, availabilityZone, clock, random} = this.options;
 		const now = clock();
-		if (progress.tries >= maximumTries || progress.sent >= exchange.route!.maximumAttempts) {
+		if (progress.tries >= maximumTries || progress.sent - progress.misdirected >= exchange.route!.maximumAttempts) {
 			return {spread: overloadSpread, detail: progress.reason};
 		}
 
@@ -196,6 +196,7 @@
 
 			case 'not-run': {
 				progress.sent += outcome.wasSent ? 1 : 0;
+				progress.misdirected += outcome.cause === 'gone' ? 1 : 0;
 				this.noteFailure(target, outcome.reason, progress, exchange);
 				this.noteCause(outcome, target, isOver, now);
 				return isOver ? this.conclude(exchange, progress, {spread: overloadSpread, detail: outcome.reason}) : undefined;
@@ -246,6 +247,7 @@
 			gate.close(target.service, now, `target ${target.id} refuses since its group has stopped`);
 		} else if (cause === 'gone') {
 			directory.drop(target.id);
+			gate.excuse(target.service, now);
 		} else if (!wasSent && !isOver) {
 			health.avoid(target.id, now);
 		}
--- a/src/forward/send-progress.ts
+++ b/src/forward/send-progress.ts
@@ -8,6 +8,8 @@
 	readonly excluded: Set<string>;
 	/** Sends that may have reached a target. */
 	sent: number;
+	/** Those of them that met another target than the one meant, which is gone: no target has had the request. */
+	misdirected: number;
 	/** All sends, those that reached no target included. */
 	tries: number;
 	/** Whether every send so far is known not to have run. */
--- a/src/view/store-view.ts
+++ b/src/view/store-view.ts
@@ -82,9 +82,9 @@
 		return this.items.get(key);
 	}
 
-	/** Items whose keys start with `prefix`. */
+	/** Items whose keys start with `prefix`, the one written last at the end. */
 	list(prefix: string): StoredValue[] {
-		return [...this.items.values()].filter(({key}) => key.startsWith(prefix));
+		return [...this.items.values()].filter(({key}) => key.startsWith(prefix)).toSorted((one, other) => one.revision - other.revision);
 	}
 
 	/** Follows the store until `close`. */
