Prove that a caller too slow with its headers gets 408

Cause: the bad input that the platform's users name was proved but for slow headers. Change: a scenario (200 ms allowed, half of the headers sent). Ruled out: nothing. Conclusion: test files only.

--- a/features/forward.feature
+++ b/features/forward.feature
@@ -21,6 +21,13 @@
       | headers too large    | 431    |
       | two lengths          | 400    |
 
+  Scenario: A caller that is too slow with its headers is told so, and its connection ends
+    Given an entry before 1 target
+    And callers may take 200 ms for their headers
+    When a caller sends half of a request's headers and no more
+    Then the caller gets status 408
+    And no target has run anything
+
   Scenario Outline: An idempotent request goes elsewhere when a target's answer is <manner>
     Given an entry before 2 targets
     And the next target answers "<manner>"
--- a/features/steps/forward-steps.ts
+++ b/features/steps/forward-steps.ts
@@ -95,6 +95,25 @@
 	this.notes.set('answer', Promise.resolve({status: Number(text.split(' ')[1])}));
 });
 
+Given('callers may take {int} ms for their headers', async function (this: SystemWorld, ms: number) {
+	const system = getSystem(this);
+	system.configure(configuration => {
+		configuration.limits.headerTimeoutMs = ms;
+	});
+	await system.until(() => system.entries.get('entry-1')!.getRevision() >= system.store.lastRevision);
+});
+
+When('a caller sends half of a request\'s headers and no more', async function (this: SystemWorld) {
+	const socket = connect(getSystem(this).entries.get('entry-1')!.httpPort, '127.0.0.1');
+	socket.write('GET /read/1 HTTP/1.1\r\nhost: desk.ex');
+	let text = '';
+	socket.on('data', chunk => {
+		text += String(chunk);
+	});
+	await once(socket, 'close');
+	this.notes.set('answer', Promise.resolve({status: Number(text.split(' ')[1])}));
+});
+
 When('a caller posts {int} requests one after another', async function (this: SystemWorld, count: number) {
 	const answers: Array<[string, Answer]> = [];
 	for (let number = 1; number <= count; number++) {
