--- /dev/null
+++ b/features/steps/table-controller-steps.ts
@@ -0,0 +1,96 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {ok} from 'neverthrow';
+import {type KeyValue} from '../../src/key-value/key-value.js';
+import {encodePages} from '../../src/table/encode-pages.js';
+import {TableController} from '../../src/table/table-controller.js';
+import {tableKeys} from '../../src/table/table-keys.js';
+import {makeSnapshot} from '../support/make-snapshot.js';
+import {type SystemWorld} from '../support/system-world.js';
+
+const unreachableKeyValue = undefined as unknown as KeyValue;
+
+/* A platform in memory whose head the scenario sets; pages are there for every version. */
+const makeWatchedPlatform = (world: SystemWorld): KeyValue => {
+	const pages = encodePages([]);
+	const platform = {
+		get: async (key: string) => ok(key === tableKeys.head ? undefined : {key, value: pages[0].text, revision: 1}),
+		async watch(_prefix: string, _revision: number, onChange: (change: {key: string; value: string; revision: number}) => void) {
+			world.notes.set('onChange', onChange);
+			// The watch never ends.
+			return new Promise<never>(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function
+		},
+	};
+	return platform as unknown as KeyValue;
+};
+
+Given('a table controller that watches the platform', async function (this: SystemWorld) {
+	const installed: number[] = [];
+	const reports: string[] = [];
+	const controller = new TableController({
+		keyValue: makeWatchedPlatform(this), random: () => 0, log: message => reports.push(message), onInstall: ({version}) => installed.push(version),
+	});
+	controller.setWatcher(true, 0);
+	controller.tick(0);
+	while (!this.notes.has('onChange')) {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+
+	this.notes.set('installed', installed);
+	this.notes.set('reports', reports);
+});
+
+When('the watch tells of versions {string}', async function (this: SystemWorld, versions: string) {
+	const onChange = this.notes.get('onChange') as (change: {key: string; value: string; revision: number}) => void;
+	for (const version of versions.split(', ').map(Number)) {
+		onChange({key: tableKeys.head, value: JSON.stringify(makeSnapshot([], version, `change-${version}`).head), revision: version});
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+});
+
+Then('versions came into force in the order {string}', function (this: SystemWorld, versions: string) {
+	assert.equal((this.notes.get('installed') as number[]).join(', '), versions);
+});
+
+Given('a table controller at version {int}', function (this: SystemWorld, version: number) {
+	const reports: string[] = [];
+	const controller = new TableController({
+		keyValue: unreachableKeyValue, random: () => 0, log: message => reports.push(message), onInstall: () => undefined,
+	});
+	const {head, pages} = makeSnapshot([], version, 'ours');
+	controller.takeOffer({type: 'table-offered', head: JSON.stringify(head), pages: [...pages.values()]});
+	assert.equal(controller.version, version);
+	this.notes.set('controller', controller);
+	this.notes.set('reports', reports);
+});
+
+When('a peer offers version {int}', function (this: SystemWorld, version: number) {
+	const {head, pages} = makeSnapshot([], version, 'older');
+	(this.notes.get('controller') as TableController).takeOffer({type: 'table-offered', head: JSON.stringify(head), pages: [...pages.values()]});
+});
+
+When('a peer says that it holds version {int} of another change', function (this: SystemWorld, version: number) {
+	(this.notes.get('controller') as TableController).noteVersion(version, 'theirs', 0);
+});
+
+When('a peer says that it holds version 4, and at once another that it holds version 5', function (this: SystemWorld) {
+	const controller = this.notes.get('controller') as TableController;
+	this.notes.set('wishes', [4, 5, 5, 4].map(version => controller.noteVersion(version, '', 1000)?.type));
+});
+
+Then('the controller asks for both, and for neither twice', function (this: SystemWorld) {
+	assert.deepEqual(this.notes.get('wishes'), ['table-wanted', 'table-wanted', undefined, undefined]);
+});
+
+Then('the controller stays at version {int}', function (this: SystemWorld, version: number) {
+	const controller = this.notes.get('controller') as TableController;
+	assert.deepEqual([controller.version, controller.changeId], [version, 'ours']);
+});
+
+Then('the controller reports {string}', function (this: SystemWorld, text: string) {
+	assert.ok((this.notes.get('reports') as string[]).some(report => report.includes(text)));
+});
--- a/features/steps/table-steps.ts
+++ b/features/steps/table-steps.ts
@@ -4,34 +4,19 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {ok} from 'neverthrow';
-import {type KeyValue} from '../../src/key-value/key-value.js';
-import {diffTables} from '../../src/table/diff-tables.js';
-import {encodePages} from '../../src/table/encode-pages.js';
 import {fetchTable} from '../../src/table/fetch-table.js';
 import {parseTable} from '../../src/table/parse-table.js';
-import {Row} from '../../src/table/row.js';
-import {TableController} from '../../src/table/table-controller.js';
 import {tableKeys} from '../../src/table/table-keys.js';
-import {TableSnapshot} from '../../src/table/table-snapshot.js';
+import {type TableSnapshot} from '../../src/table/table-snapshot.js';
 import {runCommand} from '../support/run-command.js';
 import {type SystemWorld} from '../support/system-world.js';
 import {tokens} from '../support/tokens.js';
 
 type Outcome = Awaited<ReturnType<typeof runCommand>>;
 
-const unreachableKeyValue = undefined as unknown as KeyValue;
 const folder = mkdtempSync(path.join(tmpdir(), 'wardswitch-features-'));
 const file = path.join(folder, 'table.csv');
 
-const makeSnapshot = (rows: readonly Row[], version: number, changeId: string): TableSnapshot => {
-	const pages = encodePages(rows);
-	const head = {
-		version, changeId, recent: [], at: 0, operator: 'x', pages: pages.map(({hash}) => hash),
-	};
-	return new TableSnapshot(head, new Map(pages.map(page => [page.hash, page])));
-};
-
 const getAddresses = (world: SystemWorld): string[] => ['--platform', world.system.platform.url, '--vm-list', world.system.vmList.url];
 
 const exportTable = async (world: SystemWorld): Promise<string> => {
@@ -194,125 +179,6 @@
 	await this.system.startEntry('late-entry', zone);
 });
 
-/* A platform in memory whose head the scenario sets; pages are there for every version. */
-const makeWatchedPlatform = (world: SystemWorld): KeyValue => {
-	const pages = encodePages([]);
-	const platform = {
-		get: async (key: string) => ok(key === tableKeys.head ? undefined : {key, value: pages[0].text, revision: 1}),
-		async watch(_prefix: string, _revision: number, onChange: (change: {key: string; value: string; revision: number}) => void) {
-			world.notes.set('onChange', onChange);
-			// The watch never ends.
-			return new Promise<never>(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function
-		},
-	};
-	return platform as unknown as KeyValue;
-};
-
-Given('a table controller that watches the platform', async function (this: SystemWorld) {
-	const installed: number[] = [];
-	const reports: string[] = [];
-	const controller = new TableController({
-		keyValue: makeWatchedPlatform(this), random: () => 0, log: message => reports.push(message), onInstall: ({version}) => installed.push(version),
-	});
-	controller.setWatcher(true, 0);
-	controller.tick(0);
-	while (!this.notes.has('onChange')) {
-		await new Promise(resolve => {
-			setImmediate(resolve);
-		});
-	}
-
-	this.notes.set('installed', installed);
-	this.notes.set('reports', reports);
-});
-
-When('the watch tells of versions {string}', async function (this: SystemWorld, versions: string) {
-	const onChange = this.notes.get('onChange') as (change: {key: string; value: string; revision: number}) => void;
-	for (const version of versions.split(', ').map(Number)) {
-		onChange({key: tableKeys.head, value: JSON.stringify(makeSnapshot([], version, `change-${version}`).head), revision: version});
-		await new Promise(resolve => {
-			setImmediate(resolve);
-		});
-	}
-});
-
-Then('versions came into force in the order {string}', function (this: SystemWorld, versions: string) {
-	assert.equal((this.notes.get('installed') as number[]).join(', '), versions);
-});
-
 When('the platform answers at once again', function (this: SystemWorld) {
 	this.system.platform.faults.delayMs = 0;
 });
-
-Given('a table controller at version {int}', function (this: SystemWorld, version: number) {
-	const reports: string[] = [];
-	const controller = new TableController({
-		keyValue: unreachableKeyValue, random: () => 0, log: message => reports.push(message), onInstall: () => undefined,
-	});
-	const {head, pages} = makeSnapshot([], version, 'ours');
-	controller.takeOffer({type: 'table-offered', head: JSON.stringify(head), pages: [...pages.values()]});
-	assert.equal(controller.version, version);
-	this.notes.set('controller', controller);
-	this.notes.set('reports', reports);
-});
-
-When('a peer offers version {int}', function (this: SystemWorld, version: number) {
-	const {head, pages} = makeSnapshot([], version, 'older');
-	(this.notes.get('controller') as TableController).takeOffer({type: 'table-offered', head: JSON.stringify(head), pages: [...pages.values()]});
-});
-
-When('a peer says that it holds version {int} of another change', function (this: SystemWorld, version: number) {
-	(this.notes.get('controller') as TableController).noteVersion(version, 'theirs', 0);
-});
-
-When('a peer says that it holds version 4, and at once another that it holds version 5', function (this: SystemWorld) {
-	const controller = this.notes.get('controller') as TableController;
-	this.notes.set('wishes', [4, 5, 5, 4].map(version => controller.noteVersion(version, '', 1000)?.type));
-});
-
-Then('the controller asks for both, and for neither twice', function (this: SystemWorld) {
-	assert.deepEqual(this.notes.get('wishes'), ['table-wanted', 'table-wanted', undefined, undefined]);
-});
-
-Then('the controller stays at version {int}', function (this: SystemWorld, version: number) {
-	const controller = this.notes.get('controller') as TableController;
-	assert.deepEqual([controller.version, controller.changeId], [version, 'ours']);
-});
-
-Then('the controller reports {string}', function (this: SystemWorld, text: string) {
-	assert.ok((this.notes.get('reports') as string[]).some(report => report.includes(text)));
-});
-
-Given('this table:', function (this: SystemWorld, csv: string) {
-	this.notes.set('table', makeSnapshot(parseTable(csv)._unsafeUnwrap().rows, 1, 'x'));
-});
-
-Then('the row for {string}, {string}, {string} has weight {int}', function (this: SystemWorld, service: string, organisation: string, group: string, weight: number) {
-	assert.equal((this.notes.get('table') as TableSnapshot).findRow(service, organisation, group)?.weight, weight);
-});
-
-Then('the row for {string}, {string}, {string} has weight {int} and no concurrency', function (this: SystemWorld, service: string, organisation: string, group: string, weight: number) {
-	const row = (this.notes.get('table') as TableSnapshot).findRow(service, organisation, group);
-	assert.deepEqual([row?.weight, row?.concurrency], [weight, undefined]);
-});
-
-Given('a table of {int} organisations and {int} services', function (this: SystemWorld, organisations: number, services: number) {
-	const rows = Array.from({length: organisations * services}, (_, index) => Row.parse({
-		service: `service-${index % services}`, organisation: `organisation-${Math.floor(index / services)}`, group: '*', concurrency: 10, tokenHashes: ['ab'.repeat(32)],
-	}));
-	this.notes.set('rows', rows);
-});
-
-Then('every stored page is under {int} bytes', function (this: SystemWorld, bytes: number) {
-	const pages = encodePages(this.notes.get('rows') as Row[]);
-	assert.ok(pages.every(({text}) => text.length < bytes));
-	assert.equal(pages.flatMap(({text}) => JSON.parse(text) as Row[]).length, (this.notes.get('rows') as Row[]).length);
-});
-
-Then('changing one row changes {int} page', function (this: SystemWorld, count: number) {
-	const rows = this.notes.get('rows') as Row[];
-	const changed = rows.with(7, {...rows[7], weight: 9});
-	assert.equal(diffTables(rows, changed).length, 1);
-	const before = new Set(encodePages(rows).map(({hash}) => hash));
-	assert.equal(encodePages(changed).filter(({hash}) => !before.has(hash)).length, count);
-});
--- /dev/null
+++ b/features/support/make-snapshot.ts
@@ -0,0 +1,12 @@
+import {encodePages} from '../../src/table/encode-pages.js';
+import {type Row} from '../../src/table/row.js';
+import {TableSnapshot} from '../../src/table/table-snapshot.js';
+
+/** Makes a table as a process holds it. */
+export function makeSnapshot(rows: readonly Row[], version: number, changeId: string): TableSnapshot {
+	const pages = encodePages(rows);
+	const head = {
+		version, changeId, recent: [], at: 0, operator: 'x', pages: pages.map(({hash}) => hash),
+	};
+	return new TableSnapshot(head, new Map(pages.map(page => [page.hash, page])));
+}
