Admit streams by the pauses to come, and plan sooner after an outage; a model to judge it by

After an outage the planner began with no counts; after a restart the office stood empty until its lease lapsed (1.1 s). The planner keeps its meter over epochs; a planner's own former office is taken at once; demand is told by each rank's last report.

--- a/features/expert-balance.feature
+++ b/features/expert-balance.feature
@@ -109,3 +109,20 @@
     Given ranks that are heard each 200 ms, one after another
     When expert 1 is chosen for 5 seconds, and then expert 2 for 700 ms
     Then expert 1 has less than a fifth of the load
+
+  Scenario: A group that is formed anew is given a map by what was asked for before
+    Given a lock-step group with a planner
+    When 5 seconds pass
+    And the group is formed anew
+    And 240 ms of its work pass
+    Then a map for the new epoch has been proposed
+
+  Scenario Outline: A planner that is started anew takes its office back, another process waits until it lapses: <address>
+    Given an office that 10.0.0.1:7340 holds
+    When a process at <address> looks after it
+    Then it is in office: <is>
+
+    Examples:
+      | address       | is  |
+      | 10.0.0.1:7340 | yes |
+      | 10.0.0.2:7340 | no  |
--- a/features/steps/expert-plan-steps.ts
+++ b/features/steps/expert-plan-steps.ts
@@ -1,10 +1,14 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {ok} from 'neverthrow';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {LoadMeter} from '../../src/expert-balance/load-meter.js';
 import {planGroupMap} from '../../src/expert-balance/plan-group-map.js';
+import {PlannerElection} from '../../src/expert-balance/planner-election.js';
+import {type StoredValue} from '../../src/key-value/stored-value.js';
 import {LayerSearch} from '../../src/maps/layer-search.js';
+import {type RankFleet} from '../support/rank-fleet.js';
 import {type SystemWorld} from '../support/system-world.js';
 
 type Shape = {readonly ranks: number; readonly experts: number; readonly slots: number};
@@ -108,3 +112,45 @@
 	const share = this.notes.get('share') as number;
 	assert.ok(share < 0.2, String(share));
 });
+
+When('the group is formed anew', function (this: SystemWorld) {
+	const fleet = this.notes.get('fleet') as RankFleet;
+	this.notes.set('lines', fleet.log.length);
+	fleet.group.reform();
+});
+
+When('{int} ms of its work pass', async function (this: SystemWorld, ms: number) {
+	await (this.notes.get('fleet') as RankFleet).run(ms);
+});
+
+Then('a map for the new epoch has been proposed', function (this: SystemWorld) {
+	const {log, group} = this.notes.get('fleet') as RankFleet;
+	const lines = log.slice(this.notes.get('lines') as number);
+	assert.ok(lines.some(line => line.includes(`epoch ${group.epoch}: map`)), lines.join('\n'));
+});
+
+Given('an office that {word} holds', function (this: SystemWorld, address: string) {
+	this.notes.set('office', {key: 'office', value: address, revision: 5});
+});
+
+When('a process at {word} looks after it', async function (this: SystemWorld, address: string) {
+	const office = this.notes.get('office') as StoredValue;
+	const election = new PlannerElection({
+		registry: {
+			get: async () => ok(office),
+			keepLease: async () => ok(true),
+			grantLeaseFor: async () => ok('lease'),
+			commit: async ({conditions}) => ok(conditions[0].revision === office.revision ? office.revision + 1 : undefined),
+		},
+		key: office.key,
+		address,
+		random: () => 0,
+		log: String,
+	});
+	await election.tick(0, office, false);
+	this.notes.set('term', election.term);
+});
+
+Then('it is in office: {word}', function (this: SystemWorld, answer: string) {
+	assert.equal(this.notes.get('term') === undefined ? 'no' : 'yes', answer);
+});
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -9,6 +9,7 @@
 import {TargetDirectory} from '../../src/fleet/target-directory.js';
 import {ForwardDispatcher} from '../../src/forward/forward-dispatcher.js';
 import {ForwardExchange} from '../../src/forward/forward-exchange.js';
+import {StreamAdmission} from '../../src/forward/stream-admission.js';
 import {StallWatch} from '../../src/forward/stall-watch.js';
 import {type SystemWorld} from '../support/system-world.js';
 
@@ -185,6 +186,7 @@
 			onSilentConnection: String,
 			onStopped: String,
 		}),
+		admission: new StreamAdmission({board, directory, getService: () => undefined}),
 		availabilityZone: 'a',
 		clock,
 		random: () => 0,
--- a/src/cli/create-command-line.ts
+++ b/src/cli/create-command-line.ts
@@ -1,5 +1,6 @@
 import {Builtins, Cli} from 'clipanion';
 import {Explain} from './commands/explain.js';
+import {Lab} from './commands/lab.js';
 import {Log} from './commands/log.js';
 import {MapReplay} from './commands/map-replay.js';
 import {MapTrace} from './commands/map-trace.js';
@@ -15,7 +16,7 @@
 import {TargetOrder} from './commands/target-order.js';
 
 const commands = [
-	Builtins.HelpCommand, TableCheck, TableGet, TableDiff, TableApply, TableStatus, TableRestore, TableHistory, TargetList, TargetOrder, Status, Explain, Log, MapReplay, MapTrace,
+	Builtins.HelpCommand, TableCheck, TableGet, TableDiff, TableApply, TableStatus, TableRestore, TableHistory, TargetList, TargetOrder, Status, Explain, Lab, Log, MapReplay, MapTrace,
 ];
 
 /** The operator's command line; a new command is a new file and a line here. */
--- a/src/expert-balance/group-controller.ts
+++ b/src/expert-balance/group-controller.ts
@@ -66,7 +66,8 @@
 	private readonly roster: RankRoster;
 	private readonly pace = new SwitchPace();
 	private readonly sent = new Map<number, {readonly key: string; readonly at: number}>();
-	private meter = new LoadMeter();
+	/** Outlives an epoch: callers ask for the same after an outage, and the map that a group is formed with fits nobody. */
+	private readonly meter = new LoadMeter();
 	private proposal: Proposal | undefined;
 	private changes = 0;
 	private numbers = 0;
@@ -98,7 +99,6 @@
 
 		if (this.roster.hear(message, now)) {
 			this.proposal = undefined;
-			this.meter = new LoadMeter();
 			this.sent.clear();
 		}
 
--- a/src/expert-balance/planner-election.ts
+++ b/src/expert-balance/planner-election.ts
@@ -81,12 +81,14 @@
 	}
 
 	private async seek(now: number, known: StoredValue | undefined, isStuck: boolean): Promise<void> {
-		if (known && !isStuck) {
+		// Who held the office before this process was started here is gone: the office need not lapse first.
+		const isOwn = known?.value === this.options.address;
+		if (known && !isStuck && !isOwn) {
 			this.seekAt = undefined;
 			return;
 		}
 
-		this.seekAt ??= now + (this.options.random() * spreadMs);
+		this.seekAt ??= isOwn ? now : now + (this.options.random() * spreadMs);
 		if (now < this.seekAt) {
 			return;
 		}
--- a/src/fleet/route-table.ts
+++ b/src/fleet/route-table.ts
@@ -1,4 +1,5 @@
 import {type Route} from './route.js';
+import {type Service} from './service.js';
 import {type RoutingConfiguration} from './routing-configuration.js';
 
 /** One version of the configuration, indexed for looking up requests. */
@@ -39,6 +40,11 @@
 		return this.routesByHost.get(host)?.find(route => path.startsWith(route.prefix));
 	}
 
+	/** What operators have configured for a service. */
+	findService(name: string): Service | undefined {
+		return this.configuration.services.find(service => service.name === name);
+	}
+
 	/** The organisation that holds a key. */
 	findOrganisation(key: string): string | undefined {
 		return this.organisationByKey.get(key);
--- a/src/fleet/routing-configuration.ts
+++ b/src/fleet/routing-configuration.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {Pace} from './pace.js';
 
 const route = z.object({
 	name: z.string(),
@@ -11,6 +12,8 @@
 	timeoutMs: z.number().positive(),
 	/** Time within which the answer, or its first event, is on time, milliseconds. */
 	targetLatencyMs: z.number().positive(),
+	/** Longest pause between two events of a stream that is on time, milliseconds; absent where none is promised. */
+	targetGapMs: z.number().positive().optional(),
 	/** Services that share the route's requests, by weight. */
 	destinations: z.array(z.object({service: z.string(), weight: z.number().min(0)})).min(1),
 	/** Most targets that one request may be sent to. */
@@ -25,6 +28,8 @@
 	name: z.string(),
 	/** Connections that one target accepts from all callers together. */
 	maximumConnections: z.int().min(1),
+	/** How fast its targets write; absent where they do not tell. */
+	pace: Pace.optional(),
 	/** Copies of experts that a rank may hold per layer, and new ones that one change may bring it; absent without experts. */
 	experts: z.object({
 		layers: z.int().min(1),
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -17,6 +17,7 @@
 import {type SendOutcome} from './send-outcome.js';
 import {type SendProgress} from './send-progress.js';
 import {type StallWatch} from './stall-watch.js';
+import {type StreamAdmission} from './stream-admission.js';
 import {StreamDelivery} from './stream-delivery.js';
 
 type SendFunction = (options: {
@@ -37,6 +38,7 @@
 	readonly health: TargetHealth;
 	readonly budget: RepeatBudget;
 	readonly stalls: StallWatch;
+	readonly admission: StreamAdmission;
 	readonly availabilityZone: string;
 	readonly clock: () => number;
 	readonly random: () => number;
@@ -118,6 +120,11 @@
 			return {spread: outageSpread, detail: `${progress.reason}; the service's group is down`};
 		}
 
+		const overload = progress.delivery.hasBegun ? undefined : this.options.admission.refuse(exchange.service, exchange.route!, now);
+		if (overload !== undefined) {
+			return {spread: overloadSpread, detail: overload};
+		}
+
 		if (progress.sent > 0 && !this.options.budget.spend(exchange.service, now)) {
 			return {spread: overloadSpread, detail: `${progress.reason}; the budget of repeats is spent`};
 		}
--- a/src/forward/make-forward-path.ts
+++ b/src/forward/make-forward-path.ts
@@ -3,16 +3,20 @@
 import {ServiceGate} from '../balance/service-gate.js';
 import {TargetHealth} from '../balance/target-health.js';
 import {type ForwardEntrySettings} from '../config/forward-entry-settings.js';
+import {type Service} from '../fleet/service.js';
 import {TargetDirectory} from '../fleet/target-directory.js';
 import {ConnectionPool} from './connection-pool.js';
 import {ForwardDispatcher} from './forward-dispatcher.js';
 import {type ForwardSurroundings} from './forward-surroundings.js';
 import {StallWatch} from './stall-watch.js';
+import {StreamAdmission} from './stream-admission.js';
 import {TargetSender} from './target-sender.js';
 
 type PathOptions = Pick<ForwardEntrySettings, 'availabilityZone' | 'repeats'> & Pick<ForwardSurroundings, 'dialect' | 'clock' | 'random'> & {
 	/** Entries registered in the store, this one included: after a start, or in a cut, fewer are heard than share the budget. */
 	readonly countRegistered: () => number;
+	/** What operators have configured for a service; undefined while it is not known. */
+	readonly getService: (name: string) => Service | undefined;
 	/** Called when this entry's own requests in flight change. */
 	readonly onLoad: () => void;
 	readonly onSend: (service: string, isRepeat: boolean) => void;
@@ -31,12 +35,13 @@
 };
 
 /** Puts together what takes a request from the filters to a target: choice, gate, budget, connections, watch. */
-export function makeForwardPath({availabilityZone, repeats, dialect, clock, random, countRegistered, onLoad, onSend, log}: PathOptions): ForwardPath {
+export function makeForwardPath({availabilityZone, repeats, dialect, clock, random, countRegistered, getService, onLoad, onSend, log}: PathOptions): ForwardPath {
 	const board = new LoadBoard(onLoad);
 	const health = new TargetHealth();
 	const directory = new TargetDirectory();
 	const gate = new ServiceGate(log);
 	const pool = new ConnectionPool(clock);
+	const admission = new StreamAdmission({board, directory, getService});
 	const stalls = new StallWatch({
 		board,
 		health,
@@ -58,6 +63,9 @@
 			board.progress(target.id, now);
 			gate.open(target.service, now);
 		},
+		onGap(target, gapMs) {
+			admission.noteGap(target.service, gapMs);
+		},
 	});
 	const dispatcher = new ForwardDispatcher({
 		send: async options => sender.send(options),
@@ -67,6 +75,7 @@
 		health,
 		budget: new RepeatBudget({...repeats, countEntries: now => Math.max(board.countPeers(now) + 1, countRegistered())}),
 		stalls,
+		admission,
 		availabilityZone,
 		clock,
 		random,
@@ -80,6 +89,7 @@
 		dispatcher,
 		tick() {
 			stalls.tick();
+			admission.tick(clock());
 		},
 		forget(target) {
 			pool.drop(target);
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -59,6 +59,7 @@
 		...settings,
 		...surroundings,
 		countRegistered: () => view.list(entriesPrefix).length,
+		getService: name => state.table?.findService(name),
 		onLoad() {
 			mesh.reportSoon();
 		},
--- a/src/forward/target-sender.ts
+++ b/src/forward/target-sender.ts
@@ -15,6 +15,8 @@
 	readonly clock: () => number;
 	/** Told of each piece of an answer that a target sends. */
 	readonly onProgress: (target: Target) => void;
+	/** Told of the time between two events of a stream, milliseconds. */
+	readonly onGap: (target: Target, gapMs: number) => void;
 };
 
 type SendOptions = {
@@ -48,6 +50,8 @@
 	private bytes = 0;
 	private cause: 'busy' | 'group-down' | 'gone' = 'busy';
 	private isSettled = false;
+	/** When the last part of a stream came, milliseconds. */
+	private eventAt: number | undefined;
 	private readonly connection: TargetConnection;
 	private resolve!: (outcome: SendOutcome) => void;
 
@@ -164,6 +168,7 @@
 		}
 
 		if (this.mode === 'stream') {
+			this.noteEvent();
 			return this.options.delivery.push(chunk);
 		}
 
@@ -177,6 +182,15 @@
 		return true;
 	}
 
+	private noteEvent(): void {
+		const now = this.sender.clock();
+		if (this.eventAt !== undefined && !this.options.exchange.response.writableNeedDrain) {
+			this.sender.onGap(this.options.target, now - this.eventAt);
+		}
+
+		this.eventAt = now;
+	}
+
 	private noteProgress(target: Target): void {
 		this.sender.onProgress(target);
 		this.options.onProgress();
