Prove admission by pauses on the model, and refuse bad scenario files with code 2

Cause: each improvement under load needs a test of that load without network. Change: features/admission.feature plays the shipped scenario and two others with and without admission, and the forecast alone.

--- /dev/null
+++ b/features/steps/admission-steps.ts
@@ -0,0 +1,117 @@
+import assert from 'node:assert/strict';
+import {
+	mkdtempSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {parse} from 'smol-toml';
+import {admitStream} from '../../src/decisions/admit-stream.js';
+import {PauseForecast} from '../../src/decisions/pause-forecast.js';
+import {type LoadResult} from '../../src/model/load-result.js';
+import {LoadScenario} from '../../src/model/load-scenario.js';
+import {playLoad} from '../../src/model/play-load.js';
+import {policies} from '../../src/model/policies.js';
+import {runCommand} from '../support/run-command.js';
+import {type SystemWorld} from '../support/system-world.js';
+
+type Played = {readonly with: readonly LoadResult[]; readonly without: readonly LoadResult[]};
+
+const pace = {stepMs: 4.55, requestMs: 1.36, stepsPerEvent: 4};
+const targetGapMs = 120;
+
+const mean = (results: readonly LoadResult[], key: keyof LoadResult): number => {
+	let sum = 0;
+	for (const result of results) {
+		sum += result[key];
+	}
+
+	return sum / results.length;
+};
+
+const getPlayed = (world: SystemWorld): Played => world.notes.get('played') as Played;
+const getForecast = (world: SystemWorld): PauseForecast => world.notes.get('forecast') as PauseForecast;
+const getMost = (world: SystemWorld): number => getForecast(world).getMostLoad(targetGapMs, pace)!;
+
+const observe = (world: SystemWorld, gapMs: number, load: number, forMs: number): void => {
+	const end = (world.notes.get('now') as number) + forMs;
+	for (let now = world.notes.get('now') as number; now < end; now += gapMs) {
+		getForecast(world).observe({gapMs, load, pace}, now);
+	}
+
+	world.notes.set('now', end);
+};
+
+Given('the load of {string}', function (this: SystemWorld, file: string) {
+	this.notes.set('scenario', LoadScenario.parse(parse(readFileSync(file, 'utf8'))));
+});
+
+Given('{int} streams a second', function (this: SystemWorld, streamsPerSecond: number) {
+	this.notes.set('scenario', {...this.notes.get('scenario') as LoadScenario, streamsPerSecond});
+});
+
+When('it is played with {int} seeds', function (this: SystemWorld, seeds: number) {
+	const scenario = this.notes.get('scenario') as LoadScenario;
+	const play = (policy: typeof policies.none): LoadResult[] => Array.from({length: seeds}, (_seed, index) => playLoad(scenario, index + 1, policy));
+	this.notes.set('played', {with: play(policies.pauses), without: play(policies.none)});
+});
+
+Then('the worth is at least {float} above that without admission', function (this: SystemWorld, gain: number) {
+	const played = getPlayed(this);
+	const [worth, before] = [mean(played.with, 'worth'), mean(played.without, 'worth')];
+	assert.ok(worth >= before + gain, `${worth} after ${before}`);
+});
+
+Then('no more callers are refused twice than without admission', function (this: SystemWorld) {
+	const played = getPlayed(this);
+	assert.ok(mean(played.with, 'refused') <= mean(played.without, 'refused'), JSON.stringify(played));
+});
+
+Then('nobody is refused twice', function (this: SystemWorld) {
+	assert.equal(mean(getPlayed(this).with, 'refused'), 0);
+});
+
+Given('passes of {int} ms with {int} requests at each target', function (this: SystemWorld, gapMs: number, load: number) {
+	this.notes.set('forecast', new PauseForecast());
+	this.notes.set('now', 0);
+	this.notes.set('load', load);
+	observe(this, gapMs, load, 5000);
+	this.notes.set('most', getMost(this));
+});
+
+When('passes of {int} ms follow for {int} ms', function (this: SystemWorld, gapMs: number, forMs: number) {
+	observe(this, gapMs, this.notes.get('load') as number, forMs);
+});
+
+Then('at least {int} in 100 of the requests before are admitted at each target', function (this: SystemWorld, share: number) {
+	const before = this.notes.get('most') as number;
+	assert.ok(getMost(this) >= before * share / 100, `${getMost(this)} after ${before}`);
+});
+
+Then('at most {int} in 100 of the requests before are admitted at each target', function (this: SystemWorld, share: number) {
+	const before = this.notes.get('most') as number;
+	assert.ok(getMost(this) <= before * share / 100, `${getMost(this)} after ${before}`);
+});
+
+Then('a forecast without observations admits a stream with {int} under way', (inFlight: number) => {
+	const admission = admitStream({
+		forecast: new PauseForecast(), pace, targetGapMs, inFlight, targets: 12,
+	});
+	assert.equal(admission.kind, 'admitted');
+});
+
+When('the command {string} is given a file with {string}', async function (this: SystemWorld, command: string, line: string) {
+	const folder = mkdtempSync(path.join(tmpdir(), 'wardswitch-lab-'));
+	const file = path.join(folder, 'scenario.toml');
+	const [key] = line.split(' ');
+	const rest = readFileSync('examples/lab.toml', 'utf8').split('\n').filter(other => !other.startsWith(`${key} `));
+	writeFileSync(file, [line, ...rest].join('\n'));
+	this.notes.set('outcome', await runCommand([command, file]));
+	rmSync(folder, {recursive: true});
+});
+
+Then('it ends with code {int} and names {string}', function (this: SystemWorld, code: number, key: string) {
+	const outcome = this.notes.get('outcome') as Awaited<ReturnType<typeof runCommand>>;
+	assert.equal(outcome.code, code);
+	assert.ok(outcome.stderr.includes(key), outcome.stderr);
+});
--- a/src/cli/commands/lab.ts
+++ b/src/cli/commands/lab.ts
@@ -60,7 +60,7 @@
 
 	private refuse(message: string): number {
 		this.context.stderr.write(`${message}\n`);
-		return exitCode.refused;
+		return exitCode.usage;
 	}
 
 	private print(row: Row): void {
