Refuse callers that come back into an outage at once

Change: the wait and its two constants go, with the gate's part of it. The scenario that a caller who left meanwhile is sent nowhere becomes two: nothing is sent for a caller that has left, on the same dispatcher, and a caller that comes back is refused at once with 'not run' and a return time.

--- a/features/stall.feature
+++ b/features/stall.feature
@@ -37,11 +37,18 @@
     When each gets an event each 600 ms, 20 times
     Then the service is taken for stopped at most 5 times
 
-  Scenario: A caller that left while its request waited for the service is sent nowhere
+  Scenario: Nothing is sent for a caller that has left, not even to see whether the service runs again
     Given a service that has been down for 5000 ms
-    When a caller that has come back leaves while it waits for the service
+    When a caller that has come back leaves before its request is sent
     Then its request is sent to no target
 
+  Scenario: A caller that comes back into an outage is refused at once, however long that has lasted
+    Given a service that has been down for 5000 ms
+    When one request has been let through
+    And a caller that has come back asks
+    Then its request is sent to no target
+    And it is told at once that its request did not run, and when to come back
+
   Scenario: A request that was let through to a stopped service and met a target that is gone leaves its place to the next
     Given a service that has been down for 5000 ms
     When one request has been let through
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -2,6 +2,7 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {Socket} from 'node:net';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {type Result} from 'neverthrow';
 import {LoadBoard} from '../../src/balance/load-board.js';
 import {RepeatBudget} from '../../src/balance/repeat-budget.js';
 import {ServiceGate} from '../../src/balance/service-gate.js';
@@ -11,6 +12,7 @@
 import {ForwardExchange} from '../../src/forward/forward-exchange.js';
 import {StreamAdmission} from '../../src/forward/stream-admission.js';
 import {StallWatch} from '../../src/forward/stall-watch.js';
+import {type Problem} from '../../src/requests/problem.js';
 import {type SystemWorld} from '../support/system-world.js';
 
 const tickMs = 50;
@@ -159,7 +161,8 @@
 	this.notes.set('gate', gate);
 });
 
-When('a caller that has come back leaves while it waits for the service', async function (this: SystemWorld) {
+/* Lets a caller with 5 of 8 seconds left ask, and gives the way its request ends. */
+const ask = async (world: SystemWorld, hasLeft: boolean): Promise<void> => {
 	const sent: string[] = [];
 	const directory = new TargetDirectory();
 	directory.replace([target], 0, false);
@@ -173,7 +176,7 @@
 		},
 		directory,
 		board,
-		gate: this.notes.get('gate') as ServiceGate,
+		gate: world.notes.get('gate') as ServiceGate,
 		health,
 		budget: new RepeatBudget({
 			ratio: 0.2, slack: 90, windowMs: 10_000, countEntries: () => 1,
@@ -202,10 +205,28 @@
 	});
 	exchange.route = route;
 	exchange.deadline = 5000;
-	const end = dispatcher.run(exchange);
-	exchange.departure.abort();
-	await end;
-	this.notes.set('sent', sent);
+	if (hasLeft) {
+		exchange.departure.abort();
+	}
+
+	world.notes.set('result', await dispatcher.run(exchange));
+	world.notes.set('sent', sent);
+};
+
+When('a caller that has come back leaves before its request is sent', async function (this: SystemWorld) {
+	await ask(this, true);
+});
+
+When('a caller that has come back asks', async function (this: SystemWorld) {
+	await ask(this, false);
+});
+
+Then('it is told at once that its request did not run, and when to come back', function (this: SystemWorld) {
+	const result = this.notes.get('result') as Result<void, Problem>;
+	const {options} = result._unsafeUnwrapErr();
+	assert.equal(options.status, 503);
+	assert.equal(options.outcome, 'not-run');
+	assert.ok(options.retryAfterMs! > 0);
 });
 
 Then('its request is sent to no target', function (this: SystemWorld) {
--- a/src/balance/service-gate.ts
+++ b/src/balance/service-gate.ts
@@ -1,4 +1,4 @@
-type Outage = {readonly since: number; nextProbeAt: number; readonly waiting: Set<() => void>};
+type Outage = {readonly since: number; nextProbeAt: number};
 
 /** Time between two requests that are let through to see whether a service that is down runs again, milliseconds. */
 const probeMs = 300;
@@ -15,7 +15,7 @@
 	/** Notes that a service does not run, and how that is known. */
 	close(service: string, now: number, cause: string): void {
 		if (!this.outages.has(service)) {
-			this.outages.set(service, {since: now, nextProbeAt: now + probeMs, waiting: new Set()});
+			this.outages.set(service, {since: now, nextProbeAt: now + probeMs});
 			this.log(`service ${service} is down: ${cause}`);
 		}
 	}
@@ -29,36 +29,6 @@
 
 		this.outages.delete(service);
 		this.log(`service ${service} runs again after ${Math.round(now - outage.since)} ms`);
-		for (const wake of outage.waiting) {
-			wake();
-		}
-	}
-
-	/** How long the service has been down, milliseconds; 0 while it is not. */
-	getAge(service: string, now: number): number {
-		const outage = this.outages.get(service);
-		return outage ? now - outage.since : 0;
-	}
-
-	/** Waits until the service runs again, at most for `waitMs` milliseconds or until the signal. */
-	async waitOpen(service: string, waitMs: number, signal: AbortSignal): Promise<void> {
-		const outage = this.outages.get(service);
-		if (!outage) {
-			return;
-		}
-
-		await new Promise<void>(resolve => {
-			const wake = (): void => {
-				clearTimeout(timer);
-				outage.waiting.delete(wake);
-				signal.removeEventListener('abort', wake);
-				resolve();
-			};
-
-			const timer = setTimeout(wake, waitMs);
-			outage.waiting.add(wake);
-			signal.addEventListener('abort', wake, {once: true});
-		});
 	}
 
 	/** Notes that the request let through told nothing of the service, so that the next may take its place. */
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -56,14 +56,6 @@
 const overloadSpread = 0.6;
 /** Those that met an outage come back as late as they would; a little apart. */
 const outageSpread = 0.1;
-/** A caller that has less than this share of a route's time left has been here before. */
-const comeBackShare = 0.8;
-/**
- * An outage that has lasted for so long is waited out, milliseconds, for this time: with a zone cut off one lasted 5.7 to
- * 6.8 s from its notice on the users' days, and callers leave 2 s after they ask.
- */
-const oldOutageMs = 4800;
-const outageWaitMs = 1800;
 /** First status of the failures that another target may not give. */
 const serverError = 500;
 
@@ -79,7 +71,6 @@
 		const progress: SendProgress = {
 			delivery: new StreamDelivery(exchange), excluded: new Set(), sent: 0, misdirected: 0, tries: 0, isUnrun: true, reason: 'no target is registered', failure: undefined, isExpired: false,
 		};
-		await this.waitOutOutage(exchange);
 		for (;;) {
 			const target = this.choose(exchange, progress);
 			if ('detail' in target) {
@@ -94,21 +85,6 @@
 		}
 	}
 
-	/*
-	 * A caller that has come back as told, and does so once, is lost if it is refused again: it waits while an outage
-	 * that has lasted for long may end, for as long as callers wait for a first event.
-	 */
-	private async waitOutOutage(exchange: ForwardExchange): Promise<void> {
-		const {gate, clock} = this.options;
-		const now = clock();
-		const leftMs = exchange.deadline - now;
-		const hasComeBack = leftMs < exchange.route!.timeoutMs * comeBackShare;
-		if (hasComeBack && exchange.route!.kind === 'stream' && gate.getAge(exchange.service, now) > oldOutageMs) {
-			exchange.note('waits for the service\'s group');
-			await gate.waitOpen(exchange.service, Math.min(outageWaitMs, leftMs), exchange.departure.signal);
-		}
-	}
-
 	private choose(exchange: ForwardExchange, progress: SendProgress): Target | Refusal {
 		const {directory, board, gate, health, availabilityZone, clock, random} = this.options;
 		const now = clock();
