Take out what the ablation shows to be worth nothing in the planner

Ruled out: taking out the forgetting or the horizon, which carry the gain. Change: the learned lead, the replacement and its measure of skew go; plans each 200 ms as before. 'wardswitch lab' shows each part of admission taken out.

--- a/src/cli/commands/lab.ts
+++ b/src/cli/commands/lab.ts
@@ -16,7 +16,7 @@
 export class Lab extends Command {
 	static override paths = [['lab']];
 	static override usage = Command.Usage({
-		description: 'play callers of streams against a model of a group, with and without admission by pauses, on the same seeds',
+		description: 'play callers of streams against a model of a group, on the same seeds, by the decisions of an entry, by those with a part taken out, and by none',
 		examples: [['Twenty seeds of the example', 'wardswitch lab examples/lab.toml --seeds 20']],
 	});
 
@@ -67,7 +67,7 @@
 		const {policy, asked, onTime, late, refused, worth} = row;
 		this.context.stdout.write(this.isJson
 			? `${JSON.stringify(row)}\n`
-			: `${policy.padEnd(8)} worth ${worth.toFixed(3)}  on time ${Math.round(onTime)}, late ${Math.round(late)}, refused ${Math.round(refused)} of ${Math.round(asked)}\n`);
+			: `${policy.padEnd(14)} worth ${worth.toFixed(3)}  on time ${Math.round(onTime)}, late ${Math.round(late)}, refused ${Math.round(refused)} of ${Math.round(asked)}\n`);
 	}
 }
 
--- a/src/expert-balance/group-controller.ts
+++ b/src/expert-balance/group-controller.ts
@@ -4,7 +4,6 @@
 import {type BalanceSettings} from './balance-settings.js';
 import {decideOrders} from './decide-orders.js';
 import {LoadMeter} from './load-meter.js';
-import {measureSkew} from './measure-skew.js';
 import {planGroupMap} from './plan-group-map.js';
 import {type RankEngine} from './rank-engine.js';
 import {type RankOrder} from './rank-order.js';
@@ -56,11 +55,6 @@
 const prepareMs = 3000;
 /** A hold that is not seen after this time is asked of another rank, milliseconds. */
 const holdMs = 300;
-/**
- * A map that is being prepared gives way to one that is better by so many times the least gain: what was copied for it
- * is lost.
- */
-const replaceFactor = 2;
 /** Versions of one term: a planner does not change a map more often. */
 const versionsPerTerm = 100_000;
 
@@ -148,8 +142,7 @@
 			this.drop('it was not prepared in time');
 		}
 
-		const mayPlan = decision.phase === 'rest' || decision.phase === 'prepare';
-		if (mayPlan && now >= this.nextPlanAt) {
+		if (decision.phase === 'rest' && now >= this.nextPlanAt) {
 			this.nextPlanAt = now + this.options.settings.intervalMs;
 			this.plan(reports, now);
 		}
@@ -186,14 +179,13 @@
 		}
 
 		const {leastGain, leastRelief, horizonMs} = this.options.settings;
-		const paces = reports.map(({pace}) => pace);
 		const plan = planGroupMap({
 			map,
 			loads,
 			slots: shape.slots,
 			maximumNew: shape.maximumNew,
 			leastRelief,
-			paces,
+			paces: reports.map(({pace}) => pace),
 			copyMs: this.pace.getCopyMs(),
 			switchMs: this.pace.getSwitchMs(),
 			horizonMs,
@@ -202,15 +194,6 @@
 			return;
 		}
 
-		if (this.proposal) {
-			const pending = measureSkew(this.proposal.map, loads, paces);
-			if (pending - plan.skewAfter < leastGain * replaceFactor) {
-				return;
-			}
-
-			this.drop(`demand has moved on, skew with it ${pending.toFixed(2)}`);
-		}
-
 		this.changes++;
 		this.proposal = {
 			version: (this.options.term * versionsPerTerm) + this.changes, epoch: this.roster.epoch, map: plan.map, since: now, mostCopies: plan.mostCopies,
@@ -279,14 +262,10 @@
 		}
 	}
 
-	private noteTimes(phase: Phase, now: number): void {
+	private noteLoaded(phase: Phase, now: number): void {
 		if (this.phase === 'prepare' && phase === 'hold' && this.proposal) {
 			this.pace.noteCopies(this.proposal.mostCopies, now - this.phaseSince);
 		}
-
-		if (phase === 'release' && this.hasArmed) {
-			this.pace.noteArming(now - this.heldAt);
-		}
 	}
 
 	private notePhase(phase: Phase, now: number): void {
@@ -298,7 +277,7 @@
 			this.options.log(`group ${this.options.group}: map ${this.proposal.version} in force after ${Math.round(now - this.proposal.since)} ms`);
 			this.proposal = undefined;
 		} else if (phase !== 'rest') {
-			this.noteTimes(phase, now);
+			this.noteLoaded(phase, now);
 			this.options.log(`group ${this.options.group}: ${this.phase} to ${phase} after ${Math.round(now - this.phaseSince)} ms`);
 		}
 
--- a/src/expert-balance/switch-pace.ts
+++ b/src/expert-balance/switch-pace.ts
@@ -1,13 +1,8 @@
 /**
- * Time from the newest report to the switch, milliseconds, at most, and its bounds in passes: the hold must be seen and
- * every rank armed before the group gets there, or all streams pause. That takes 60 to 150 ms, as a rule, and is learned:
- * twice as long, and the way of the release to its rank. What the lead is too long, the old map lasts.
+ * Time from the newest report to the switch, milliseconds, and its bounds in passes: the hold must be seen and every
+ * rank armed before the group gets there, or all streams pause. That takes 60 to 150 ms.
  */
-const mostLeadMs = 350;
-const releaseMs = 50;
-const leadFactor = 2;
-/** Weight of the newest time from hold to release, if shorter than before; a longer one counts at once. */
-const newestArmingWeight = 0.2;
+const leadMs = 350;
 const leastLeadSteps = 3;
 const mostLeadSteps = 60;
 /** What is added to the lead if every order stays unanswered, milliseconds: each is given again until it is taken. */
@@ -28,7 +23,6 @@
 export class SwitchPace {
 	private stepMs = usualStepMs;
 	private copyMs = usualCopyMs;
-	private armingMs = mostLeadMs;
 	private unansweredShare = 0;
 
 	/** Notes that `steps` passes began within `ms` milliseconds. */
@@ -48,11 +42,6 @@
 		}
 	}
 
-	/** Notes the time from the order to hold the group to that to release it. */
-	noteArming(ms: number): void {
-		this.armingMs = ms > this.armingMs ? ms : this.armingMs + ((ms - this.armingMs) * newestArmingWeight);
-	}
-
 	/** Time that a rank takes to load one copy, milliseconds. */
 	getCopyMs(): number {
 		return this.copyMs;
@@ -69,6 +58,6 @@
 	}
 
 	private getLeadMs(): number {
-		return Math.min(mostLeadMs, releaseMs + (leadFactor * this.armingMs)) + (lossLeadMs * this.unansweredShare);
+		return leadMs + (lossLeadMs * this.unansweredShare);
 	}
 }
--- a/src/model/policies.ts
+++ b/src/model/policies.ts
@@ -12,11 +12,22 @@
 	readonly isReturn: boolean;
 }) => boolean;
 
-/** What the model compares, by name: the entry's own decision, and none. */
-export const policies: Readonly<Record<'pauses' | 'none', Policy>> = {
-	pauses: ({forecast, scenario: {pace, targetGapMs, targets}, inFlight, isReturn}) =>
-		admitStream({
-			forecast, pace, targetGapMs, inFlight, targets, isLate: isReturn,
-		}).kind === 'admitted',
+/** Share of the longest pause that the usual one may take where spikes are not reckoned with. */
+const usualShare = 0.65;
+
+const admit = ({forecast, scenario: {pace, targetGapMs, targets}, inFlight}: Parameters<Policy>[0], isLate: boolean): boolean => admitStream({
+	forecast, pace, targetGapMs, inFlight, targets, isLate,
+}).kind === 'admitted';
+
+/** What the model compares, by name: the entry's own decision, the same with a part taken out, and none. */
+export const policies: Readonly<Record<'pauses' | 'no room kept' | 'usual pace' | 'none', Policy>> = {
+	/** As entries decide. */
+	pauses: situation => admit(situation, situation.isReturn),
+	/** No room kept for callers who can still be on time. */
+	'no room kept': situation => admit(situation, false),
+	/** By the usual pace alone, spikes not reckoned with. */
+	'usual pace': ({forecast, scenario: {pace, targetGapMs, targets}, inFlight}) =>
+		inFlight < targets * (forecast.getMostLoad(usualShare * targetGapMs, pace) ?? Number.POSITIVE_INFINITY),
+	/** Everybody, as far as targets have slots. */
 	none: () => true,
 };
