--- a/features/admission.feature
+++ b/features/admission.feature
@@ -37,6 +37,18 @@
     Given passes of 60 ms with 3 requests at each target
     Then a caller who has just asked is admitted where one who comes back is not
 
+  Scenario Outline: An entry counts what all entries have in flight, and refuses only streams with a promise on pauses: <what>
+    Given an entry that has seen pauses of 60 ms, with 3 streams at each of 12 targets
+    And a peer with <peer> more at each target
+    Then asking for "<what>" is "<answer>"
+
+    Examples:
+      | what                               | peer | answer   |
+      | a stream                           | 0    | admitted |
+      | a stream                           | 4    | refused  |
+      | a stream without promise on pauses | 4    | admitted |
+      | a request in one piece             | 4    | admitted |
+
   Scenario: Before any stream was seen, none is refused
     Then a forecast without observations admits a stream with 1000 under way
 
--- a/features/steps/admission-steps.ts
+++ b/features/steps/admission-steps.ts
@@ -6,8 +6,13 @@
 import path from 'node:path';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {parse} from 'smol-toml';
+import {LoadBoard} from '../../src/balance/load-board.js';
 import {admitStream} from '../../src/decisions/admit-stream.js';
 import {PauseForecast} from '../../src/decisions/pause-forecast.js';
+import {type Route} from '../../src/fleet/route.js';
+import {TargetDirectory} from '../../src/fleet/target-directory.js';
+import {Target} from '../../src/fleet/target.js';
+import {StreamAdmission} from '../../src/forward/stream-admission.js';
 import {type LoadResult} from '../../src/model/load-result.js';
 import {LoadScenario} from '../../src/model/load-scenario.js';
 import {playLoad} from '../../src/model/play-load.js';
@@ -121,3 +126,58 @@
 	const mostLate = loads.filter(inFlight => admit(inFlight, true) === 'admitted').length;
 	assert.ok(mostLate < most && mostLate >= most * 0.85, `${mostLate} and ${most}`);
 });
+
+const route: Route = {
+	name: 'draft',
+	host: 'desk.example',
+	prefix: '/',
+	kind: 'stream',
+	timeoutMs: 8000,
+	targetLatencyMs: 500,
+	targetGapMs,
+	destinations: [{service: 'desk', weight: 1}],
+	maximumAttempts: 2,
+	isPublic: false,
+	isResumable: true,
+};
+
+
+const routes: Readonly<Record<string, Route>> = {
+	'a stream': route,
+	'a stream without promise on pauses': {...route, targetGapMs: undefined},
+	'a request in one piece': {...route, kind: 'idempotent'},
+};
+
+Given('an entry that has seen pauses of {int} ms, with {int} streams at each of {int} targets', function (this: SystemWorld, gapMs: number, streams: number, targets: number) {
+	const board = new LoadBoard();
+	const directory = new TargetDirectory();
+	const list = Array.from({length: targets}, (_target, index) => Target.parse({
+		id: `t${index}`, service: 'desk', address: '10.0.0.1', port: 1000 + index, availabilityZone: 'a', slots: 8, isLeaving: false,
+	}));
+	directory.replace(list, 0, false);
+	for (const {id} of list) {
+		for (let stream = 0; stream < streams; stream++) {
+			board.begin(id, 0);
+		}
+	}
+
+	const admission = new StreamAdmission({board, directory, getService: name => ({name, maximumConnections: 100, pace})});
+	for (let now = 0; now < 2000; now += gapMs) {
+		admission.noteGap('desk', gapMs);
+		admission.tick(now);
+	}
+
+	this.notes.set('entry', {board, admission, list});
+});
+
+Given('a peer with {int} more at each target', function (this: SystemWorld, streams: number) {
+	const {board, list} = this.notes.get('entry') as {board: LoadBoard; list: readonly Target[]};
+	board.hear('peer', Object.fromEntries(list.map(({id}) => [id, streams])), 2000);
+});
+
+Then('asking for {string} is {string}', function (this: SystemWorld, what: string, answer: string) {
+	const {admission} = this.notes.get('entry') as {admission: StreamAdmission};
+	const reason = admission.refuse('desk', routes[what], 8000, 2000);
+	assert.equal(reason === undefined ? 'admitted' : 'refused', answer, reason);
+	assert.ok(reason === undefined || reason.includes('84 streams under way'), reason);
+});
