--- a/features/steps/admission-steps.ts
+++ b/features/steps/admission-steps.ts
@@ -141,7 +141,6 @@
 	isResumable: true,
 };
 
-
 const routes: Readonly<Record<string, Route>> = {
 	'a stream': route,
 	'a stream without promise on pauses': {...route, targetGapMs: undefined},
