Log how late reports are when a planner decides on them, and which step a refused order named

Cause: logs tell neither whether reports wait in a queue before the planner decides on them, nor what a refused hold asked for. Change: a planner's sign of life carries when it was sent, and comes back with reports; each phase of a switch logs the longest way there and back. A refused order is logged with its step and the engine's. No decision uses either. Ruled out: the time of day, which differs between VMs.

--- a/src/expert-balance/group-controller.ts
+++ b/src/expert-balance/group-controller.ts
@@ -94,7 +94,7 @@
 		const {report, counts, term} = message;
 		this.isOver ||= term > this.options.term;
 		if (term < this.options.term) {
-			this.options.send(report.rank, {type: 'rank-term', term: this.options.term});
+			this.options.send(report.rank, {type: 'rank-term', term: this.options.term, sentAt: now});
 		}
 
 		if (this.roster.hear(message, now)) {
@@ -232,16 +232,16 @@
 		if (order.type === 'hold') {
 			this.hasArmed = false;
 			this.heldAt = now;
-			this.callAll();
+			this.callAll(now);
 		}
 
 		this.hasArmed ||= order.type === 'arm';
 	}
 
 	/* Every rank reports at once, so that the wait for their word is short. */
-	private callAll(): void {
+	private callAll(now: number): void {
 		for (const rank of this.roster.listRanks()) {
-			this.options.send(rank, {type: 'rank-term', term: this.options.term});
+			this.options.send(rank, {type: 'rank-term', term: this.options.term, sentAt: now});
 		}
 	}
 
@@ -278,7 +278,8 @@
 			this.proposal = undefined;
 		} else if (phase !== 'rest') {
 			this.noteLoaded(phase, now);
-			this.options.log(`group ${this.options.group}: ${this.phase} to ${phase} after ${Math.round(now - this.phaseSince)} ms`);
+			const lateMs = Math.round(this.roster.getLongestWay());
+			this.options.log(`group ${this.options.group}: ${this.phase} to ${phase} after ${Math.round(now - this.phaseSince)} ms, reports up to ${lateMs} ms late`);
 		}
 
 		this.phase = phase;
--- a/src/expert-balance/planner-desk.ts
+++ b/src/expert-balance/planner-desk.ts
@@ -115,9 +115,9 @@
 	}
 
 	private sign(term: number): void {
-		this.options.deliverOwn({type: 'rank-term', term});
+		this.options.deliverOwn({type: 'rank-term', term, sentAt: this.options.clock()});
 		for (const connection of this.connections.values()) {
-			connection.send({type: 'rank-term', term});
+			connection.send({type: 'rank-term', term, sentAt: this.options.clock()});
 		}
 
 		if (!this.service?.experts) {
--- a/src/expert-balance/rank-member.ts
+++ b/src/expert-balance/rank-member.ts
@@ -35,6 +35,8 @@
 	private nextCountAt = 0;
 	private orderedAt = Number.NEGATIVE_INFINITY;
 	private placement: RankPlacement | undefined;
+	/** The planner's last sign of life, and when it came in. */
+	private sign: {readonly sentAt: number; readonly heardAt: number} | undefined;
 	private isAway = false;
 	private queue: Promise<void> = Promise.resolve();
 	private isBusy = false;
@@ -55,6 +57,7 @@
 		switch (message.type) {
 			case 'rank-term': {
 				this.hearTerm(message.term);
+				this.sign = {sentAt: message.sentAt, heardAt: this.options.clock()};
 				this.nextReportAt = 0;
 				break;
 			}
@@ -98,7 +101,8 @@
 		this.nextReportAt = Math.min(this.nextReportAt, this.orderedAt + switchMs);
 		const outcome = await this.options.engine.order(order);
 		if (outcome !== 'taken') {
-			this.options.log(`order ${order.type} in epoch ${order.epoch}: ${outcome}`);
+			const target = 'step' in order ? `for step ${order.step}` : `of map ${order.version}`;
+			this.options.log(`order ${order.type} ${target} in epoch ${order.epoch}: ${outcome}; step ${this.report?.step ?? -1} at the last report`);
 		}
 
 		this.options.send({
@@ -123,7 +127,13 @@
 			}
 
 			send({
-				type: 'rank-status', term, engineAddress, report, counts, placement: wantsCounts ? this.placement : undefined,
+				type: 'rank-status',
+				term,
+				engineAddress,
+				sign: this.sign && {sentAt: this.sign.sentAt, agoMs: clock() - this.sign.heardAt},
+				report,
+				counts,
+				placement: wantsCounts ? this.placement : undefined,
 			});
 			this.isAway = false;
 		} catch (error) {
--- a/src/expert-balance/rank-roster.ts
+++ b/src/expert-balance/rank-roster.ts
@@ -26,6 +26,8 @@
 	term: number;
 	engineAddress: string;
 	placement: RankPlacement | undefined;
+	/** How long a sign of life and the report took to the rank's process and back, milliseconds. */
+	wayMs: number;
 };
 
 /** A report older than this is not decided on, milliseconds; in a switch ranks report every 40. */
@@ -53,10 +55,12 @@
 	constructor(private readonly options: RosterOptions) {}
 
 	/** Takes a rank's report; gives whether it begins another epoch. */
-	hear({report, placement, term, engineAddress}: MessageOf<'rank-status'>, now: number): boolean {
+	hear({report, placement, term, engineAddress, sign}: MessageOf<'rank-status'>, now: number): boolean {
 		const known = this.members.get(report.rank);
+		// Under another term the sign was another planner's, by another clock.
+		const wayMs = sign && term === this.options.term ? now - sign.sentAt - sign.agoMs : 0;
 		this.members.set(report.rank, {
-			report, heardAt: now, processHeardAt: now, term, engineAddress, placement: placement ?? known?.placement,
+			report, heardAt: now, processHeardAt: now, term, engineAddress, placement: placement ?? known?.placement, wayMs,
 		});
 		const isNewEpoch = report.epoch > this.epoch;
 		if (isNewEpoch) {
@@ -91,6 +95,11 @@
 		return this.listCurrent().every(({processHeardAt}) => processHeardAt > moment);
 	}
 
+	/** Longest time that the last sign of life and report took to a rank and back, milliseconds. */
+	getLongestWay(): number {
+		return Math.max(0, ...this.listCurrent().map(({wayMs}) => wayMs));
+	}
+
 	/** Whether the process beside a rank is taken for lost. */
 	isLost(rank: number, now: number): boolean {
 		return now - (this.members.get(rank)?.processHeardAt ?? 0) > lostMs;
@@ -179,6 +188,7 @@
 			term: this.options.term,
 			engineAddress,
 			placement: known?.placement,
+			wayMs: known?.wayMs ?? 0,
 		});
 	}
 
--- a/src/link/link-message.ts
+++ b/src/link/link-message.ts
@@ -184,6 +184,8 @@
 		term: z.int().min(0),
 		/** Where the rank's engine takes orders, for a planner that has lost the process beside it. */
 		engineAddress: z.string(),
+		/** The planner's last sign of life: when it was sent, by the planner's clock, and how long ago it came in, milliseconds. */
+		sign: z.object({sentAt: z.number(), agoMs: z.number().min(0)}).optional(),
 		report: RankReport,
 		counts: ExpertCounts.optional(),
 		/** Experts that the rank holds by layer, with the version of the map that says so. */
@@ -197,7 +199,12 @@
 		order: RankOrder,
 	}),
 	z.object({type: z.literal('engine-outcome'), number: z.int().min(0), outcome: RankOutcome}),
-	z.object({type: z.literal('rank-term'), term: z.int().min(0)}),
+	z.object({
+		type: z.literal('rank-term'),
+		term: z.int().min(0),
+		/** By the planner's own clock, milliseconds; it is sent back with reports. */
+		sentAt: z.number(),
+	}),
 	z.object({
 		type: z.literal('rank-order'),
 		term: z.int().min(0),
