Give each group of ranks an office and a planner of its own

Cause: one process in office planned for all groups of a service. Ranks reckon how often they send counts from their own group, so that three groups filled the planner's link; reports and orders queued behind them, holds named steps that had begun, and an answer to an order was handed to the controllers of all groups, which dropped each other's maps. Class: a bound for one group, and a name (a rank's number) within one group, used for what several groups share. Ruled out: reading counts of three groups less often, which makes maps later the more groups there are. Change: the office's key holds the group; a process follows the office of its own rank's group, leaves it when the platform puts the rank into another, and passes on no order that names another group; answers to orders name theirs.

--- a/src/expert-balance/group-controller.ts
+++ b/src/expert-balance/group-controller.ts
@@ -220,7 +220,7 @@
 		}
 
 		const isSent = this.options.send(rank, {
-			type: 'rank-order', term: this.options.term, number: this.numbers, order,
+			type: 'rank-order', group: this.options.group, term: this.options.term, number: this.numbers, order,
 		});
 		const isOutOfReach = !isSent || this.roster.isLost(rank, now);
 		if (isOutOfReach && order.type !== 'prepare' && order.type !== 'hold') {
--- a/src/expert-balance/planner-desk.ts
+++ b/src/expert-balance/planner-desk.ts
@@ -26,17 +26,20 @@
 const gatherMs = 10;
 /** Time between two signs of life to each rank, milliseconds. */
 const signMs = 1000;
+/** A planner's term of office for one group. */
+type Term = {readonly term: number; readonly group: string};
+
 /** Stands for the member in this process among the links. */
 const own = 'own';
 
-/** The work of the planner in office: hears ranks over their links, and lets a controller plan for each group. */
+/** The work of a group's planner in office: hears the ranks over their links, and lets a controller plan for them. */
 export class PlannerDesk {
-	private term: number | undefined;
+	private office: Term | undefined;
+	private controller: GroupController | undefined;
 	private service: Service | undefined;
-	private readonly controllers = new Map<string, GroupController>();
 	private readonly connections = new Map<string, LinkConnection>();
-	/** Link of each rank, by group and rank. */
-	private readonly links = new Map<string, string>();
+	/** Link of each rank of the group. */
+	private readonly links = new Map<number, string>();
 	private timer: NodeJS.Timeout | undefined;
 	private signAt = 0;
 	private accepted = 0;
@@ -62,21 +65,22 @@
 	/**
 	 * Works for a term of office, gives signs of life and orders.
 	 *
-	 * @param term - this process's term; undefined while it is not in office
+	 * @param office - this process's term, and the group it is for; undefined while it is not in office
 	 */
-	tick(term: number | undefined, now: number): void {
-		if (term !== this.term) {
-			this.term = term;
-			this.controllers.clear();
+	tick(office: Term | undefined, now: number): void {
+		if (office?.term !== this.office?.term) {
+			this.office = office;
+			this.links.clear();
+			this.controller = office && this.createController(office);
 		}
 
-		if (term === undefined) {
+		if (office === undefined) {
 			return;
 		}
 
 		if (now >= this.signAt) {
 			this.signAt = now + signMs;
-			this.sign(term);
+			this.sign(office.term);
 		}
 
 		this.control();
@@ -87,19 +91,16 @@
 	}
 
 	private receive(message: LinkMessage, name: string): void {
-		if (this.term === undefined) {
+		if (!this.office || !this.controller) {
 			return;
 		}
 
-		if (message.type === 'rank-status') {
-			const {group, rank} = message.report;
-			this.links.set(`${group}/${rank}`, name);
-			this.getController(group, this.term).hear(message, this.options.clock());
-		} else if (message.type === 'rank-outcome') {
+		if (message.type === 'rank-status' && message.report.group === this.office.group) {
+			this.links.set(message.report.rank, name);
+			this.controller.hear(message, this.options.clock());
+		} else if (message.type === 'rank-outcome' && message.group === this.office.group) {
 			this.options.onOutcome(message.outcome);
-			for (const controller of this.controllers.values()) {
-				controller.hearOutcome(message);
-			}
+			this.controller.hearOutcome(message);
 		}
 
 		this.timer ??= setTimeout(() => {
@@ -109,9 +110,7 @@
 	}
 
 	private control(): void {
-		for (const controller of this.controllers.values()) {
-			void controller.tick(this.options.clock());
-		}
+		void this.controller?.tick(this.options.clock());
 	}
 
 	private sign(term: number): void {
@@ -129,25 +128,18 @@
 		this.service = await this.options.readService() ?? this.service;
 	}
 
-	private getController(group: string, term: number): GroupController {
-		const known = this.controllers.get(group);
-		if (known) {
-			return known;
-		}
-
-		const controller = new GroupController({
+	private createController({term, group}: Term): GroupController {
+		return new GroupController({
 			...this.options,
 			group,
 			term,
 			getShape: () => this.service?.experts,
-			send: (rank, message) => this.sendTo(group, rank, message),
+			send: (rank, message) => this.sendTo(rank, message),
 		});
-		this.controllers.set(group, controller);
-		return controller;
 	}
 
-	private sendTo(group: string, rank: number, message: LinkMessage): boolean {
-		const name = this.links.get(`${group}/${rank}`);
+	private sendTo(rank: number, message: LinkMessage): boolean {
+		const name = this.links.get(rank);
 		if (name === own) {
 			this.options.deliverOwn(message);
 			return true;
--- a/src/expert-balance/rank-member.ts
+++ b/src/expert-balance/rank-member.ts
@@ -90,7 +90,12 @@
 		this.isBusy = false;
 	}
 
-	private async passOn({term, number, order}: MessageOf<'rank-order'>): Promise<void> {
+	private async passOn({group, term, number, order}: MessageOf<'rank-order'>): Promise<void> {
+		if (group !== this.report?.group) {
+			this.options.log(`order ${order.type} for group ${group} not passed on: the rank is in ${this.report?.group ?? 'none that is known'}`);
+			return;
+		}
+
 		this.hearTerm(term);
 		if (term < this.highestTerm) {
 			this.options.log(`order ${order.type} of term ${term} not passed on: term ${this.highestTerm} is in office`);
@@ -106,7 +111,7 @@
 		}
 
 		this.options.send({
-			type: 'rank-outcome', number, rank: this.report?.rank ?? 0, outcome,
+			type: 'rank-outcome', group, number, rank: this.report.rank, outcome,
 		});
 		await this.tell(false);
 	}
@@ -148,6 +153,11 @@
 	private noteReport(report: RankReport): void {
 		const isWaiting = report.heldStep !== undefined && report.step >= report.heldStep - 1;
 		this.heldSince = isWaiting ? (this.heldSince ?? this.options.clock()) : undefined;
+		if (this.report && this.report.group !== report.group) {
+			// Terms of another group's planners say nothing of this one's, whose orders name it.
+			this.highestTerm = 0;
+		}
+
 		this.report = report;
 	}
 }
--- a/src/expert-balance/rank-process.ts
+++ b/src/expert-balance/rank-process.ts
@@ -4,6 +4,7 @@
 import {type LinkConnection} from '../link/link-connection.js';
 import {StoreView} from '../view/store-view.js';
 import {type BalanceSettings} from './balance-settings.js';
+import {getOfficeKey} from './get-office-key.js';
 import {OrderProxy} from './order-proxy.js';
 import {PlannerDesk} from './planner-desk.js';
 import {PlannerElection} from './planner-election.js';
@@ -35,7 +36,6 @@
 	readonly log: (message: string) => void;
 };
 
-const planners = 'wardswitch/planners/';
 const entries = 'wardswitch/entries/';
 /** Time between two looks at the office and the links, milliseconds. */
 const tickMs = 100;
@@ -50,12 +50,14 @@
 /** Stands for an office of which nothing is known yet: it is not sought. */
 const unknownOffice = {key: '', value: '', revision: 0};
 
+/** What this process knows of the office of its rank's group, and its own part in it. */
+type Office = {readonly group: string; readonly key: string; readonly view: StoreView; readonly election: PlannerElection};
+
 /** The tasks of the process beside one rank's engine, whatever their links run over. */
 export class RankProcess {
 	readonly member: RankMember;
-	private readonly key: string;
-	private readonly view: StoreView;
-	private readonly election: PlannerElection;
+	/** Undefined until the engine has told its group. */
+	private office: Office | undefined;
 	private readonly planner: PlannerLink;
 	private readonly proxy: OrderProxy;
 	private readonly desk: PlannerDesk;
@@ -63,9 +65,6 @@
 	private timer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly options: ProcessOptions) {
-		this.key = `${planners}${options.service}`;
-		this.view = this.createView();
-		this.election = new PlannerElection({...options, key: this.key, address: options.ownAddress});
 		this.member = this.createMember();
 		this.planner = this.createPlannerLink();
 		this.proxy = new OrderProxy({...options, listEntries: async () => this.listEntries()});
@@ -74,7 +73,7 @@
 
 	/** Whether this process is in office. */
 	get isInOffice(): boolean {
-		return this.election.term !== undefined;
+		return this.office?.election.term !== undefined;
 	}
 
 	/** Takes a link that another process has opened. */
@@ -84,7 +83,6 @@
 
 	/** Begins to report, to follow the office and to seek it when it is empty. */
 	start(): void {
-		void this.view.run();
 		this.timer = setInterval(() => {
 			this.tick();
 		}, tickMs);
@@ -94,25 +92,42 @@
 	close(): void {
 		clearInterval(this.timer);
 		clearTimeout(this.reportTimer);
-		this.view.close();
+		this.office?.view.close();
 		this.planner.close();
 		this.proxy.close();
 		this.desk.close();
 	}
 
-	private createView(): StoreView {
-		return new StoreView({
+	/* A rank that the platform has put into another group leaves the office of the one before: its lease lapses. */
+	private followGroup(): void {
+		const group = this.member.report?.group;
+		if (group === undefined || group === this.office?.group) {
+			return;
+		}
+
+		this.office?.view.close();
+		const key = getOfficeKey(this.options.service, group);
+		const view = this.createView(key);
+		this.office = {
+			group, key, view, election: new PlannerElection({...this.options, key, address: this.options.ownAddress}),
+		};
+		void view.run();
+	}
+
+	private createView(key: string): StoreView {
+		const view: StoreView = new StoreView({
 			...this.options,
-			prefix: this.key,
+			prefix: key,
 			waitMs: viewWaitMs,
 			longestPauseMs,
 			onChange: () => {
-				const known = this.view.get(this.key);
-				if (known) {
+				const known = view.get(key);
+				if (known && this.office?.view === view) {
 					this.member.hearTerm(known.revision);
 				}
 			},
 		});
+		return view;
 	}
 
 	private createMember(): RankMember {
@@ -176,15 +191,23 @@
 
 	private tick(): void {
 		const now = this.options.clock();
-		const {heldSince} = this.member;
-		const isStuck = heldSince !== undefined && now - heldSince > stuckMs;
-		this.planner.follow(this.view.get(this.key)?.value, now);
-		void this.election.tick(now, this.view.isKnown ? this.view.get(this.key) : unknownOffice, isStuck);
-		this.desk.tick(this.election.term, now);
+		this.followGroup();
+		if (this.office) {
+			this.attendOffice(this.office, now);
+		}
+
 		if (this.isInOffice) {
 			void this.proxy.tick(now);
 		} else {
 			this.proxy.close();
 		}
 	}
+
+	private attendOffice({group, key, view, election}: Office, now: number): void {
+		const {heldSince} = this.member;
+		const isStuck = heldSince !== undefined && now - heldSince > stuckMs;
+		this.planner.follow(view.get(key)?.value, now);
+		void election.tick(now, view.isKnown ? view.get(key) : unknownOffice, isStuck);
+		this.desk.tick(election.term === undefined ? undefined : {term: election.term, group}, now);
+	}
 }
--- a/src/link/link-message.ts
+++ b/src/link/link-message.ts
@@ -207,12 +207,14 @@
 	}),
 	z.object({
 		type: z.literal('rank-order'),
+		group: z.string(),
 		term: z.int().min(0),
 		number: z.int().min(0),
 		order: RankOrder,
 	}),
 	z.object({
 		type: z.literal('rank-outcome'),
+		group: z.string(),
 		number: z.int().min(0),
 		rank: z.int().min(0),
 		outcome: RankOutcome,
