Weigh a copy's relief against its own layer

Cause: a copy had to relieve the ranks by a hundredth of their load over all layers. That was found with 3 layers; with 16 it asks for a sixth of a layer's load, and planning stops while experts are uneven. Ruled out: horizon and time of a copy, which are measured while running.

--- a/features/planner-load.feature
+++ b/features/planner-load.feature
@@ -6,6 +6,8 @@
   # How it comes about: the process in office beside one rank plans for every group of its service. How often ranks send
   # their counts is reckoned from one group, so that those of three fill the link of its VM. Reports and orders queue
   # behind them, and what has waited is decided on as if it were new.
+  # What proved it: here reports came up to 540 ms late and groups changed their maps 2 to 4 times; with an office and a
+  # planner for each group 4 and 5 times, and once a copy's relief was weighed against its own layer, 6 and more.
 
   Scenario: Three groups of one service, with a link of 5.6 Mbit/s at each VM, follow demand without standing still
     Given a service of 3 groups of 24 ranks, whose VMs have links of 5.6 Mbit/s
--- a/src/expert-balance/plan-group-map.ts
+++ b/src/expert-balance/plan-group-map.ts
@@ -12,7 +12,7 @@
 	readonly maximumNew: number;
 	/** How many times longer than usual each rank takes. */
 	readonly paces: readonly number[];
-	/** Least relief that a placed copy must bring, as a share of the mean rank load over all layers. */
+	/** Least relief that a placed copy must bring, as a share of the mean rank load of its layer. */
 	readonly leastRelief: number;
 	/** Time that a rank takes to load one copy, and that a switch takes besides, milliseconds. */
 	readonly copyMs: number;
@@ -94,7 +94,7 @@
 	let mostSaved = 0;
 	for (quota.limit = 0; quota.limit <= maximumNew * layers.length; quota.limit++) {
 		for (const layer of layers) {
-			improve(layer, quota, leastRelief * mean);
+			improve(layer, quota, leastRelief * layer.search.meanLoad);
 		}
 
 		const plan = describe(layers, quota, mean);
