Decide on when reports were read, not when they came in

Cause: a report that has queued counted as fresh when it came in, and each newer report made another order to hold the group, which was refused because of the first. Same class elsewhere: age taken at the wrong end of a queue. Change: the way there and back, measured by signs of life, counts as age; the lead of a switch grows with it beyond what it holds already; an order to hold is repeated only after its time.

--- a/src/expert-balance/group-controller.ts
+++ b/src/expert-balance/group-controller.ts
@@ -151,12 +151,12 @@
 	/* The next orders, or none while a rank that may be lost must be heard first. */
 	private decide(reports: readonly RankReport[], now: number): ReturnType<typeof decideOrders> {
 		const decision = decideOrders({
-			reports, proposal: this.proposal, holder: this.chooseHolder(reports.length, now), leadSteps: this.pace.countLeadSteps(),
+			reports, proposal: this.proposal, holder: this.chooseHolder(reports.length, now), leadSteps: this.pace.countLeadSteps(this.roster.getLongestWay()),
 		});
 		const isPrompt = this.roster.areHeardSince(now - promptMs);
 		// A rank that was lost with the hold keeps all held once another is armed: each is heard once more before that.
 		const isFirstArming = decision.phase === 'arm' && !this.hasArmed && this.proposal !== undefined;
-		const isHeard = !isFirstArming || this.roster.areHeardSince(this.heldAt);
+		const isHeard = !isFirstArming || this.roster.areReadSince(this.heldAt);
 		const mustWait = (decision.phase === 'hold' && !isPrompt) || !isHeard;
 		return mustWait ? {phase: decision.phase, orders: []} : decision;
 	}
@@ -203,7 +203,8 @@
 	}
 
 	private give(rank: number, order: RankOrder, now: number): void {
-		const key = order.type === 'prepare' ? `prepare ${order.version}` : JSON.stringify(order);
+		// The step of a hold follows the newest report: each would be another order, refused because of the first.
+		const key = order.type === 'prepare' ? `prepare ${order.version}` : (order.type === 'hold' ? 'hold' : JSON.stringify(order));
 		const last = this.sent.get(rank);
 		const waitMs = order.type === 'prepare' ? prepareRepeatMs : repeatMs;
 		if (last?.key === key && now - last.at < waitMs) {
--- a/src/expert-balance/rank-roster.ts
+++ b/src/expert-balance/rank-roster.ts
@@ -19,8 +19,9 @@
 
 type Member = {
 	report: RankReport;
-	/** When the report was read, milliseconds. */
+	/** When the report came in, and the latest moment before which it was read, milliseconds: it may have queued on its way. */
 	heardAt: number;
+	readAt: number;
 	/** When the process beside the rank was heard last; a report may also be read without it. */
 	processHeardAt: number;
 	term: number;
@@ -60,7 +61,7 @@
 		// Under another term the sign was another planner's, by another clock.
 		const wayMs = sign && term === this.options.term ? now - sign.sentAt - sign.agoMs : 0;
 		this.members.set(report.rank, {
-			report, heardAt: now, processHeardAt: now, term, engineAddress, placement: placement ?? known?.placement, wayMs,
+			report, heardAt: now, readAt: now - wayMs, processHeardAt: now, term, engineAddress, placement: placement ?? known?.placement, wayMs,
 		});
 		const isNewEpoch = report.epoch > this.epoch;
 		if (isNewEpoch) {
@@ -84,7 +85,7 @@
 
 	/** The reports of all ranks of an open group, all fresh and of this term; undefined otherwise. */
 	getReports(now: number): RankReport[] | undefined {
-		const current = this.listCurrent().filter(({heardAt, term}) => now - heardAt < freshMs && term >= this.options.term);
+		const current = this.listCurrent().filter(({readAt, term}) => now - readAt < freshMs && term >= this.options.term);
 		const size = current.at(0)?.report.size;
 		const isWhole = current.length === size && current.every(({report}) => report.isOpen && report.size === size);
 		return isWhole ? current.map(({report}) => report).toSorted((one, other) => one.rank - other.rank) : undefined;
@@ -95,6 +96,11 @@
 		return this.listCurrent().every(({processHeardAt}) => processHeardAt > moment);
 	}
 
+	/** Whether what the processes beside all ranks said last was read after a moment. */
+	areReadSince(moment: number): boolean {
+		return this.listCurrent().every(({readAt, processHeardAt, wayMs}) => Math.min(readAt, processHeardAt - wayMs) > moment);
+	}
+
 	/** Longest time that the last sign of life and report took to a rank and back, milliseconds. */
 	getLongestWay(): number {
 		return Math.max(0, ...this.listCurrent().map(({wayMs}) => wayMs));
@@ -184,6 +190,7 @@
 		this.members.set(report.rank, {
 			report,
 			heardAt: now,
+			readAt: now,
 			processHeardAt: known?.processHeardAt ?? Number.NEGATIVE_INFINITY,
 			term: this.options.term,
 			engineAddress,
--- a/src/expert-balance/switch-pace.ts
+++ b/src/expert-balance/switch-pace.ts
@@ -7,6 +7,10 @@
 const mostLeadSteps = 60;
 /** What is added to the lead if every order stays unanswered, milliseconds: each is given again until it is taken. */
 const lossLeadMs = 2000;
+/** Ways there and back until every rank is armed: the hold is ordered and seen, every rank is heard once more, and armed. */
+const waysPerSwitch = 2;
+/** What the lead holds for these ways already, milliseconds: arming takes up to 100 besides. */
+const usualWaysMs = 250;
 /** Weight of the newest order in the share that stays unanswered. */
 const newestOrderWeight = 0.04;
 /** Time of a pass before any was seen, milliseconds, and the weight of the newest. */
@@ -52,9 +56,14 @@
 		return orderMs + this.getLeadMs();
 	}
 
-	/** Passes between the newest report and the switch. */
-	countLeadSteps(): number {
-		return Math.min(mostLeadSteps, Math.max(leastLeadSteps, Math.ceil(this.getLeadMs() / this.stepMs)));
+	/**
+	 * Passes between the newest report and the switch.
+	 *
+	 * @param wayMs - longest time that an order and the report after it take to a rank and back, milliseconds
+	 */
+	countLeadSteps(wayMs: number): number {
+		const longWayMs = Math.max(0, (waysPerSwitch * wayMs) - usualWaysMs);
+		return Math.min(mostLeadSteps, Math.max(leastLeadSteps, Math.ceil((this.getLeadMs() + longWayMs) / this.stepMs)));
 	}
 
 	private getLeadMs(): number {
