Take a target that starts again under its id for a new one, and drop registrations that are not whole

Cause: a worker may start again under its id, told by when it was born; one that was known to be gone stayed so for ever, with its connections and failures. Registrations may come from other writers: one whose port was out of range ended the reading of all, one of a service that is not configured took the address of a sound target, fields left out were guessed, and each was logged at every change of the store. Change: a later life replaces the former, an earlier one does not; what was kept for the former is dropped, and counts begin anew; a registration is taken if it is whole, as the platform's pages say, and its service is configured; each problem is logged once. Ruled out: requiring the moment of birth of all, since workers that never start again under their id leave it out.

--- a/features/expert-balance.feature
+++ b/features/expert-balance.feature
@@ -110,6 +110,13 @@
     When expert 1 is chosen for 5 seconds, and then expert 2 for 700 ms
     Then expert 1 has less than a fifth of the load
 
+  Scenario: What an engine counted in a former life is no demand
+    Given a rank whose engine has counted 500 choices of expert 1
+    When the engine starts again and has counted 600 choices of expert 2
+    Then no choice is known of since
+    When it has counted 100 more of expert 2
+    Then only expert 2 has been chosen
+
   Scenario: A group that is formed anew is given a map by what was asked for before
     Given a lock-step group with a planner
     When 5 seconds pass
--- a/features/forward.feature
+++ b/features/forward.feature
@@ -169,6 +169,24 @@
     When target 3 is found to be gone
     Then only targets 1 and 2 are used
 
+  Scenario Outline: A target that starts again under its id is a new one, its registration of before is not: born <before>, <now>
+    Given a target that was born at <before> and is known to be gone
+    When its registration says that it was born at <now>, port 9
+    And a late answer tells again that its former life is gone
+    Then it is <used>
+
+    Examples:
+      | before | now  | used                                                             |
+      | 1000   | 2000 | used at port 9, and what was kept for its former life is dropped |
+      | 1000   | 1000 | not used                                                         |
+      | 2000   | 1000 | not used                                                         |
+
+  Scenario: A registration that names no configured service takes no address away
+    Given an entry before 1 target
+    When a registration of the service "other" appears at the target's address
+    And a caller posts "a block" to "/release/7"
+    Then the caller gets the whole answer to that request
+
   Scenario: A request that runs at most once is sent on after it has met targets that are gone
     Given an entry before 1 target
     And 3 targets that are gone are still registered at its address
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -45,6 +45,33 @@
     Given a store with a ready, a draining and a broken registration
     Then a target and a leaving target are read, and the broken one is named
 
+  Scenario Outline: A registration that another writer has spoilt names no worker, and the others hold: <field> is <value>
+    Given a store with a registration whose <field> is '<value>', beside a sound one
+    Then only the sound one is read, and the other is named
+
+    Examples:
+      | field      | value               |
+      | service    | 7                   |
+      | service    | missing             |
+      | address    | "10.0.0.1:99999"    |
+      | address    | "10.0.1:80"         |
+      | address    | ["10.0.0.1:80"]     |
+      | zone       | missing             |
+      | version    | null                |
+      | slots      | "8"                 |
+      | slots      | 0                   |
+      | state      | "asleep"            |
+      | state      | missing             |
+      | warm-up    | {}                  |
+      | sequence   | 1.5                 |
+      | born       | "1792771280159"     |
+      | born       | 1.5                 |
+      | whole      | not to be read      |
+
+  Scenario: A worker that starts again under its id says so
+    Given a store with a registration whose born is '1792771280159', beside a sound one
+    Then both are read, and one was born at 1792771280159
+
   Scenario: A worker's report becomes a rank's
     Given a worker that reports a held group
     Then the rank's report says so in the product's words
--- a/features/steps/directory-steps.ts
+++ b/features/steps/directory-steps.ts
@@ -56,9 +56,39 @@
 });
 
 When('target 3 is found to be gone', function (this: SystemWorld) {
-	(this.notes.get('directory') as TargetDirectory).drop('target-3');
+	(this.notes.get('directory') as TargetDirectory).drop(makeTarget(3));
 });
 
 Then('only targets {int} and {int} are used', function (this: SystemWorld, one: number, other: number) {
 	assert.deepEqual(listDirectory(this.notes.get('directory') as TargetDirectory), [`target-${one}`, `target-${other}`]);
 });
+
+Given('a target that was born at {int} and is known to be gone', function (this: SystemWorld, bornAt: number) {
+	const directory = new TargetDirectory();
+	const target = {...makeTarget(1), bornAt};
+	directory.replace([target], 0, false);
+	directory.drop(target);
+	this.notes.set('directory', directory);
+	this.notes.set('former life', target);
+});
+
+When('its registration says that it was born at {int}, port {int}', function (this: SystemWorld, bornAt: number, port: number) {
+	const directory = this.notes.get('directory') as TargetDirectory;
+	const {renewed} = directory.replace([{...makeTarget(1), bornAt, port}], 1000, false);
+	this.notes.set('renewed', renewed.map(({id}) => id));
+});
+
+When('a late answer tells again that its former life is gone', function (this: SystemWorld) {
+	(this.notes.get('directory') as TargetDirectory).drop(this.notes.get('former life') as ReturnType<typeof makeTarget>);
+});
+
+Then('it is used at port {int}, and what was kept for its former life is dropped', function (this: SystemWorld, port: number) {
+	const directory = this.notes.get('directory') as TargetDirectory;
+	assert.deepEqual(directory.list('desk').map(target => target.port), [port]);
+	assert.deepEqual(this.notes.get('renewed'), ['target-1']);
+});
+
+Then('it is not used', function (this: SystemWorld) {
+	assert.deepEqual(listDirectory(this.notes.get('directory') as TargetDirectory), []);
+	assert.deepEqual(this.notes.get('renewed'), []);
+});
--- a/features/steps/expert-balance-steps.ts
+++ b/features/steps/expert-balance-steps.ts
@@ -218,3 +218,31 @@
 	const loads = this.notes.get('loads') as number[];
 	assert.ok(Math.min(...loads) >= Math.max(...loads) / 2, String(loads));
 });
+
+const countOne = (bornAt: number, step: number, counts: readonly number[]) => ({
+	step, epoch: 1, bornAt, chosen: [[...counts]],
+});
+
+Given('a rank whose engine has counted {int} choices of expert 1', function (this: SystemWorld, count: number) {
+	const meter = new LoadMeter();
+	meter.take(0, countOne(1000, 1, [count, 0]), 0);
+	this.notes.set('meter', meter);
+});
+
+When('the engine starts again and has counted {int} choices of expert 2', function (this: SystemWorld, count: number) {
+	(this.notes.get('meter') as LoadMeter).take(0, countOne(2000, 1, [0, count]), 200);
+});
+
+Then('no choice is known of since', function (this: SystemWorld) {
+	assert.deepEqual((this.notes.get('meter') as LoadMeter).get(200), []);
+});
+
+When('it has counted {int} more of expert 2', function (this: SystemWorld, count: number) {
+	(this.notes.get('meter') as LoadMeter).take(0, countOne(2000, 2, [0, 600 + count]), 400);
+});
+
+Then('only expert 2 has been chosen', function (this: SystemWorld) {
+	const [loads] = (this.notes.get('meter') as LoadMeter).get(400);
+	assert.equal(loads[0], 0);
+	assert.ok(loads[1] > 0);
+});
--- a/features/steps/forward-store-steps.ts
+++ b/features/steps/forward-store-steps.ts
@@ -94,3 +94,10 @@
 
 	await system.until(() => system.entries.get('entry-1')!.getRevision() >= system.store.lastRevision);
 });
+
+When('a registration of the service {string} appears at the target\'s address', async function (this: SystemWorld, service: string) {
+	const system = getSystem(this);
+	const {target} = getTarget(this, 1);
+	system.store.put('targets/foreign', {...target, id: 'foreign', service});
+	await system.until(() => system.entries.get('entry-1')!.getRevision() >= system.store.lastRevision);
+});
--- a/src/balance/target-health.ts
+++ b/src/balance/target-health.ts
@@ -50,6 +50,11 @@
 		return this.read(target, now).latencyMs;
 	}
 
+	/** Forgets what was seen of a target. */
+	forget(target: string): void {
+		this.records.delete(target);
+	}
+
 	/** Forgets targets that are gone. */
 	prune(isKnown: (target: string) => boolean): void {
 		for (const target of this.records.keys()) {
--- a/src/expert-balance/expert-counts.ts
+++ b/src/expert-balance/expert-counts.ts
@@ -5,6 +5,8 @@
 	/** Step of the group at which the counts were read. */
 	step: z.int(),
 	epoch: z.int(),
+	/** When the engine that counts was started, Unix milliseconds; absent where engines do not tell. */
+	bornAt: z.int().optional(),
 	chosen: z.array(z.array(z.number())),
 });
 type ExpertCounts = z.infer<typeof ExpertCounts>;
--- a/src/expert-balance/load-meter.ts
+++ b/src/expert-balance/load-meter.ts
@@ -55,14 +55,14 @@
 	private fadedAt: number | undefined;
 	private intervalMs = 0;
 
-	/** Takes a rank's counts; those of another epoch begin anew. */
+	/** Takes a rank's counts; those of another epoch, or of an engine that has started again, begin anew. */
 	take(rank: number, counts: ExpertCounts, now: number): void {
 		this.fade(now);
 		const previous = this.last.get(rank);
 		this.last.set(rank, counts);
 		this.intervalMs = Math.min(mostIntervalMs, now - (this.takenAt.get(rank) ?? now));
 		this.takenAt.set(rank, now);
-		if (previous?.epoch !== counts.epoch) {
+		if (previous?.epoch !== counts.epoch || previous.bornAt !== counts.bornAt) {
 			return;
 		}
 
--- a/src/expert-balance/rank-member.ts
+++ b/src/expert-balance/rank-member.ts
@@ -153,6 +153,12 @@
 	private noteReport(report: RankReport): void {
 		const isWaiting = report.heldStep !== undefined && report.step >= report.heldStep - 1;
 		this.heldSince = isWaiting ? (this.heldSince ?? this.options.clock()) : undefined;
+		if (this.report && this.report.bornAt !== report.bornAt) {
+			this.placement = undefined;
+			this.nextCountAt = 0;
+			this.options.log(`engine has started again, born ${report.bornAt}`);
+		}
+
 		if (this.report && this.report.group !== report.group) {
 			// Terms of another group's planners say nothing of this one's, whose orders name it.
 			this.highestTerm = 0;
--- a/src/expert-balance/rank-report.ts
+++ b/src/expert-balance/rank-report.ts
@@ -7,6 +7,8 @@
 	/** Grows each time the group is formed anew; maps and holds do not outlive it. */
 	epoch: z.int(),
 	rank: z.int().min(0),
+	/** When the engine was started, Unix milliseconds: one that starts again knows nothing of before. Absent where engines do not tell. */
+	bornAt: z.int().optional(),
 	/** Ranks of the group. */
 	size: z.int().min(1),
 	/** Whether the group runs. */
--- a/src/expert-balance/rank-roster.ts
+++ b/src/expert-balance/rank-roster.ts
@@ -55,13 +55,15 @@
 
 	constructor(private readonly options: RosterOptions) {}
 
-	/** Takes a rank's report; gives whether it begins another epoch. */
+	/** Takes a rank's report; gives whether it begins another epoch, or another life of the engine. */
 	hear({report, placement, term, engineAddress, sign}: MessageOf<'rank-status'>, now: number): boolean {
 		const known = this.members.get(report.rank);
+		// An engine that has started again holds nothing of what it reported before.
+		const isNewLife = known !== undefined && known.report.bornAt !== report.bornAt;
 		// Under another term the sign was another planner's, by another clock.
 		const wayMs = sign && term === this.options.term ? now - sign.sentAt - sign.agoMs : 0;
 		this.members.set(report.rank, {
-			report, heardAt: now, readAt: now - wayMs, processHeardAt: now, term, engineAddress, placement: placement ?? known?.placement, wayMs,
+			report, heardAt: now, readAt: now - wayMs, processHeardAt: now, term, engineAddress, placement: placement ?? (isNewLife ? undefined : known?.placement), wayMs,
 		});
 		const isNewEpoch = report.epoch > this.epoch;
 		if (isNewEpoch) {
@@ -70,7 +72,7 @@
 		}
 
 		this.noteStep(report, now);
-		return isNewEpoch;
+		return isNewEpoch || isNewLife;
 	}
 
 	/** Ranks that have ever been heard. */
--- a/src/fleet/target-directory.ts
+++ b/src/fleet/target-directory.ts
@@ -10,6 +10,8 @@
  */
 const returnGraceMs = 1700;
 
+const isLaterLife = ({bornAt}: Target, than: Target): boolean => bornAt !== undefined && bornAt > (than.bornAt ?? Number.NEGATIVE_INFINITY);
+
 /** The registered targets of all services. */
 export class TargetDirectory {
 	private readonly entries = new Map<string, Entry>();
@@ -21,14 +23,22 @@
 	 * @param targets - every target registered now, the one written last at the end
 	 * @param now - the present, milliseconds
 	 * @param isStoreBack - whether the store has just returned from an outage, so that lapsed registrations may come back
-	 * @returns targets that may no longer be sent anything
+	 * @returns targets that may no longer be sent anything, and those that have started again under their ids
 	 */
-	replace(targets: readonly Target[], now: number, isStoreBack: boolean): Target[] {
+	replace(targets: readonly Target[], now: number, isStoreBack: boolean): {readonly gone: Target[]; readonly renewed: Target[]} {
 		const registered = new Set(targets.map(({id}) => id));
+		const renewed: Target[] = [];
 		for (const target of targets) {
-			// Ids are never used again: one that is gone stays so, however long its registration lingers.
-			const isGone = this.entries.get(target.id)?.isGone ?? false;
-			this.entries.set(target.id, {target, lostAt: undefined, isGone});
+			const known = this.entries.get(target.id);
+			const isRenewed = known !== undefined && isLaterLife(target, known.target);
+			if (isRenewed) {
+				renewed.push(target);
+			}
+
+			// A life that is gone stays so, however long its registration lingers.
+			const isGone = known !== undefined && known.isGone && !isRenewed;
+			const isFormerLife = known !== undefined && isLaterLife(known.target, target);
+			this.entries.set(target.id, {target: isFormerLife ? known.target : target, lostAt: undefined, isGone});
 		}
 
 		for (const [id, entry] of this.entries) {
@@ -37,13 +47,13 @@
 			}
 		}
 
-		return this.expire(now);
+		return {gone: this.expire(now), renewed};
 	}
 
-	/** Drops a target that is known to be gone, whatever its registration says. */
-	drop(id: string): void {
+	/** Drops a life of a target that is known to be gone, whatever its registration says. */
+	drop({id, bornAt}: Target): void {
 		const entry = this.entries.get(id);
-		if (entry) {
+		if (entry && entry.target.bornAt === bornAt) {
 			entry.isGone = true;
 			this.index();
 		}
--- a/src/fleet/target.ts
+++ b/src/fleet/target.ts
@@ -2,8 +2,9 @@
 
 /** A target as it has registered itself. */
 const Target = z.object({
-	/** Names one start of the target; a restart has another id. */
 	id: z.string().min(1),
+	/** When this life of the target began, Unix milliseconds; it may start again under its id. Absent where targets do not tell. */
+	bornAt: z.int().optional(),
 	service: z.string().min(1),
 	address: z.string().min(1),
 	port: z.int().min(1).max(65_535),
--- a/src/forward/fleet-state.ts
+++ b/src/forward/fleet-state.ts
@@ -1,5 +1,6 @@
 import {RouteTable} from '../fleet/route-table.js';
 import {type TargetDirectory} from '../fleet/target-directory.js';
+import {type Target} from '../fleet/target.js';
 import {type StoreView} from '../view/store-view.js';
 import {type FleetSource} from './fleet-source.js';
 
@@ -11,6 +12,8 @@
 	readonly onTable: (table: RouteTable) => void;
 	/** Told of a target that takes no more requests. */
 	readonly onLeave: (target: string) => void;
+	/** Told of a target that has started again under its id. */
+	readonly onRenew: (target: string) => void;
 };
 
 /** The configuration and the targets in force at this process, as far as its view of the store goes. */
@@ -18,6 +21,8 @@
 	private current: RouteTable | undefined;
 	private leaving = new Set<string>();
 	private problem = '';
+	/** Registrations that cannot be used, so that each is logged once and not at every change of the store. */
+	private refused = new Set<string>();
 
 	constructor(private readonly options: StateOptions) {}
 
@@ -63,16 +68,45 @@
 		}
 	}
 
-	private refreshTargets(now: number): void {
-		const {view, source, directory, log, onLeave} = this.options;
-		const targets = source.readTargets(view, problem => {
-			log(`registration not taken: ${problem}`);
+	/* One that names no service may hold the address of a target that does. */
+	private readTargets(): Target[] {
+		const {view, source, log} = this.options;
+		const refused = new Set<string>();
+		const registered = source.readTargets(view, problem => {
+			refused.add(problem);
+		});
+		const targets = registered.filter(({id, service}) => {
+			const isNamed = !this.current || this.current.findService(service) !== undefined;
+			if (!isNamed) {
+				refused.add(`${id}: service ${service} is not configured`);
+			}
+
+			return isNamed;
 		});
-		for (const {id} of directory.replace(targets, now, view.isReturning(now))) {
+		for (const problem of refused) {
+			if (!this.refused.has(problem)) {
+				log(`registration not taken: ${problem}`);
+			}
+		}
+
+		this.refused = refused;
+		return targets;
+	}
+
+	private refreshTargets(now: number): void {
+		const {view, directory, log, onLeave, onRenew} = this.options;
+		const targets = this.readTargets();
+		const {gone, renewed} = directory.replace(targets, now, view.isReturning(now));
+		for (const {id} of gone) {
 			log(`target ${id} is gone: its registration was removed`);
 			onLeave(id);
 		}
 
+		for (const {id, bornAt} of renewed) {
+			log(`target ${id} has started again, born ${bornAt}`);
+			onRenew(id);
+		}
+
 		const leaving = new Set(targets.filter(({isLeaving}) => isLeaving).map(({id}) => id));
 		for (const id of leaving) {
 			if (!this.leaving.has(id)) {
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -232,7 +232,7 @@
 		if (cause === 'group-down') {
 			gate.close(target.service, now, `target ${target.id} refuses since its group has stopped`);
 		} else if (cause === 'gone') {
-			directory.drop(target.id);
+			directory.drop(target);
 			gate.excuse(target.service, now);
 		} else if (!wasSent && !isOver) {
 			health.avoid(target.id, now);
--- a/src/forward/make-forward-path.ts
+++ b/src/forward/make-forward-path.ts
@@ -31,6 +31,8 @@
 	tick(): void;
 	/** Drops what is kept for a target that takes no more requests. */
 	forget(target: string): void;
+	/** Drops what is known of the former life of a target that has started again. */
+	renew(target: string): void;
 	close(): void;
 };
 
@@ -96,6 +98,10 @@
 			board.prune(isKnown);
 			health.prune(isKnown);
 		},
+		renew(target) {
+			pool.drop(target);
+			health.forget(target);
+		},
 		close() {
 			pool.close();
 		},
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -103,6 +103,9 @@
 		onLeave(target) {
 			path.forget(target);
 		},
+		onRenew(target) {
+			path.renew(target);
+		},
 	});
 	const getTable = () => state.table;
 	const server = new ForwardServer({
