Keep what entries see of one group to that group

Its pace was a mean over groups, an outage or silence of one closed the service, and a planner whose group stood still read the engines of all groups from afar. Change: a planner lists its group's engines in the store, once for each epoch; entries keep admission, outage and stall by group, send to groups that run while one has stopped, and take a group for running once it is listed in a later epoch. Without a listing all is as before. A planner does not read engines of other groups again for 10 s. Ruled out: asking each target for its group, which has its price; a request now and then to a stopped group while others run.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -61,3 +61,7 @@
       | line                  | key              |
       | streamsPerSecond = -1 | streamsPerSecond |
       | colour = 3            | colour           |
+
+  Scenario: The pauses of one group say nothing of another
+    Given an entry that has seen pauses of 30 ms in one group of 4 targets and of 400 ms in another
+    Then a stream may go to targets of the even group only
--- a/features/forward.feature
+++ b/features/forward.feature
@@ -181,6 +181,14 @@
       | 1000   | 1000 | not used                                                         |
       | 2000   | 1000 | not used                                                         |
 
+  Scenario: Entries learn groups from what their planners write, and leave out what cannot be read
+    Given an index of groups
+    When the planner of "g1" lists "10.0.0.1:1" and "10.0.0.2:1" in epoch 1, beside one that cannot be read
+    Then "10.0.0.2:1" is in "g1" and "10.0.0.3:1" in none
+    When the planner of "g1" lists "10.0.0.1:1" and "10.0.0.3:1" in epoch 2, beside one that cannot be read
+    Then "10.0.0.3:1" is in "g1" and "10.0.0.2:1" in none
+    And "g1" is known to have been formed anew
+
   Scenario: A registration that names no configured service takes no address away
     Given an entry before 1 target
     When a registration of the service "other" appears at the target's address
--- a/features/planner-load.feature
+++ b/features/planner-load.feature
@@ -16,3 +16,4 @@
     And none of its passes began on two maps
     And none of its passes was held back longer than 100 milliseconds
     And each map was in force at most 1200 milliseconds after it was proposed
+    And the store lists the engines of each group for the entries
--- a/features/stall.feature
+++ b/features/stall.feature
@@ -37,6 +37,30 @@
     When each gets an event each 600 ms, 20 times
     Then the service is taken for stopped at most 5 times
 
+  Scenario Outline: While one of two groups has stopped, the other takes its requests: stopped <ms> ms ago
+    Given a service of two groups, the first of which has stopped <ms> ms ago
+    When a caller asks for the service
+    Then its request is sent to a target of the second group first
+
+    Examples:
+      | ms   |
+      | 100  |
+      | 1900 |
+
+  Scenario: A group that has been formed anew takes requests at once
+    Given a service of two groups, the first of which has stopped 100 ms ago
+    And the second has stopped as well
+    And the first has been formed anew
+    When a caller asks for the service
+    Then its request is sent to a target of the first group first
+
+  Scenario: When all groups of a service have stopped, its callers are refused at once
+    Given a service of two groups, the first of which has stopped 100 ms ago
+    And the second has stopped as well
+    When a caller asks for the service
+    Then it is told at once that its request did not run, and when to come back
+    And its request is sent to no target
+
   Scenario: Nothing is sent for a caller that has left, not even to see whether the service runs again
     Given a service that has been down for 5000 ms
     When a caller that has come back leaves before its request is sent
--- a/features/steps/admission-steps.ts
+++ b/features/steps/admission-steps.ts
@@ -145,6 +145,7 @@
 	isResumable: true,
 };
 
+const tickMs = 100;
 const routes: Readonly<Record<string, Route>> = {
 	'a stream': route,
 	'a stream without promise on pauses': {...route, targetGapMs: undefined},
@@ -166,7 +167,7 @@
 
 	const admission = new StreamAdmission({board, directory, getService: name => ({name, maximumConnections: 100, pace})});
 	for (let now = 0; now < 2000; now += gapMs) {
-		admission.noteGap('desk', gapMs);
+		admission.noteGap(list[0], gapMs);
 		admission.tick(now);
 	}
 
@@ -179,8 +180,37 @@
 });
 
 Then('asking for {string} is {string}', function (this: SystemWorld, what: string, answer: string) {
-	const {admission} = this.notes.get('entry') as {admission: StreamAdmission};
-	const reason = admission.refuse('desk', routes[what], 8000, 2000);
+	const {admission, list} = this.notes.get('entry') as {admission: StreamAdmission; list: readonly Target[]};
+	const reason = admission.findRoom(list, routes[what], 8000, 2000).refusal;
 	assert.equal(reason === undefined ? 'admitted' : 'refused', answer, reason);
 	assert.ok(reason === undefined || reason.includes('84 streams under way'), reason);
 });
+
+Given('an entry that has seen pauses of {int} ms in one group of {int} targets and of {int} ms in another', function (this: SystemWorld, evenMs: number, targets: number, unevenMs: number) {
+	const board = new LoadBoard();
+	const directory = new TargetDirectory();
+	const list = ['even', 'uneven'].flatMap((group, half) => Array.from({length: targets}, (_target, index) => Target.parse({
+		id: `${group}-${index}`, service: 'desk', group, address: '10.0.0.1', port: 1000 + (half * targets) + index, availabilityZone: 'a', slots: 8, isLeaving: false,
+	})));
+	directory.replace(list, 0, false);
+	for (const {id} of list) {
+		board.begin(id, 0);
+		board.begin(id, 0);
+	}
+
+	const admission = new StreamAdmission({board, directory, getService: name => ({name, maximumConnections: 100, pace})});
+	for (let now = 0; now < 2000; now += tickMs) {
+		admission.noteGap(list[0], evenMs);
+		admission.noteGap(list.at(-1)!, unevenMs);
+		admission.tick(now);
+	}
+
+	this.notes.set('entry', {board, admission, list});
+});
+
+Then('a stream may go to targets of the {word} group only', function (this: SystemWorld, group: string) {
+	const {admission, list} = this.notes.get('entry') as {admission: StreamAdmission; list: readonly Target[]};
+	const {targets} = admission.findRoom(list, route, 8000, 2000);
+	assert.deepEqual([...new Set(targets.map(target => target.group))], [group]);
+	assert.equal(targets.length, list.length / 2);
+});
--- a/features/steps/directory-steps.ts
+++ b/features/steps/directory-steps.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {GroupIndex} from '../../src/fleet/group-index.js';
+import {groupKeys} from '../../src/fleet/group-keys.js';
 import {TargetDirectory} from '../../src/fleet/target-directory.js';
 import {type SystemWorld} from '../support/system-world.js';
 
@@ -92,3 +94,26 @@
 	assert.deepEqual(listDirectory(this.notes.get('directory') as TargetDirectory), []);
 	assert.deepEqual(this.notes.get('renewed'), []);
 });
+
+Given('an index of groups', function (this: SystemWorld) {
+	this.notes.set('index', new GroupIndex());
+});
+
+When('the planner of {string} lists {string} and {string} in epoch {int}, beside one that cannot be read', function (this: SystemWorld, group: string, one: string, other: string, epoch: number) {
+	const formed = (this.notes.get('index') as GroupIndex).replace([
+		{key: groupKeys.make('desk', group), value: JSON.stringify({epoch, engines: [one, other]}), revision: epoch},
+		{key: groupKeys.make('desk', 'spoilt'), value: '{', revision: epoch},
+		{key: groupKeys.make('desk', 'partial'), value: JSON.stringify({engines: [other]}), revision: epoch},
+	]);
+	this.notes.set('formed', formed);
+});
+
+Then('{string} is in {string} and {string} in none', function (this: SystemWorld, member: string, group: string, stranger: string) {
+	const index = this.notes.get('index') as GroupIndex;
+	assert.equal(index.getGroup('desk', member), group);
+	assert.equal(index.getGroup('desk', stranger), undefined);
+});
+
+Then('{string} is known to have been formed anew', function (this: SystemWorld, group: string) {
+	assert.deepEqual(this.notes.get('formed'), [`desk/${group}`]);
+});
--- a/features/steps/planner-load-steps.ts
+++ b/features/steps/planner-load-steps.ts
@@ -43,3 +43,10 @@
 	const times = log.flatMap(line => /in force after (?<ms>\d+) ms/v.exec(line)?.groups?.ms ?? []).map(Number);
 	assert.ok(times.length > 0 && Math.max(...times) <= ms, `${times.join(', ')} ms\n${log.join('\n')}`);
 });
+
+Then('the store lists the engines of each group for the entries', async function (this: SystemWorld) {
+	const service = getService(this);
+	const listings = await service.readListings();
+	assert.deepEqual(listings.map(({engines}) => engines.length), service.groups.map(({options}) => options.shape.ranks));
+	assert.equal(new Set(listings.flatMap(({engines}) => engines)).size, listings.flatMap(({engines}) => engines).length);
+});
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -7,7 +7,9 @@
 import {RepeatBudget} from '../../src/balance/repeat-budget.js';
 import {ServiceGate} from '../../src/balance/service-gate.js';
 import {TargetHealth} from '../../src/balance/target-health.js';
+import {getUnit} from '../../src/fleet/get-unit.js';
 import {TargetDirectory} from '../../src/fleet/target-directory.js';
+import {type Target} from '../../src/fleet/target.js';
 import {ForwardDispatcher} from '../../src/forward/forward-dispatcher.js';
 import {ForwardExchange} from '../../src/forward/forward-exchange.js';
 import {StreamAdmission} from '../../src/forward/stream-admission.js';
@@ -162,10 +164,10 @@
 });
 
 /* Lets a caller with 5 of 8 seconds left ask, and gives the way its request ends. */
-const ask = async (world: SystemWorld, hasLeft: boolean): Promise<void> => {
+const ask = async (world: SystemWorld, hasLeft: boolean, targets: readonly Target[] = [target]): Promise<void> => {
 	const sent: string[] = [];
 	const directory = new TargetDirectory();
-	directory.replace([target], 0, false);
+	directory.replace(targets, 0, false);
 	const board = new LoadBoard();
 	const health = new TargetHealth();
 	const clock = (): number => 0;
@@ -244,3 +246,31 @@
 Then('the next {word} let through', function (this: SystemWorld, isLet: string) {
 	assert.equal((this.notes.get('gate') as ServiceGate).admit(target.service, 1), isLet === 'is');
 });
+
+const members = (group: string): Target[] => [1, 2].map(number => ({
+	...target, id: `${group}-${number}`, group, port: (group === 'first' ? 10 : 20) + number,
+}));
+
+Given('a service of two groups, the first of which has stopped {int} ms ago', function (this: SystemWorld, ms: number) {
+	const gate = new ServiceGate(String);
+	gate.close(getUnit(members('first')[0]), -ms, 'as the scenario says');
+	this.notes.set('gate', gate);
+	this.notes.set('targets', [...members('first'), ...members('second')]);
+});
+
+Given('the second has stopped as well', function (this: SystemWorld) {
+	(this.notes.get('gate') as ServiceGate).close(getUnit(members('second')[0]), 0, 'as the scenario says');
+});
+
+Given('the first has been formed anew', function (this: SystemWorld) {
+	(this.notes.get('gate') as ServiceGate).open(getUnit(members('first')[0]), 0);
+});
+
+When('a caller asks for the service', async function (this: SystemWorld) {
+	await ask(this, false, this.notes.get('targets') as Target[]);
+});
+
+Then('its request is sent to a target of the {word} group first', function (this: SystemWorld, group: string) {
+	const [first] = this.notes.get('sent') as string[];
+	assert.ok(first.startsWith(group), first);
+});
--- a/features/support/rank-service.ts
+++ b/features/support/rank-service.ts
@@ -5,6 +5,8 @@
 import {BalanceSettings} from '../../src/expert-balance/balance-settings.js';
 import {RankProcess} from '../../src/expert-balance/rank-process.js';
 import {type RankEngine} from '../../src/expert-balance/rank-engine.js';
+import {groupKeys} from '../../src/fleet/group-keys.js';
+import {GroupListing} from '../../src/fleet/group-listing.js';
 import {type LinkConnection} from '../../src/link/link-connection.js';
 import {LockstepGroup} from '../../stand-ins/engine/lockstep-group.js';
 import {MemoryStore} from '../../stand-ins/forward/memory-store.js';
@@ -53,6 +55,12 @@
 		});
 	}
 
+	/** Engines by group as they are written for entries. */
+	async readListings(): Promise<GroupListing[]> {
+		const listed = await this.store.open('reader').list(groupKeys.prefix);
+		return listed._unsafeUnwrap().items.map(({value}) => GroupListing.parse(JSON.parse(value)));
+	}
+
 	/** Starts the processes and lets time pass; nothing but the turns of the scenario's clock moves them. */
 	async run(ms: number, shiftMs: number): Promise<void> {
 		mock.timers.enable({apis: ['setTimeout', 'setInterval']});
--- a/src/balance/service-gate.ts
+++ b/src/balance/service-gate.ts
@@ -1,11 +1,17 @@
-type Outage = {readonly since: number; nextProbeAt: number};
+type Outage = {readonly since: number; nextProbeAt: number; retryAt: number};
 
 /** Time between two requests that are let through to see whether a service that is down runs again, milliseconds. */
 const probeMs = 300;
+/**
+ * Time for which a group gets nothing while others of its service run, milliseconds, unless it is known to run again. What is
+ * sent to a group that has stopped is held for its stall time, 1.5 s on the users' platform, and then goes on late.
+ */
+const groupRetryMs = 2000;
 
 /**
- * Keeps requests from a service whose targets depend on each other and are all stopped, as a group of ranks is while
- * one of them is lost. One request now and then is let through to see whether it runs again.
+ * Keeps requests from targets that depend on each other and are all stopped, as a group of ranks is while one of them is
+ * lost: a group where it is known, a whole service otherwise. One request now and then is let through to see whether it
+ * runs again.
  */
 export class ServiceGate {
 	private readonly outages = new Map<string, Outage>();
@@ -14,8 +20,11 @@
 
 	/** Notes that a service does not run, and how that is known. */
 	close(service: string, now: number, cause: string): void {
-		if (!this.outages.has(service)) {
-			this.outages.set(service, {since: now, nextProbeAt: now + probeMs});
+		const outage = this.outages.get(service);
+		if (outage) {
+			outage.retryAt = now + groupRetryMs;
+		} else {
+			this.outages.set(service, {since: now, nextProbeAt: now + probeMs, retryAt: now + groupRetryMs});
 			this.log(`service ${service} is down: ${cause}`);
 		}
 	}
@@ -31,6 +40,11 @@
 		this.log(`service ${service} runs again after ${Math.round(now - outage.since)} ms`);
 	}
 
+	/** Whether requests should go to the other groups of a service: this one has stopped, and nothing says that it runs again. */
+	isShunned(group: string, now: number): boolean {
+		return now < (this.outages.get(group)?.retryAt ?? 0);
+	}
+
 	/** Notes that the request let through told nothing of the service, so that the next may take its place. */
 	excuse(service: string, now: number): void {
 		const outage = this.outages.get(service);
--- a/src/expert-balance/group-controller.ts
+++ b/src/expert-balance/group-controller.ts
@@ -1,3 +1,4 @@
+import {type GroupListing} from '../fleet/group-listing.js';
 import {type LinkMessage} from '../link/link-message.js';
 import {type MessageOf} from '../link/message-of.js';
 import {type ExpertMap} from '../maps/expert-map.js';
@@ -126,6 +127,11 @@
 		}
 	}
 
+	/** The group's engines while all of its ranks are heard; undefined otherwise. */
+	getListing(now: number): GroupListing | undefined {
+		return this.roster.getListing(now);
+	}
+
 	/** Gives the next orders, and plans when the group rests. */
 	async tick(now: number): Promise<void> {
 		if (this.isOver) {
--- a/src/expert-balance/planner-desk.ts
+++ b/src/expert-balance/planner-desk.ts
@@ -1,3 +1,4 @@
+import {type GroupListing} from '../fleet/group-listing.js';
 import {type Service} from '../fleet/service.js';
 import {type LinkConnection} from '../link/link-connection.js';
 import {type LinkMessage} from '../link/link-message.js';
@@ -86,6 +87,11 @@
 		this.control();
 	}
 
+	/** The group's engines while this process is in office and hears all of its ranks; undefined otherwise. */
+	getListing(now: number): GroupListing | undefined {
+		return this.controller?.getListing(now);
+	}
+
 	close(): void {
 		clearTimeout(this.timer);
 	}
--- a/src/expert-balance/rank-process.ts
+++ b/src/expert-balance/rank-process.ts
@@ -5,6 +5,7 @@
 import {StoreView} from '../view/store-view.js';
 import {type BalanceSettings} from './balance-settings.js';
 import {getOfficeKey} from './get-office-key.js';
+import {GroupPublication} from './group-publication.js';
 import {OrderProxy} from './order-proxy.js';
 import {PlannerDesk} from './planner-desk.js';
 import {PlannerElection} from './planner-election.js';
@@ -51,7 +52,7 @@
 const unknownOffice = {key: '', value: '', revision: 0};
 
 /** What this process knows of the office of its rank's group, and its own part in it. */
-type Office = {readonly group: string; readonly key: string; readonly view: StoreView; readonly election: PlannerElection};
+type Office = {readonly group: string; readonly key: string; readonly view: StoreView; readonly election: PlannerElection; readonly publication: GroupPublication};
 
 /** The tasks of the process beside one rank's engine, whatever their links run over. */
 export class RankProcess {
@@ -109,7 +110,11 @@
 		const key = getOfficeKey(this.options.service, group);
 		const view = this.createView(key);
 		this.office = {
-			group, key, view, election: new PlannerElection({...this.options, key, address: this.options.ownAddress}),
+			group,
+			key,
+			view,
+			election: new PlannerElection({...this.options, key, address: this.options.ownAddress}),
+			publication: new GroupPublication({...this.options, group}),
 		};
 		void view.run();
 	}
@@ -203,11 +208,14 @@
 		}
 	}
 
-	private attendOffice({group, key, view, election}: Office, now: number): void {
+	private attendOffice({group, key, view, election, publication}: Office, now: number): void {
 		const {heldSince} = this.member;
 		const isStuck = heldSince !== undefined && now - heldSince > stuckMs;
 		this.planner.follow(view.get(key)?.value, now);
 		void election.tick(now, view.isKnown ? view.get(key) : unknownOffice, isStuck);
 		this.desk.tick(election.term === undefined ? undefined : {term: election.term, group}, now);
+		if (election.term !== undefined) {
+			publication.tick(this.desk.getListing(now), now);
+		}
 	}
 }
--- a/src/expert-balance/rank-roster.ts
+++ b/src/expert-balance/rank-roster.ts
@@ -1,3 +1,4 @@
+import {type GroupListing} from '../fleet/group-listing.js';
 import {type MessageOf} from '../link/message-of.js';
 import {type ExpertMap} from '../maps/expert-map.js';
 import {type RankEngine} from './rank-engine.js';
@@ -39,6 +40,8 @@
 const stillMs = 300;
 /** Time between two readings of ranks that no process reports for, milliseconds. */
 const searchMs = 500;
+/** An engine that said that it is in another group is not read again within this time, milliseconds: each reading from afar has its price. */
+const foreignMs = 10_000;
 
 /** What a planner knows of the ranks of one group in its present epoch, and how old that is. */
 export class RankRoster {
@@ -50,6 +53,8 @@
 	private stepSince = 0;
 	private nextSearchAt = 0;
 	private readonly asking = new Set<string>();
+	/** Engines of other groups, and when they said so. */
+	private readonly foreign = new Map<string, number>();
 	/** Engines that did not answer when they were read last. */
 	private readonly silent = new Set<string>();
 
@@ -80,6 +85,12 @@
 		return [...this.members.keys()];
 	}
 
+	/** The group's engines while all ranks of an open group are heard; undefined otherwise. */
+	getListing(now: number): GroupListing | undefined {
+		const reports = this.getReports(now);
+		return reports && {epoch: this.epoch, engines: reports.map(({rank}) => this.members.get(rank)!.engineAddress)};
+	}
+
 	/** Where a rank's engine takes orders. */
 	getEngineAddress(rank: number): string | undefined {
 		return this.members.get(rank)?.engineAddress;
@@ -163,7 +174,9 @@
 		this.nextSearchAt = now + searchMs;
 		const known = new Set(current.map(({engineAddress}) => engineAddress));
 		const addresses = await this.options.listEngines();
-		await Promise.all(addresses.filter(address => !known.has(address)).map(async address => this.read(address, now)));
+		const isForeign = (address: string): boolean => now - (this.foreign.get(address) ?? Number.NEGATIVE_INFINITY) < foreignMs;
+		const sought = addresses.filter(address => !known.has(address) && !isForeign(address));
+		await Promise.all(sought.map(async address => this.read(address, now)));
 	}
 
 	private async read(engineAddress: string, now: number): Promise<void> {
@@ -185,6 +198,7 @@
 
 	private takeRead(report: RankReport, engineAddress: string, now: number): void {
 		if (report.group !== this.options.group) {
+			this.foreign.set(engineAddress, now);
 			return;
 		}
 
--- a/src/fleet/target.ts
+++ b/src/fleet/target.ts
@@ -11,6 +11,8 @@
 	availabilityZone: z.string(),
 	/** Requests that it runs at once. */
 	slots: z.int().min(1),
+	/** The group of ranks that it works in lock step with, as far as known; not part of its registration. */
+	group: z.string().optional(),
 	/** Whether it takes no new requests, since it is about to stop. */
 	isLeaving: z.boolean(),
 });
--- a/src/forward/fleet-state.ts
+++ b/src/forward/fleet-state.ts
@@ -1,3 +1,5 @@
+import {GroupIndex} from '../fleet/group-index.js';
+import {groupKeys} from '../fleet/group-keys.js';
 import {RouteTable} from '../fleet/route-table.js';
 import {type TargetDirectory} from '../fleet/target-directory.js';
 import {type Target} from '../fleet/target.js';
@@ -14,12 +16,15 @@
 	readonly onLeave: (target: string) => void;
 	/** Told of a target that has started again under its id. */
 	readonly onRenew: (target: string) => void;
+	/** Told of a group, as `SERVICE/GROUP`, that has been formed anew. */
+	readonly onFormed: (unit: string) => void;
 };
 
 /** The configuration and the targets in force at this process, as far as its view of the store goes. */
 export class FleetState {
 	private current: RouteTable | undefined;
 	private leaving = new Set<string>();
+	private readonly groups = new GroupIndex();
 	private problem = '';
 	/** Registrations that cannot be used, so that each is logged once and not at every change of the store. */
 	private refused = new Set<string>();
@@ -34,6 +39,11 @@
 	/** Takes over what the view holds now. */
 	refresh(now: number): void {
 		this.refreshTable();
+		for (const unit of this.groups.replace(this.options.view.list(groupKeys.prefix))) {
+			this.options.log(`group ${unit} has been formed anew`);
+			this.options.onFormed(unit);
+		}
+
 		this.refreshTargets(now);
 	}
 
@@ -90,7 +100,10 @@
 		}
 
 		this.refused = refused;
-		return targets;
+		return targets.map(target => {
+			const group = this.groups.getGroup(target.service, `${target.address}:${target.port}`);
+			return group === undefined ? target : {...target, group};
+		});
 	}
 
 	private refreshTargets(now: number): void {
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -4,6 +4,7 @@
 import {type RepeatBudget} from '../balance/repeat-budget.js';
 import {type ServiceGate} from '../balance/service-gate.js';
 import {type TargetHealth} from '../balance/target-health.js';
+import {getUnit} from '../fleet/get-unit.js';
 import {type TargetDirectory} from '../fleet/target-directory.js';
 import {type Target} from '../fleet/target.js';
 import {type Problem} from '../requests/problem.js';
@@ -86,19 +87,22 @@
 	}
 
 	private choose(exchange: ForwardExchange, progress: SendProgress): Target | Refusal {
-		const {directory, board, gate, health, availabilityZone, clock, random} = this.options;
+		const {board, health, availabilityZone, clock, random} = this.options;
 		const now = clock();
 		if (progress.tries >= maximumTries || progress.sent - progress.misdirected >= exchange.route!.maximumAttempts) {
 			return {spread: overloadSpread, detail: progress.reason};
 		}
 
-		if (!gate.admit(exchange.service, now)) {
+		const running = this.listRunning(exchange.service, now);
+		if (!running) {
 			return {spread: outageSpread, detail: `${progress.reason}; the service's group is down`};
 		}
 
-		const overload = progress.delivery.hasBegun ? undefined : this.options.admission.refuse(exchange.service, exchange.route!, exchange.deadline - now, now);
-		if (overload !== undefined) {
-			return {spread: overloadSpread, detail: overload};
+		const {targets, refusal} = progress.delivery.hasBegun
+			? {targets: running, refusal: undefined}
+			: this.options.admission.findRoom(running, exchange.route!, exchange.deadline - now, now);
+		if (refusal !== undefined) {
+			return {spread: overloadSpread, detail: refusal};
 		}
 
 		if (progress.sent > 0 && !this.options.budget.spend(exchange.service, now)) {
@@ -106,7 +110,7 @@
 		}
 
 		const choice = chooseReplica({
-			targets: directory.list(exchange.service),
+			targets,
 			excluded: progress.excluded,
 			availabilityZone,
 			count: target => board.count(target, now),
@@ -132,6 +136,23 @@
 		}
 	}
 
+	/*
+	 * Targets whose groups run, as far as is known. While one of several groups has stopped, its share goes to the others;
+	 * if all have, a request now and then sees whether they run again. Undefined when none may be sent now.
+	 */
+	private listRunning(service: string, now: number): readonly Target[] | undefined {
+		const {directory, gate} = this.options;
+		const registered = directory.list(service);
+		const units = [...new Set(registered.map(target => getUnit(target)))];
+		const running = units.filter(unit => !gate.isShunned(unit, now));
+		if (units.length > 1 && running.length > 0) {
+			return registered.filter(target => running.includes(getUnit(target)));
+		}
+
+		const probed = units.length === 0 ? service : units.find(unit => gate.admit(unit, now));
+		return probed === undefined ? undefined : registered.filter(target => units.length < 2 || getUnit(target) === probed);
+	}
+
 	private async sendTo(target: Target, exchange: ForwardExchange, progress: SendProgress): Promise<SendOutcome> {
 		const {board, clock, send, stalls, onSend} = this.options;
 		const now = clock();
@@ -230,10 +251,10 @@
 	private noteCause({cause, wasSent}: Extract<SendOutcome, {kind: 'not-run'}>, target: Target, isOver: boolean, now: number): void {
 		const {gate, directory, health} = this.options;
 		if (cause === 'group-down') {
-			gate.close(target.service, now, `target ${target.id} refuses since its group has stopped`);
+			gate.close(getUnit(target), now, `target ${target.id} refuses since its group has stopped`);
 		} else if (cause === 'gone') {
 			directory.drop(target);
-			gate.excuse(target.service, now);
+			gate.excuse(getUnit(target), now);
 		} else if (!wasSent && !isOver) {
 			health.avoid(target.id, now);
 		}
--- a/src/forward/make-forward-path.ts
+++ b/src/forward/make-forward-path.ts
@@ -4,6 +4,7 @@
 import {TargetHealth} from '../balance/target-health.js';
 import {type ForwardEntrySettings} from '../config/forward-entry-settings.js';
 import {type Service} from '../fleet/service.js';
+import {getUnit} from '../fleet/get-unit.js';
 import {TargetDirectory} from '../fleet/target-directory.js';
 import {ConnectionPool} from './connection-pool.js';
 import {ForwardDispatcher} from './forward-dispatcher.js';
@@ -33,6 +34,8 @@
 	forget(target: string): void;
 	/** Drops what is known of the former life of a target that has started again. */
 	renew(target: string): void;
+	/** Lets requests go to a group that has been formed anew. */
+	reopen(unit: string): void;
 	close(): void;
 };
 
@@ -49,8 +52,8 @@
 		health,
 		clock,
 		log,
-		onStopped(service) {
-			gate.close(service, clock(), 'none of its streams goes on');
+		onStopped(unit) {
+			gate.close(unit, clock(), 'none of its streams goes on');
 		},
 		onSilentConnection(target) {
 			pool.drop(target);
@@ -63,10 +66,10 @@
 		onProgress(target) {
 			const now = clock();
 			board.progress(target.id, now);
-			gate.open(target.service, now);
+			gate.open(getUnit(target), now);
 		},
 		onGap(target, gapMs) {
-			admission.noteGap(target.service, gapMs);
+			admission.noteGap(target, gapMs);
 		},
 	});
 	const dispatcher = new ForwardDispatcher({
@@ -102,6 +105,9 @@
 			pool.drop(target);
 			health.forget(target);
 		},
+		reopen(unit) {
+			gate.open(unit, clock());
+		},
 		close() {
 			pool.close();
 		},
--- a/src/forward/stall-watch.ts
+++ b/src/forward/stall-watch.ts
@@ -1,5 +1,6 @@
 import {type LoadBoard} from '../balance/load-board.js';
 import {type TargetHealth} from '../balance/target-health.js';
+import {getUnit} from '../fleet/get-unit.js';
 import {type Target} from '../fleet/target.js';
 
 type WatchOptions = {
@@ -7,8 +8,8 @@
 	readonly health: TargetHealth;
 	readonly clock: () => number;
 	readonly log: (message: string) => void;
-	/** Told of a service that has stopped as a whole. */
-	readonly onStopped: (service: string) => void;
+	/** Told of a group, or a service whose groups are not known, that has stopped as a whole. */
+	readonly onStopped: (unit: string) => void;
 	/** Told of a target at which a connection has gone silent: others to it, idle until then, may have as well. */
 	readonly onSilentConnection: (target: string) => void;
 };
@@ -34,7 +35,7 @@
 /** Another target of the service counts as alive if it sent something within this time, milliseconds. */
 const aliveMs = 250;
 /**
- * A service of which nothing came for so long, on any of several streams under way, has stopped, milliseconds. Passes
+ * A group or service of which nothing came for so long, on any of several streams under way, has stopped, milliseconds. Passes
  * of a group take 35 to 60 ms, and a change of its map up to 150.
  */
 const stoppedMs = 500;
@@ -50,7 +51,7 @@
 	/** Since when each service has been seen at work without a break. */
 	private readonly activeSince = new Map<string, number>();
 	private readonly watched = new Set<Watched>();
-	/** Usual time between two events of a stream, by service, milliseconds. */
+	/** Usual time between two events of a stream, by group or service, milliseconds. */
 	private readonly gaps = new Map<string, number>();
 
 	constructor(private readonly options: WatchOptions) {}
@@ -87,10 +88,11 @@
 
 	private noteProgress(watched: Watched): void {
 		const now = this.options.clock();
-		const {target: {service}, progressAt} = watched;
+		const {target, progressAt} = watched;
 		if (progressAt !== undefined) {
-			const usualMs = this.gaps.get(service) ?? 0;
-			this.gaps.set(service, usualMs + (((now - progressAt) - usualMs) * newestWeight));
+			const unit = getUnit(target);
+			const usualMs = this.gaps.get(unit) ?? 0;
+			this.gaps.set(unit, usualMs + (((now - progressAt) - usualMs) * newestWeight));
 		}
 
 		watched.progressAt = now;
@@ -117,17 +119,18 @@
 
 	/* What is sent to a stopped service waits until it is refused, or its caller leaves. */
 	private tellStopped(now: number): void {
-		const services = new Map<string, number[]>();
-		for (const {target: {service}, progressAt, isHeldUp} of this.watched) {
+		const units = new Map<string, number[]>();
+		for (const {target, progressAt, isHeldUp} of this.watched) {
 			if (progressAt !== undefined && !isHeldUp()) {
-				services.set(service, [...services.get(service) ?? [], progressAt]);
+				const unit = getUnit(target);
+				units.set(unit, [...units.get(unit) ?? [], progressAt]);
 			}
 		}
 
-		for (const [service, moments] of services) {
-			const limitMs = Math.max(stoppedMs, usualGaps * (this.gaps.get(service) ?? 0));
+		for (const [unit, moments] of units) {
+			const limitMs = Math.max(stoppedMs, usualGaps * (this.gaps.get(unit) ?? 0));
 			if (moments.length >= leastStreams && now - Math.max(...moments) > limitMs) {
-				this.options.onStopped(service);
+				this.options.onStopped(unit);
 			}
 		}
 	}
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -106,6 +106,9 @@
 		onRenew(target) {
 			path.renew(target);
 		},
+		onFormed(unit) {
+			path.reopen(unit);
+		},
 	});
 	const getTable = () => state.table;
 	const server = new ForwardServer({
--- a/src/forward/stream-admission.ts
+++ b/src/forward/stream-admission.ts
@@ -3,7 +3,9 @@
 import {PauseForecast} from '../decisions/pause-forecast.js';
 import {type Route} from '../fleet/route.js';
 import {type Service} from '../fleet/service.js';
+import {getUnit} from '../fleet/get-unit.js';
 import {type TargetDirectory} from '../fleet/target-directory.js';
+import {type Target} from '../fleet/target.js';
 
 type AdmissionOptions = {
 	readonly board: LoadBoard;
@@ -12,9 +14,27 @@
 	readonly getService: (name: string) => Service | undefined;
 };
 
-type Gaps = {count: number; sumMs: number};
+type Gaps = {count: number; sumMs: number; readonly service: string};
 
-/** Admits streams to services that tell how fast they write, by the pauses that the streams under way show. */
+/** The targets that a stream may be sent to now; where there are none, the reason why those of a service are all refused. */
+type Room = {readonly targets: readonly Target[]; readonly refusal: string | undefined};
+
+const groupByUnit = (targets: readonly Target[]): Map<string, Target[]> => {
+	const units = new Map<string, Target[]>();
+	for (const target of targets) {
+		const unit = getUnit(target);
+		const members = units.get(unit) ?? [];
+		members.push(target);
+		units.set(unit, members);
+	}
+
+	return units;
+};
+
+/**
+ * Admits streams to services that tell how fast they write, by the pauses that the streams under way show: to each group by
+ * its own, since one with a slow rank or uneven experts says nothing of the others.
+ */
 export class StreamAdmission {
 	private readonly forecasts = new Map<string, PauseForecast>();
 	private readonly gaps = new Map<string, Gaps>();
@@ -22,20 +42,22 @@
 	constructor(private readonly options: AdmissionOptions) {}
 
 	/** Notes the time between two events of a stream, milliseconds. */
-	noteGap(service: string, gapMs: number): void {
-		const gaps = this.gaps.get(service) ?? {count: 0, sumMs: 0};
+	noteGap(target: Target, gapMs: number): void {
+		const unit = getUnit(target);
+		const gaps = this.gaps.get(unit) ?? {count: 0, sumMs: 0, service: target.service};
 		gaps.count++;
 		gaps.sumMs += gapMs;
-		this.gaps.set(service, gaps);
+		this.gaps.set(unit, gaps);
 	}
 
 	/** Learns from the gaps since the last call. */
 	tick(now: number): void {
-		for (const [service, {count, sumMs}] of this.gaps) {
+		for (const [unit, {count, sumMs, service}] of this.gaps) {
 			const pace = this.options.getService(service)?.pace;
-			const {inFlight, targets} = this.countLoad(service, now);
-			if (pace && targets > 0) {
-				this.getForecast(service).observe({gapMs: sumMs / count, load: inFlight / targets, pace}, now);
+			const targets = groupByUnit(this.options.directory.list(service)).get(unit) ?? [];
+			if (pace && targets.length > 0) {
+				const load = this.countInFlight(targets, now) / targets.length;
+				this.getForecast(unit).observe({gapMs: sumMs / count, load, pace}, now);
 			}
 		}
 
@@ -43,38 +65,46 @@
 	}
 
 	/**
-	 * Why a stream should not be sent to a service now; undefined if it should.
+	 * Leaves out the targets of groups that have no room for a stream now.
 	 *
+	 * @param targets - targets of one service
 	 * @param leftMs - time that the caller has left, milliseconds; who has just asked has all of the route's
 	 */
-	refuse(service: string, {kind, targetGapMs, timeoutMs, targetLatencyMs}: Route, leftMs: number, now: number): string | undefined {
-		const pace = this.options.getService(service)?.pace;
+	findRoom(targets: readonly Target[], {kind, targetGapMs, timeoutMs, targetLatencyMs}: Route, leftMs: number, now: number): Room {
+		const pace = targets.length === 0 ? undefined : this.options.getService(targets[0].service)?.pace;
 		if (kind !== 'stream' || targetGapMs === undefined || !pace) {
-			return undefined;
+			return {targets, refusal: undefined};
+		}
+
+		const open: Target[] = [];
+		const refusals: string[] = [];
+		for (const [unit, members] of groupByUnit(targets)) {
+			const inFlight = this.countInFlight(members, now);
+			const admission = admitStream({
+				forecast: this.getForecast(unit), pace, targetGapMs, inFlight, targets: members.length, isLate: timeoutMs - leftMs > targetLatencyMs,
+			});
+			if (admission.kind === 'admitted') {
+				open.push(...members);
+			} else {
+				refusals.push(`${unit}: ${inFlight} streams under way, at most ${admission.most} go on without pauses over ${targetGapMs} ms (mean now ${Math.round(admission.pauseMs)} ms)`);
+			}
 		}
 
-		const {inFlight, targets} = this.countLoad(service, now);
-		const admission = admitStream({
-			forecast: this.getForecast(service), pace, targetGapMs, inFlight, targets, isLate: timeoutMs - leftMs > targetLatencyMs,
-		});
-		return admission.kind === 'admitted'
-			? undefined
-			: `${inFlight} streams under way, at most ${admission.most} go on without pauses over ${targetGapMs} ms (mean now ${Math.round(admission.pauseMs)} ms)`;
+		return {targets: open, refusal: open.length > 0 ? undefined : refusals.join('; ')};
 	}
 
-	private getForecast(service: string): PauseForecast {
-		const forecast = this.forecasts.get(service) ?? new PauseForecast();
-		this.forecasts.set(service, forecast);
+	private getForecast(unit: string): PauseForecast {
+		const forecast = this.forecasts.get(unit) ?? new PauseForecast();
+		this.forecasts.set(unit, forecast);
 		return forecast;
 	}
 
-	private countLoad(service: string, now: number): {inFlight: number; targets: number} {
-		const targets = this.options.directory.list(service);
+	private countInFlight(targets: readonly Target[], now: number): number {
 		let inFlight = 0;
 		for (const {id} of targets) {
 			inFlight += this.options.board.count(id, now);
 		}
 
-		return {inFlight, targets: targets.length};
+		return inFlight;
 	}
 }
