Reckon nothing from a sign of life by another planner's clock

Cause: found by reading. A rank told the next planner of the last sign of the one before, whose clock is another VM's; the way there and back came out hours long, reports never counted as fresh, and a group that the planner before had held would not be let go. Change: a sign names its term, and counts for that term's planner only. Ruled out: clocks that agree, which VMs' steady clocks do not.

--- a/features/expert-balance.feature
+++ b/features/expert-balance.feature
@@ -36,6 +36,19 @@
     Then no rank is held
     And no pass began on two maps
 
+  Scenario Outline: The next planner finishes what was begun, whatever its clock says: <seconds> s ahead
+    Given a lock-step group with a planner
+    When the planner dies as soon as a rank is armed
+    And another planner takes office, whose clock is <seconds> s ahead
+    And 3 seconds pass
+    Then no rank is held
+    And no pass began on two maps
+
+    Examples:
+      | seconds |
+      | 3600    |
+      | -3600   |
+
   Scenario: A rank's VM stands still for a while, with its engine out of reach, as soon as the group is held
     Given a lock-step group with a planner
     When the VM of rank 2 stands still as soon as the group is held
--- a/features/steps/expert-balance-steps.ts
+++ b/features/steps/expert-balance-steps.ts
@@ -143,6 +143,11 @@
 	fleet.followAll(fleet.elect(3));
 });
 
+When('another planner takes office, whose clock is {int} s ahead', async function (this: SystemWorld, seconds: number) {
+	const fleet = getFleet(this);
+	fleet.followAll(fleet.elect(3, seconds * 1000));
+});
+
 When('the first planner wakes', function (this: SystemWorld) {
 	getFleet(this).planners[0].isFrozen = false;
 });
--- a/features/support/rank-fleet.ts
+++ b/features/support/rank-fleet.ts
@@ -9,7 +9,7 @@
 import {type LinkMessage} from '../../src/link/link-message.js';
 import {LockstepGroup} from '../../stand-ins/engine/lockstep-group.js';
 
-type Planner = {readonly term: number; readonly rank: number; readonly controller: GroupController; isAlive: boolean; isFrozen: boolean};
+type Planner = {readonly term: number; readonly rank: number; readonly controller: GroupController; readonly aheadMs: number; isAlive: boolean; isFrozen: boolean};
 
 const turnMs = 20;
 const shape = {
@@ -48,12 +48,17 @@
 		}
 	}
 
-	/** Begins a term of office beside a rank; the members hear of it when `follow` says so. */
-	elect(rank: number): Planner {
+	/**
+	 * Begins a term of office beside a rank; the members hear of it when `follow` says so.
+	 *
+	 * @param aheadMs - how far the planner's clock is ahead of the others'
+	 */
+	elect(rank: number, aheadMs = 0): Planner {
 		const term = this.planners.length + 1;
 		const planner: Planner = {
 			term,
 			rank,
+			aheadMs,
 			isAlive: true,
 			isFrozen: false,
 			controller: new GroupController({
@@ -119,7 +124,7 @@
 
 			for (const planner of this.planners) {
 				if (planner.isAlive && !planner.isFrozen) {
-					void planner.controller.tick(this.now);
+					void planner.controller.tick(this.now + planner.aheadMs);
 				}
 			}
 
@@ -201,7 +206,7 @@
 
 		this.send(() => planner.isAlive && !planner.isFrozen, () => {
 			if (message.type === 'rank-status') {
-				planner.controller.hear(message, this.now);
+				planner.controller.hear(message, this.now + planner.aheadMs);
 			} else if (message.type === 'rank-outcome') {
 				planner.controller.hearOutcome(message);
 			}
--- a/src/expert-balance/rank-member.ts
+++ b/src/expert-balance/rank-member.ts
@@ -36,7 +36,7 @@
 	private orderedAt = Number.NEGATIVE_INFINITY;
 	private placement: RankPlacement | undefined;
 	/** The planner's last sign of life, and when it came in. */
-	private sign: {readonly sentAt: number; readonly heardAt: number} | undefined;
+	private sign: {readonly term: number; readonly sentAt: number; readonly heardAt: number} | undefined;
 	private isAway = false;
 	private queue: Promise<void> = Promise.resolve();
 	private isBusy = false;
@@ -57,7 +57,7 @@
 		switch (message.type) {
 			case 'rank-term': {
 				this.hearTerm(message.term);
-				this.sign = {sentAt: message.sentAt, heardAt: this.options.clock()};
+				this.sign = {term: message.term, sentAt: message.sentAt, heardAt: this.options.clock()};
 				this.nextReportAt = 0;
 				break;
 			}
@@ -136,7 +136,7 @@
 				type: 'rank-status',
 				term,
 				engineAddress,
-				sign: this.sign && {sentAt: this.sign.sentAt, agoMs: clock() - this.sign.heardAt},
+				sign: this.sign && {term: this.sign.term, sentAt: this.sign.sentAt, agoMs: clock() - this.sign.heardAt},
 				report,
 				counts,
 				// At once, so that the next map is planned from it, and again with counts, for a planner that has just begun.
--- a/src/expert-balance/rank-roster.ts
+++ b/src/expert-balance/rank-roster.ts
@@ -20,7 +20,7 @@
 
 type Member = {
 	report: RankReport;
-	/** When the report came in, and the latest moment before which it was read, milliseconds: it may have queued on its way. */
+	/** When the report came in, and since when it was read at the earliest, milliseconds: it may have queued on its way. */
 	heardAt: number;
 	readAt: number;
 	/** When the process beside the rank was heard last; a report may also be read without it. */
@@ -65,8 +65,8 @@
 		const known = this.members.get(report.rank);
 		// An engine that has started again holds nothing of what it reported before.
 		const isNewLife = known !== undefined && known.report.bornAt !== report.bornAt;
-		// Under another term the sign was another planner's, by another clock.
-		const wayMs = sign && term === this.options.term ? now - sign.sentAt - sign.agoMs : 0;
+		// A sign of another term was another planner's, by another clock.
+		const wayMs = sign?.term === this.options.term ? now - sign.sentAt - sign.agoMs : 0;
 		this.members.set(report.rank, {
 			report, heardAt: now, readAt: now - wayMs, processHeardAt: now, term, engineAddress, placement: placement ?? (isNewLife ? undefined : known?.placement), wayMs,
 		});
@@ -111,7 +111,7 @@
 
 	/** Whether what the processes beside all ranks said last was read after a moment. */
 	areReadSince(moment: number): boolean {
-		return this.listCurrent().every(({readAt, processHeardAt, wayMs}) => Math.min(readAt, processHeardAt - wayMs) > moment);
+		return this.listCurrent().every(({processHeardAt, wayMs}) => processHeardAt - wayMs > moment);
 	}
 
 	/** Longest time that the last sign of life and report took to a rank and back, milliseconds. */
--- a/src/link/link-message.ts
+++ b/src/link/link-message.ts
@@ -184,8 +184,8 @@
 		term: z.int().min(0),
 		/** Where the rank's engine takes orders, for a planner that has lost the process beside it. */
 		engineAddress: z.string(),
-		/** The planner's last sign of life: when it was sent, by the planner's clock, and how long ago it came in, milliseconds. */
-		sign: z.object({sentAt: z.number(), agoMs: z.number().min(0)}).optional(),
+		/** A planner's last sign of life: its term, when it was sent by that planner's clock, and how long ago it came in, milliseconds. */
+		sign: z.object({term: z.int().min(0), sentAt: z.number(), agoMs: z.number().min(0)}).optional(),
 		report: RankReport,
 		counts: ExpertCounts.optional(),
 		/** Experts that the rank holds by layer, with the version of the map that says so. */
