--- a/features/support/narrow-network.ts
+++ b/features/support/narrow-network.ts
@@ -6,6 +6,8 @@
 	/** When what was given to the VM's link before has left it, and has come in by it, milliseconds. */
 	outFreeAt: number;
 	inFreeAt: number;
+	/** What the VM has sent so far. */
+	sentBytes: number;
 	accept?: (connection: LinkConnection) => void;
 };
 
@@ -39,6 +41,11 @@
 		this.getHost(address).accept = accept;
 	}
 
+	/** Bytes that a VM has sent so far, those of frames alone. */
+	getSentBytes(address: string): number {
+		return this.getHost(address).sentBytes;
+	}
+
 	/** Opens a link from one VM to another. */
 	async connect(from: string, to: string): Promise<LinkConnection> {
 		const {accept} = this.getHost(to);
@@ -105,8 +112,10 @@
 	private carry(from: string, to: string, message: LinkMessage, deliver: () => void): number {
 		const {bytesPerSecond, latencyMs, clock} = this.options;
 		const now = clock();
-		const takesMs = encodeFrame(message).length * 1000 / bytesPerSecond;
+		const {length} = encodeFrame(message);
+		const takesMs = length * 1000 / bytesPerSecond;
 		const sender = this.getHost(from);
+		sender.sentBytes += length;
 		const receiver = this.getHost(to);
 		sender.outFreeAt = Math.max(now, sender.outFreeAt) + takesMs;
 		receiver.inFreeAt = Math.max(sender.outFreeAt + latencyMs, receiver.inFreeAt) + takesMs;
@@ -115,7 +124,7 @@
 	}
 
 	private getHost(address: string): Host {
-		const host = this.hosts.get(address) ?? {outFreeAt: 0, inFreeAt: 0};
+		const host = this.hosts.get(address) ?? {outFreeAt: 0, inFreeAt: 0, sentBytes: 0};
 		this.hosts.set(address, host);
 		return host;
 	}
