Go on with a group whose engines have all started again

Where all engines start again and their epochs begin anew, it would never have planned again in its term. Change: the first report of a later life begins an epoch whatever its number, what comes late of a former life counts for nothing; entries take any other epoch for a group formed anew. Ruled out: waiting for the next term.

--- a/features/expert-balance.feature
+++ b/features/expert-balance.feature
@@ -123,6 +123,16 @@
     When expert 1 is chosen for 5 seconds, and then expert 2 for 700 ms
     Then expert 1 has less than a fifth of the load
 
+  Scenario: All engines of a group start again under their names, and its epochs begin anew
+    Given a lock-step group with a planner
+    When 5 seconds pass
+    And the group is formed anew
+    And 1 second passes
+    And all of its engines start again
+    And 5 seconds pass
+    Then the group is not on the map that it was formed with
+    And no pass began on two maps
+
   Scenario: What an engine counted in a former life is no demand
     Given a rank whose engine has counted 500 choices of expert 1
     When the engine starts again and has counted 600 choices of expert 2
--- a/features/steps/expert-balance-steps.ts
+++ b/features/steps/expert-balance-steps.ts
@@ -251,3 +251,12 @@
 	assert.equal(loads[0], 0);
 	assert.ok(loads[1] > 0);
 });
+
+When('all of its engines start again', function (this: SystemWorld) {
+	getFleet(this).group.restart();
+});
+
+Then('the group is not on the map that it was formed with', async function (this: SystemWorld) {
+	const {mapVersion} = await getFleet(this).group.open(0).readReport();
+	assert.ok(mapVersion > 0, getFleet(this).log.join('\n'));
+});
--- a/src/expert-balance/rank-roster.ts
+++ b/src/expert-balance/rank-roster.ts
@@ -63,21 +63,34 @@
 	/** Takes a rank's report; gives whether it begins another epoch, or another life of the engine. */
 	hear({report, placement, term, engineAddress, sign}: MessageOf<'rank-status'>, now: number): boolean {
 		const known = this.members.get(report.rank);
+		if (known && (report.bornAt ?? 0) < (known.report.bornAt ?? 0)) {
+			// What an engine said in its former life has come in late.
+			return false;
+		}
+
 		// An engine that has started again holds nothing of what it reported before.
 		const isNewLife = known !== undefined && known.report.bornAt !== report.bornAt;
 		// A sign of another term was another planner's, by another clock.
 		const wayMs = sign?.term === this.options.term ? now - sign.sentAt - sign.agoMs : 0;
 		this.members.set(report.rank, {
-			report, heardAt: now, readAt: now - wayMs, processHeardAt: now, term, engineAddress, placement: placement ?? (isNewLife ? undefined : known?.placement), wayMs,
+			report,
+			heardAt: now,
+			readAt: now - wayMs,
+			processHeardAt: now,
+			term,
+			engineAddress,
+			placement: placement ?? (isNewLife ? undefined : known?.placement),
+			wayMs,
 		});
-		const isNewEpoch = report.epoch > this.epoch;
-		if (isNewEpoch) {
+		// Where all engines have started again, epochs may have begun anew as well.
+		const isFormed = report.epoch > this.epoch || isNewLife;
+		if (isFormed) {
 			this.epoch = report.epoch;
 			this.step = -1;
 		}
 
 		this.noteStep(report, now);
-		return isNewEpoch || isNewLife;
+		return isFormed;
 	}
 
 	/** Ranks that have ever been heard. */
--- a/src/fleet/group-index.ts
+++ b/src/fleet/group-index.ts
@@ -34,7 +34,7 @@
 			}
 		}
 
-		const formed = [...epochs].filter(([name, epoch]) => epoch > (this.epochs.get(name) ?? epoch)).map(([name]) => name);
+		const formed = [...epochs].filter(([name, epoch]) => epoch !== (this.epochs.get(name) ?? epoch)).map(([name]) => name);
 		this.groups = groups;
 		this.epochs = epochs;
 		return formed;
--- a/stand-ins/engine/lockstep-group.ts
+++ b/stand-ins/engine/lockstep-group.ts
@@ -52,6 +52,7 @@
 	private late: LateOrder[] = [];
 	private nextPassAt = 0;
 	private lastVersion = 0;
+	private bornAt = 0;
 	/** How often each expert is chosen in a pass, by layer. */
 	private demand: number[][] = [];
 
@@ -72,6 +73,14 @@
 		this.form();
 	}
 
+	/** Starts all engines again: nothing of before is known, steps and epochs begin anew. */
+	restart(): void {
+		this.bornAt = this.now;
+		this.epoch = 1;
+		this.step = 0;
+		this.form();
+	}
+
 	/** Moves time on: late orders are carried out, and passes begin unless the group is held. */
 	advance(now: number): void {
 		this.now = now;
@@ -97,7 +106,9 @@
 	open(rank: number): RankEngine {
 		return {
 			readReport: async () => this.report(rank),
-			readCounts: async (): Promise<ExpertCounts> => ({step: this.step, epoch: this.epoch, chosen: this.ranks[rank].chosen.map(row => [...row])}),
+			readCounts: async (): Promise<ExpertCounts> => ({
+				step: this.step, epoch: this.epoch, bornAt: this.bornAt, chosen: this.ranks[rank].chosen.map(row => [...row]),
+			}),
 			readPlacement: async (): Promise<RankPlacement> => ({epoch: this.epoch, version: this.ranks[rank].map.version, experts: this.ranks[rank].map.experts}),
 			order: async order => this.order(rank, order),
 		};
@@ -148,6 +159,7 @@
 			group: this.options.name ?? 'group',
 			epoch: this.epoch,
 			rank: index,
+			bornAt: this.bornAt,
 			size: this.options.shape.ranks,
 			isOpen: true,
 			step: this.step,
