Prove that a known failure needs its cause and its issue

Cause: the list of known failures is new and had no scenario. Change: a scenario, and its steps. Ruled out: nothing.

--- a/features/docs.feature
+++ b/features/docs.feature
@@ -28,3 +28,9 @@
       | forwarding wardswitch-entry | linkPort = 7080 | linkport = 7080    | linkport  | unknown         |
       | forwarding wardswitch-entry | address = "127.0.0.1:8081" | address = "here" | ready.address | IP number and port |
       | wardswitch-rank   | service = "stone-drafts" | service = "" | service | >=1 characters |
+
+  Scenario: A scenario may be known to fail only with a cause and an issue
+    Given a list of known failures that says "features/a.feature: A | a cause | 7"
+    Then "features/a.feature: A" is known to fail
+    Given a list of known failures that says "features/a.feature: A"
+    Then reading it names line 1
