Have ranks of large groups report as often as they are counted

Ruled out: longer waits within a switch, which make maps later. Change: at rest a rank reports as often as its counts are read, each 0.2 to 0.3 s; small groups as before.

--- a/src/expert-balance/rank-member.ts
+++ b/src/expert-balance/rank-member.ts
@@ -15,8 +15,12 @@
 	readonly log: (message: string) => void;
 };
 
-/** Time between two reports while the map rests, milliseconds. */
-const restMs = 200;
+/**
+ * Time between two reports while the map rests, milliseconds: as often as counts are read, which large groups do less often,
+ * but so often that two in a row fall within the time for which a planner takes a report for fresh.
+ */
+const leastRestMs = 200;
+const mostRestMs = 300;
 /**
  * Time between two reports after an order, and until when it holds, milliseconds: once the group is held each millisecond
  * counts, while copies are loaded and after the release only the end must be seen. Each report is a call of the engine and a
@@ -42,6 +46,7 @@
 	private highestTerm = 0;
 	private nextReportAt = 0;
 	private nextCountAt = 0;
+	private restMs = leastRestMs;
 	private lastOrder: {readonly type: RankOrder['type']; readonly at: number} | undefined;
 	private placement: RankPlacement | undefined;
 	/** The planner's last sign of life, and when it came in. */
@@ -101,11 +106,11 @@
 
 	private getInterval(now: number): number {
 		if (!this.lastOrder) {
-			return restMs;
+			return this.restMs;
 		}
 
 		const sinceMs = now - this.lastOrder.at;
-		return afterOrder[this.lastOrder.type].find(({untilMs}) => sinceMs < untilMs)?.intervalMs ?? restMs;
+		return afterOrder[this.lastOrder.type].find(({untilMs}) => sinceMs < untilMs)?.intervalMs ?? this.restMs;
 	}
 
 	private async passOn({group, term, number, order}: MessageOf<'rank-order'>): Promise<void> {
@@ -142,7 +147,9 @@
 			this.noteReport(report);
 			const counts = wantsCounts && report.isOpen ? await engine.readCounts() : undefined;
 			if (counts) {
-				this.nextCountAt = clock() + getCountInterval(report.size, counts);
+				const countMs = getCountInterval(report.size, counts);
+				this.nextCountAt = clock() + countMs;
+				this.restMs = Math.min(mostRestMs, Math.max(leastRestMs, countMs));
 			}
 
 			const isMoved = this.placement?.version !== report.mapVersion || this.placement.epoch !== report.epoch;
