--- a/src/balance/service-gate.ts
+++ b/src/balance/service-gate.ts
@@ -41,7 +41,7 @@
 	}
 
 	/** Whether requests should go to the other groups of a service: this one has stopped, and nothing says that it runs again. */
-	isShunned(group: string, now: number): boolean {
+	isAvoided(group: string, now: number): boolean {
 		return now < (this.outages.get(group)?.retryAt ?? 0);
 	}
 
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -144,7 +144,7 @@
 		const {directory, gate} = this.options;
 		const registered = directory.list(service);
 		const units = [...new Set(registered.map(target => getUnit(target)))];
-		const running = units.filter(unit => !gate.isShunned(unit, now));
+		const running = units.filter(unit => !gate.isAvoided(unit, now));
 		if (units.length > 1 && running.length > 0) {
 			return registered.filter(target => running.includes(getUnit(target)));
 		}
