Log what refusals ask for, and how their targets stood when they were chosen

Cause: logs could not tell whether refusing targets draw requests because a wish for rest is not read, because they look empty, or by repeats.

Change: answers' Retry-After (503 and 429) and the mark of a leaving target are decoded in the adapter; a rest is logged as it begins and ends, with what was sent meanwhile; a refusal names the requests in flight at its target. Different values under one header name are joined, as HTTP does, so that the longest of two rests is seen. No decision uses any of it.

Ruled out: that keeping to rests would be enough.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -92,5 +92,30 @@
     Then a refusal, a refusal with its group, a misdirected request and a signed answer are told apart
     And neither a caller's key nor its own marks for a target are passed on
 
+  Scenario Outline: A worker's wish for rest is read from <status> with Retry-After <value>
+    Then a worker that answers <status> with Retry-After "<value>" asks for <rest>
+
+    Examples:
+      | status | value                             | rest     |
+      | 503    | 3                                 | 3000 ms  |
+      | 503    | 0.35                              | 350 ms   |
+      | 503    | 0                                 | 0 ms     |
+      | 429    | 2                                 | 2000 ms  |
+      | 503    | 1, 3                              | 3000 ms  |
+      | 503    | 3, soon                           | 3000 ms  |
+      | 503    | Thu, 03 Dec 2026 10:00:04 GMT     | 4000 ms  |
+      | 503    | Thu, 03 Dec 2026 09:00:00 GMT, 2  | 2000 ms  |
+      | 503    | 99999999999999999999              | 86400000 ms |
+      | 503    | soon                              | no rest  |
+      | 503    | -3                                | no rest  |
+      | 503    | 1e3                               | no rest  |
+      | 503    | 3 s                               | no rest  |
+      | 200    | 3                                 | no rest  |
+
+  Scenario: A worker that is about to leave says so in any answer
+    Then a worker that answers 200 with leaving "1" is about to leave
+    And a worker that answers 503 with leaving "1" is about to leave
+    But a worker that answers 200 with leaving "0" is not about to leave
+
   Scenario: The platform's names stay in its folder
     Then no source outside of it holds a name of the platform's wire
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -7,6 +7,7 @@
 import {RepeatBudget} from '../../src/balance/repeat-budget.js';
 import {ServiceGate} from '../../src/balance/service-gate.js';
 import {TargetHealth} from '../../src/balance/target-health.js';
+import {TargetRests} from '../../src/balance/target-rests.js';
 import {getUnit} from '../../src/fleet/get-unit.js';
 import {TargetDirectory} from '../../src/fleet/target-directory.js';
 import {type Target} from '../../src/fleet/target.js';
@@ -180,6 +181,7 @@
 		board,
 		gate: world.notes.get('gate') as ServiceGate,
 		health,
+		rests: new TargetRests(String),
 		budget: new RepeatBudget({
 			ratio: 0.2, slack: 90, windowMs: 10_000, countEntries: () => 1,
 		}),
--- a/src/forward/answer-marks.ts
+++ b/src/forward/answer-marks.ts
@@ -1,7 +1,9 @@
-/** What a target says of its answer beside status and body. */
+/** What a target says of its answer, and of itself, beside status and body. */
 export type AnswerMarks = {
 	/** Id of the request that the answer belongs to; undefined when the target names none. */
 	readonly requestId: string | undefined;
+	/** Id of the target that answers; undefined when it does not say, as most do not. */
+	readonly targetId: string | undefined;
 	/** Whether the target says that it did not run the request. */
 	readonly isNotRun: boolean;
 	/** Whether the target says that it is stopped with the group that it belongs to. */
@@ -10,4 +12,10 @@
 	readonly isMisdirected: boolean;
 	/** Whether the target has signed the answer as its own. */
 	readonly isSigned: boolean;
+	/** Whether the target says that it is about to leave, and wants nothing new. */
+	readonly isLeaving: boolean;
+	/** How long the target wants nothing from this process, milliseconds; undefined when it does not say, or not so that it can be read. */
+	readonly restMs: number | undefined;
+	/** What it said of that, as it was sent, for the log. */
+	readonly retryAfter: string | undefined;
 };
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -4,6 +4,7 @@
 import {type RepeatBudget} from '../balance/repeat-budget.js';
 import {type ServiceGate} from '../balance/service-gate.js';
 import {type TargetHealth} from '../balance/target-health.js';
+import {type TargetRests} from '../balance/target-rests.js';
 import {getUnit} from '../fleet/get-unit.js';
 import {type TargetDirectory} from '../fleet/target-directory.js';
 import {type Target} from '../fleet/target.js';
@@ -37,6 +38,7 @@
 	readonly board: LoadBoard;
 	readonly gate: ServiceGate;
 	readonly health: TargetHealth;
+	readonly rests: TargetRests;
 	readonly budget: RepeatBudget;
 	readonly stalls: StallWatch;
 	readonly admission: StreamAdmission;
@@ -70,7 +72,16 @@
 		exchange.service = pickService(route, this.options.random);
 		this.options.budget.earn(exchange.service, this.options.clock());
 		const progress: SendProgress = {
-			delivery: new StreamDelivery(exchange), excluded: new Set(), sent: 0, misdirected: 0, tries: 0, isUnrun: true, reason: 'no target is registered', failure: undefined, isExpired: false,
+			delivery: new StreamDelivery(exchange),
+			excluded: new Set(),
+			sent: 0,
+			misdirected: 0,
+			tries: 0,
+			isUnrun: true,
+			reason: 'no target is registered',
+			failure: undefined,
+			isExpired: false,
+			inFlight: 0,
 		};
 		for (;;) {
 			const target = this.choose(exchange, progress);
@@ -154,7 +165,7 @@
 	}
 
 	private async sendTo(target: Target, exchange: ForwardExchange, progress: SendProgress): Promise<SendOutcome> {
-		const {board, clock, send, stalls, onSend} = this.options;
+		const {board, clock, rests, send, stalls, onSend} = this.options;
 		const now = clock();
 		const remainingMs = exchange.deadline - now;
 		if (exchange.departure.signal.aborted) {
@@ -166,7 +177,9 @@
 			return {kind: 'not-run', reason: 'the deadline passed', wasSent: false};
 		}
 
+		progress.inFlight = board.count(target.id, now);
 		board.begin(target.id, now);
+		rests.noteSend(target.id, now);
 		onSend(exchange.service, progress.sent > 0);
 		progress.tries++;
 		try {
@@ -263,7 +276,7 @@
 	private noteFailure(target: Target, reason: string, progress: SendProgress, exchange: ForwardExchange): void {
 		progress.reason = reason;
 		progress.excluded.add(target.id);
-		exchange.note(`${target.id}: ${reason}`);
+		exchange.note(`${target.id} with ${progress.inFlight} in flight: ${reason}`);
 	}
 
 	private conclude(exchange: ForwardExchange, progress: SendProgress, {detail, spread}: Refusal): Result<void, Problem> {
--- a/src/forward/index-headers.ts
+++ b/src/forward/index-headers.ts
@@ -1,10 +1,13 @@
 import {type RawHeaders} from './raw-headers.js';
 
-/** Headers by lower-case name; the last of several with one name counts. */
+/** Headers by lower-case name; different values under one name are joined by commas, as HTTP combines them (RFC 9110, 5.3). */
 export function indexHeaders(headers: RawHeaders): Map<string, string> {
 	const index = new Map<string, string>();
 	for (let position = 0; position < headers.length; position += 2) {
-		index.set(headers[position].toLowerCase(), headers[position + 1]);
+		const name = headers[position].toLowerCase();
+		const value = headers[position + 1];
+		const known = index.get(name);
+		index.set(name, known === undefined || known === value ? value : `${known}, ${value}`);
 	}
 
 	return index;
--- a/src/forward/make-forward-path.ts
+++ b/src/forward/make-forward-path.ts
@@ -2,6 +2,7 @@
 import {RepeatBudget} from '../balance/repeat-budget.js';
 import {ServiceGate} from '../balance/service-gate.js';
 import {TargetHealth} from '../balance/target-health.js';
+import {TargetRests} from '../balance/target-rests.js';
 import {type ForwardEntrySettings} from '../config/forward-entry-settings.js';
 import {type Service} from '../fleet/service.js';
 import {getUnit} from '../fleet/get-unit.js';
@@ -43,6 +44,7 @@
 export function makeForwardPath({availabilityZone, repeats, dialect, clock, random, countRegistered, getService, onLoad, onSend, log}: PathOptions): ForwardPath {
 	const board = new LoadBoard(onLoad);
 	const health = new TargetHealth();
+	const rests = new TargetRests(log);
 	const directory = new TargetDirectory();
 	const gate = new ServiceGate(log);
 	const pool = new ConnectionPool(clock);
@@ -63,6 +65,12 @@
 		pool,
 		dialect,
 		clock,
+		onHead(target, {restMs, retryAfter}) {
+			if (restMs !== undefined) {
+				const now = clock();
+				rests.begin(target, {restMs, retryAfter: retryAfter!, inFlight: board.count(target.id, now)}, now);
+			}
+		},
 		onProgress(target) {
 			const now = clock();
 			board.progress(target.id, now);
@@ -78,6 +86,7 @@
 		board,
 		gate,
 		health,
+		rests,
 		budget: new RepeatBudget({...repeats, countEntries: now => Math.max(board.countPeers(now) + 1, countRegistered())}),
 		stalls,
 		admission,
@@ -93,8 +102,10 @@
 		directory,
 		dispatcher,
 		tick() {
+			const now = clock();
 			stalls.tick();
-			admission.tick(clock());
+			rests.tick(now);
+			admission.tick(now);
 		},
 		forget(target) {
 			pool.drop(target);
--- a/src/forward/send-progress.ts
+++ b/src/forward/send-progress.ts
@@ -20,4 +20,6 @@
 	failure: Answer | undefined;
 	/** Whether the request's time is up; timers may fire a little before the clock says so. */
 	isExpired: boolean;
+	/** Requests of all entries at the target of the last send when it was chosen. */
+	inFlight: number;
 };
--- a/src/forward/target-sender.ts
+++ b/src/forward/target-sender.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type Target} from '../fleet/target.js';
+import {type AnswerMarks} from './answer-marks.js';
 import {type ConnectionPool} from './connection-pool.js';
 import {dropHopHeaders} from './drop-hop-headers.js';
 import {type ForwardExchange} from './forward-exchange.js';
@@ -13,6 +14,8 @@
 	readonly pool: ConnectionPool;
 	readonly dialect: HeaderDialect;
 	readonly clock: () => number;
+	/** Told of the head of each answer that comes on a target's connection, whichever request it belongs to. */
+	readonly onHead: (target: Target, marks: AnswerMarks) => void;
 	/** Told of each piece of an answer that a target sends. */
 	readonly onProgress: (target: Target) => void;
 	/** Told of the time between two events of a stream, milliseconds. */
@@ -49,6 +52,7 @@
 	private readonly chunks: Buffer[] = [];
 	private bytes = 0;
 	private cause: 'busy' | 'group-down' | 'gone' = 'busy';
+	private retryAfter: string | undefined;
 	private isSettled = false;
 	/** When the last part of a stream came, milliseconds. */
 	private eventAt: number | undefined;
@@ -131,6 +135,7 @@
 		this.headers = headers;
 		const index = indexHeaders(headers);
 		const marks = this.sender.dialect.readAnswer(status, index);
+		this.sender.onHead(target, marks);
 		// A target that answers twice may refuse an earlier request here: that proves nothing of this one.
 		const isForeign = marks.requestId !== exchange.marks.id && (marks.requestId !== undefined || !marks.isNotRun);
 		if (isForeign) {
@@ -140,6 +145,7 @@
 
 		if (marks.isNotRun) {
 			this.cause = marks.isMisdirected ? 'gone' : (marks.isGroupDown ? 'group-down' : 'busy');
+			this.retryAfter = marks.retryAfter;
 			this.mode = 'reject';
 			return;
 		}
@@ -236,8 +242,9 @@
 	}
 
 	private makeRefusal(): SendOutcome {
+		const rest = this.retryAfter === undefined ? '' : `, Retry-After ${this.retryAfter}`;
 		return {
-			kind: 'not-run', reason: `target refused with ${this.status}, ${this.cause}`, wasSent: true, cause: this.cause,
+			kind: 'not-run', reason: `target refused with ${this.status}, ${this.cause}${rest}`, wasSent: true, cause: this.cause,
 		};
 	}
 
--- a/stand-ins/forward/plain-dialect.ts
+++ b/stand-ins/forward/plain-dialect.ts
@@ -1,4 +1,5 @@
 import {type HeaderDialect} from '../../src/forward/header-dialect.js';
+import {readRetryAfter} from '../../src/forward/read-retry-after.js';
 
 const requestId = 'x-request';
 const deadline = 'x-deadline';
@@ -24,9 +25,13 @@
 	ownHeaders: new Set(['authorization', deadline, target, organisation, lastEvent]),
 	readAnswer: (status, headers) => ({
 		requestId: headers.get(requestId),
+		targetId: headers.get('x-answered-by'),
 		isNotRun: headers.has('x-not-run') || status === 421,
 		isGroupDown: headers.has('x-group-down'),
 		isMisdirected: status === 421,
 		isSigned: headers.has('x-signed'),
+		isLeaving: headers.has('x-leaving'),
+		restMs: status === 503 ? readRetryAfter(headers) : undefined,
+		retryAfter: headers.get('retry-after'),
 	}),
 };
