Give the forward path its way to targets as a function

Cause: the path from the filters to a target could only be run over sockets, so what several entries do to many targets under load had no test without a network.

Change: makeForwardPath is given what opens the way to targets (send, drop, close); the HTTP one is as before, in one module.

--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -21,19 +21,11 @@
 import {type StallWatch} from './stall-watch.js';
 import {type StreamAdmission} from './stream-admission.js';
 import {StreamDelivery} from './stream-delivery.js';
-
-type SendFunction = (options: {
-	readonly exchange: ForwardExchange;
-	readonly target: Target;
-	readonly delivery: StreamDelivery;
-	readonly signal: AbortSignal;
-	/** Called for each piece of the target's answer. */
-	readonly onProgress: () => void;
-}) => Promise<SendOutcome>;
+import {type TargetTransport} from './target-transport.js';
 
 type DispatcherOptions = {
 	/** The way to a target. */
-	readonly send: SendFunction;
+	readonly send: TargetTransport['send'];
 	readonly directory: TargetDirectory;
 	readonly board: LoadBoard;
 	readonly gate: ServiceGate;
--- a/src/forward/make-forward-path.ts
+++ b/src/forward/make-forward-path.ts
@@ -7,14 +7,16 @@
 import {type Service} from '../fleet/service.js';
 import {getUnit} from '../fleet/get-unit.js';
 import {TargetDirectory} from '../fleet/target-directory.js';
-import {ConnectionPool} from './connection-pool.js';
 import {ForwardDispatcher} from './forward-dispatcher.js';
 import {type ForwardSurroundings} from './forward-surroundings.js';
 import {StallWatch} from './stall-watch.js';
 import {StreamAdmission} from './stream-admission.js';
-import {TargetSender} from './target-sender.js';
+import {type TargetTransport} from './target-transport.js';
+import {type TransportListener} from './transport-listener.js';
 
-type PathOptions = Pick<ForwardEntrySettings, 'availabilityZone' | 'repeats'> & Pick<ForwardSurroundings, 'dialect' | 'clock' | 'random'> & {
+type PathOptions = Pick<ForwardEntrySettings, 'availabilityZone' | 'repeats'> & Pick<ForwardSurroundings, 'clock' | 'random'> & {
+	/** Opens the way to targets; the listener is told what is seen on it. */
+	readonly openTransport: (listener: TransportListener) => TargetTransport;
 	/** Entries registered in the store, this one included: after a start, or in a cut, fewer are heard than share the budget. */
 	readonly countRegistered: () => number;
 	/** What operators have configured for a service; undefined while it is not known. */
@@ -41,13 +43,12 @@
 };
 
 /** Puts together what takes a request from the filters to a target: choice, gate, budget, connections, watch. */
-export function makeForwardPath({availabilityZone, repeats, dialect, clock, random, countRegistered, getService, onLoad, onSend, log}: PathOptions): ForwardPath {
+export function makeForwardPath({availabilityZone, repeats, openTransport, clock, random, countRegistered, getService, onLoad, onSend, log}: PathOptions): ForwardPath {
 	const board = new LoadBoard(onLoad);
 	const health = new TargetHealth();
 	const rests = new TargetRests(log);
 	const directory = new TargetDirectory();
 	const gate = new ServiceGate(log);
-	const pool = new ConnectionPool(clock);
 	const admission = new StreamAdmission({board, directory, getService});
 	const stalls = new StallWatch({
 		board,
@@ -58,13 +59,10 @@
 			gate.close(unit, clock(), 'none of its streams goes on');
 		},
 		onSilentConnection(target) {
-			pool.drop(target);
+			transport.drop(target);
 		},
 	});
-	const sender = new TargetSender({
-		pool,
-		dialect,
-		clock,
+	const transport: TargetTransport = openTransport({
 		onHead(target, {restMs, retryAfter}) {
 			if (restMs !== undefined) {
 				const now = clock();
@@ -81,7 +79,7 @@
 		},
 	});
 	const dispatcher = new ForwardDispatcher({
-		send: async options => sender.send(options),
+		send: async options => transport.send(options),
 		directory,
 		board,
 		gate,
@@ -108,19 +106,19 @@
 			admission.tick(now);
 		},
 		forget(target) {
-			pool.drop(target);
+			transport.drop(target);
 			board.prune(isKnown);
 			health.prune(isKnown);
 		},
 		renew(target) {
-			pool.drop(target);
+			transport.drop(target);
 			health.forget(target);
 		},
 		reopen(unit) {
 			gate.open(unit, clock());
 		},
 		close() {
-			pool.close();
+			transport.close();
 		},
 	};
 }
--- /dev/null
+++ b/src/forward/make-http-transport.ts
@@ -0,0 +1,28 @@
+import {ConnectionPool} from './connection-pool.js';
+import {type HeaderDialect} from './header-dialect.js';
+import {TargetSender} from './target-sender.js';
+import {type TargetTransport} from './target-transport.js';
+import {type TransportListener} from './transport-listener.js';
+
+type TransportOptions = {
+	readonly dialect: HeaderDialect;
+	/** The present, milliseconds. */
+	readonly clock: () => number;
+};
+
+/** Reaches targets over HTTP, on connections that are kept for the next request. */
+export function makeHttpTransport({dialect, clock}: TransportOptions, listener: TransportListener): TargetTransport {
+	const pool = new ConnectionPool(clock);
+	const sender = new TargetSender({
+		...listener, pool, dialect, clock,
+	});
+	return {
+		send: async options => sender.send(options),
+		drop(target) {
+			pool.drop(target);
+		},
+		close() {
+			pool.close();
+		},
+	};
+}
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -21,6 +21,7 @@
 import {ForwardServer} from './forward-server.js';
 import {type ForwardSurroundings} from './forward-surroundings.js';
 import {makeForwardPath} from './make-forward-path.js';
+import {makeHttpTransport} from './make-http-transport.js';
 
 type RunningForwardEntry = {
 	readonly httpPort: number;
@@ -57,7 +58,9 @@
 	const metrics = new ForwardMetrics();
 	const path = makeForwardPath({
 		...settings,
-		...surroundings,
+		clock,
+		random,
+		openTransport: listener => makeHttpTransport({dialect, clock}, listener),
 		countRegistered: () => view.list(entriesPrefix).length,
 		getService: name => state.table?.findService(name),
 		onLoad() {
--- a/src/forward/target-sender.ts
+++ b/src/forward/target-sender.ts
@@ -1,36 +1,21 @@
 import {Buffer} from 'node:buffer';
 import {type Target} from '../fleet/target.js';
-import {type AnswerMarks} from './answer-marks.js';
 import {type ConnectionPool} from './connection-pool.js';
 import {dropHopHeaders} from './drop-hop-headers.js';
-import {type ForwardExchange} from './forward-exchange.js';
 import {type HeaderDialect} from './header-dialect.js';
 import {indexHeaders} from './index-headers.js';
 import {type SendOutcome} from './send-outcome.js';
-import {type StreamDelivery} from './stream-delivery.js';
 import {type TargetConnection} from './target-connection.js';
+import {type TargetTransport} from './target-transport.js';
+import {type TransportListener} from './transport-listener.js';
 
-type SenderOptions = {
+type SenderOptions = TransportListener & {
 	readonly pool: ConnectionPool;
 	readonly dialect: HeaderDialect;
 	readonly clock: () => number;
-	/** Told of the head of each answer that comes on a target's connection, whichever request it belongs to. */
-	readonly onHead: (target: Target, marks: AnswerMarks) => void;
-	/** Told of each piece of an answer that a target sends. */
-	readonly onProgress: (target: Target) => void;
-	/** Told of the time between two events of a stream, milliseconds. */
-	readonly onGap: (target: Target, gapMs: number) => void;
 };
 
-type SendOptions = {
-	readonly exchange: ForwardExchange;
-	readonly target: Target;
-	readonly delivery: StreamDelivery;
-	/** Ends the send from outside; the reason says why. */
-	readonly signal: AbortSignal;
-	/** Called for each piece of the target's answer. */
-	readonly onProgress: () => void;
-};
+type SendOptions = Parameters<TargetTransport['send']>[0];
 
 /** Answers that are not streams are held until they are whole; a larger one is not relayed, bytes. */
 const maximumAnswerBytes = 16 * 1024 * 1024;
