--- /dev/null
+++ b/features/steps/call-fleet-steps.ts
@@ -0,0 +1,122 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {CallFleet} from '../support/call-fleet.js';
+import {type FleetTarget} from '../support/fleet-target.js';
+import {type SystemWorld} from '../support/system-world.js';
+
+/** What is under way as a refusal is answered still reaches the target within this time, milliseconds. */
+const underWayMs = 500;
+/** An entry that has read that a target leaves sends it nothing after this time, milliseconds; it may have a second or two. */
+const leaveMs = 1000;
+/** Time between two troubles that are drawn, milliseconds. */
+const troubleMs = 250;
+const slots = 8;
+const streamSeconds = 0.9;
+
+const getFleet = (world: SystemWorld): CallFleet => world.notes.get('fleet') as CallFleet;
+
+Given('{int} entries before {int} targets, and callers who need a third of them, seed {int}', function (this: SystemWorld, entries: number, targets: number, seed: number) {
+	this.notes.set('fleet', new CallFleet({
+		entries, targets, requestsPerSecond: targets * slots / streamSeconds / 3, seed,
+	}));
+});
+
+const playSpell = async (world: SystemWorld, count: number, seconds: readonly [number, number], restMs: number | undefined): Promise<void> => {
+	const fleet = getFleet(world);
+	const refusing = fleet.targets.slice(0, count);
+	const [from, until] = seconds.map(second => second * 1000);
+	await fleet.pass(from);
+	for (const target of refusing) {
+		target.refusal = {share: 1, restMs, lateMs: 0};
+	}
+
+	await fleet.pass(until);
+	for (const target of refusing) {
+		target.refusal = undefined;
+	}
+
+	// Whoever asked last has its answer.
+	await fleet.pass(until + 2000);
+	world.notes.set('refusing', refusing);
+	world.notes.set('span', {from, until});
+};
+
+When('{int} targets turn everything away from second {int} to {int}, asking for nothing', async function (this: SystemWorld, count: number, from: number, until: number) {
+	await playSpell(this, count, [from, until], undefined);
+});
+
+When('{int} targets turn everything away from second {int} to {int}, asking for {int} ms rest', async function (this: SystemWorld, count: number, from: number, until: number, restMs: number) {
+	await playSpell(this, count, [from, until], restMs);
+});
+
+const restart = (fleet: CallFleet, target: FleetTarget): void => {
+	target.restart();
+	fleet.register();
+};
+
+const trouble = (fleet: CallFleet): void => {
+	const target = fleet.targets[fleet.draw(fleet.targets.length)];
+	switch (fleet.draw(6)) {
+		case 0: {
+			restart(fleet, target);
+			break;
+		}
+
+		case 1: {
+			target.isLeaving = true;
+			break;
+		}
+
+		case 2: {
+			target.refusal = undefined;
+			break;
+		}
+
+		default: {
+			target.refusal = {
+				share: [0.4, 1][fleet.draw(2)],
+				restMs: [undefined, 0, 300, 1000, 3000, 6000][fleet.draw(6)],
+				lateMs: [0, 0, 0, 300][fleet.draw(4)],
+			};
+		}
+	}
+};
+
+When('targets turn requests away, ask for rests of drawn lengths, leave and start again for {int} seconds, as the seed has it', async function (this: SystemWorld, seconds: number) {
+	const fleet = getFleet(this);
+	while (fleet.now < seconds * 1000) {
+		await fleet.pass(fleet.now + troubleMs);
+		trouble(fleet);
+	}
+});
+
+Then('no target gets anything from an entry half a second after it has asked it for rest, until its end', function (this: SystemWorld) {
+	const {rests, arrivals} = getFleet(this);
+	const unkept = rests.filter(({pair, from, until}) => arrivals.some(arrival => arrival.pair === pair && arrival.at > from + underWayMs && arrival.at < until));
+	assert.deepEqual(unkept.slice(0, 3), [], `${unkept.length} of ${rests.length} rests are not kept`);
+});
+
+Then('no target gets anything from an entry a second after that has read that it leaves', function (this: SystemWorld) {
+	const {notices, arrivals} = getFleet(this);
+	assert.ok(notices.length > 0);
+	const unkept = notices.filter(({pair, at}) => arrivals.some(arrival => arrival.pair === pair && arrival.at > at + leaveMs));
+	assert.deepEqual(unkept.slice(0, 3), [], `${unkept.length} of ${notices.length}`);
+});
+
+Then('those {int} get no more than their share of what is sent meanwhile', function (this: SystemWorld, count: number) {
+	const {arrivals, targets} = getFleet(this);
+	const {from, until} = this.notes.get('span') as {from: number; until: number};
+	const meanwhile = arrivals.filter(({at}) => at >= from && at < until);
+	const refused = meanwhile.filter(({target}) => (this.notes.get('refusing') as FleetTarget[]).includes(target));
+	assert.ok(refused.length <= meanwhile.length * count / targets.length, `${refused.length} of ${meanwhile.length}`);
+});
+
+Then('at least {int} in {int} of the callers of each second are served at once', function (this: SystemWorld, least: number, outOf: number) {
+	const {calls} = getFleet(this);
+	const {from, until} = this.notes.get('span') as {from: number; until: number};
+	for (let start = from; start < until; start += 1000) {
+		const asked = calls.filter(({askedAt}) => askedAt >= start && askedAt < start + 1000);
+		const served = asked.filter(({isServed, tries}) => isServed && tries === 1);
+		assert.ok(served.length >= asked.length * least / outOf, `from ${start} ms: ${served.length} of ${asked.length}`);
+	}
+});
--- /dev/null
+++ b/features/steps/rest-steps.ts
@@ -0,0 +1,119 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {type HttpTarget} from '../../stand-ins/forward/http-target.js';
+import {type ForwardSystem} from '../support/forward-system.js';
+import {type SystemWorld} from '../support/system-world.js';
+
+type Answer = Awaited<ReturnType<ForwardSystem['call']>>;
+
+/** Requests that a scenario sends at most until one of them has reached a target. */
+const mostTries = 60;
+
+const getSystem = (world: SystemWorld): ForwardSystem => world.notes.get('forward') as ForwardSystem;
+const getTarget = (world: SystemWorld, number: number): HttpTarget => getSystem(world).targets.get(`target-${number}`)!;
+
+const send = async (world: SystemWorld, request: string, entry = 'entry-1'): Promise<Answer> => {
+	const [method, path] = request.split(' ');
+	return getSystem(world).call({
+		entry, method, path, ...(method === 'POST' && {body: 'a block'}),
+	});
+};
+
+const sendUntil = async (world: SystemWorld, request: string, isEnough: () => boolean): Promise<void> => {
+	for (let tries = 0; tries < mostTries && !isEnough(); tries++) {
+		await send(world, request);
+	}
+
+	assert.ok(isEnough(), `not reached with ${mostTries} requests`);
+};
+
+/* Registers the target anew, and waits until the entry has read it. */
+const register = async (world: SystemWorld, number: number, change: object): Promise<void> => {
+	const system = getSystem(world);
+	const {target} = getTarget(world, number);
+	system.store.put(`targets/${target.id}`, {...target, ...change});
+	await system.until(() => system.entries.get('entry-1')!.getRevision() >= system.store.lastRevision);
+};
+
+Given('target {int} turns everything away with {int} and Retry-After {string}', function (this: SystemWorld, number: number, status: number, value: string) {
+	getTarget(this, number).refusal = {status, headers: {'retry-after': value}};
+});
+
+Given('target {int} turns everything away with {int} and Retry-After {string}, in the name of {string}', function (this: SystemWorld, number: number, status: number, value: string, name: string) {
+	getTarget(this, number).refusal = {status, headers: {'retry-after': value, 'x-answered-by': name}};
+});
+
+Given('target {int} says in its answers that it is about to leave', function (this: SystemWorld, number: number) {
+	getTarget(this, number).marks = {'x-leaving': '1'};
+});
+
+Given('target {int} answers {string} first', function (this: SystemWorld, number: number, manner: HttpTarget['manners'][number]) {
+	getTarget(this, number).manners.push(manner);
+});
+
+When('target {int} does not say it any more', function (this: SystemWorld, number: number) {
+	getTarget(this, number).marks = {};
+});
+
+When('target {int} is registered once more as before', async function (this: SystemWorld, number: number) {
+	await register(this, number, {});
+});
+
+When('target {int} starts again under its id', async function (this: SystemWorld, number: number) {
+	const target = getTarget(this, number);
+	target.marks = {};
+	target.refusal = undefined;
+	await register(this, number, {bornAt: 2});
+});
+
+When('a caller sends {string} until target {int} has been asked', async function (this: SystemWorld, request: string, number: number) {
+	const target = getTarget(this, number);
+	await sendUntil(this, request, () => target.arrivals > 0);
+});
+
+When('a caller sends {string} {int} times', async function (this: SystemWorld, request: string, count: number) {
+	const answers: Answer[] = [];
+	for (let sent = 0; sent < count; sent++) {
+		answers.push(await send(this, request));
+	}
+
+	this.notes.set('answers', answers);
+});
+
+Then('a caller who sends {string} again and again reaches target {int}', async function (this: SystemWorld, request: string, number: number) {
+	const target = getTarget(this, number);
+	const before = target.arrivals;
+	await sendUntil(this, request, () => target.arrivals > before);
+});
+
+Then('target {int} has been asked once', function (this: SystemWorld, number: number) {
+	assert.equal(getTarget(this, number).arrivals, 1);
+});
+
+Then('all of that is refused as not run', function (this: SystemWorld) {
+	for (const {status, body} of this.notes.get('answers') as Answer[]) {
+		assert.equal(status, 503);
+		assert.equal((JSON.parse(body) as {outcome: string}).outcome, 'not-run');
+	}
+});
+
+Then('the last {int} are refused as not run, to come back after {int} ms or more, and not all at one moment', function (this: SystemWorld, count: number, leastMs: number) {
+	const answers = this.notes.get('answers') as Answer[];
+	assert.equal(answers.length, count);
+	assert.deepEqual([...new Set(answers.map(({status}) => status))], [503]);
+	const waits = answers.map(({headers}) => Number(headers['retry-after']) * 1000);
+	assert.ok(Math.min(...waits) >= leastMs, waits.join(' '));
+	assert.ok(Math.max(...waits) - Math.min(...waits) > 50, waits.join(' '));
+});
+
+Then('soon nothing that a caller sends to {string} reaches target {int}', async function (this: SystemWorld, entry: string, number: number) {
+	const target = getTarget(this, number);
+	await getSystem(this).until(async () => {
+		const before = target.arrivals;
+		for (let sent = 0; sent < 12; sent++) {
+			await send(this, 'GET /read/1', entry);
+		}
+
+		return target.arrivals === before;
+	});
+});
--- /dev/null
+++ b/features/support/call-fleet.ts
@@ -0,0 +1,250 @@
+import {IncomingMessage, ServerResponse} from 'node:http';
+import {Socket} from 'node:net';
+import {setImmediate as yieldTurn} from 'node:timers/promises';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {type Target} from '../../src/fleet/target.js';
+import {type AnswerMarks} from '../../src/forward/answer-marks.js';
+import {ForwardExchange} from '../../src/forward/forward-exchange.js';
+import {makeForwardPath} from '../../src/forward/make-forward-path.js';
+import {type SendOutcome} from '../../src/forward/send-outcome.js';
+import {type TargetTransport} from '../../src/forward/target-transport.js';
+import {type TransportListener} from '../../src/forward/transport-listener.js';
+import {FleetTarget} from './fleet-target.js';
+
+type Path = ReturnType<typeof makeForwardPath>;
+type SendOptions = Parameters<TargetTransport['send']>[0];
+type Receiver = {readonly listener: TransportListener; readonly resolve: (outcome: SendOutcome) => void};
+type FleetOptions = {
+	readonly entries: number;
+	readonly targets: number;
+	readonly requestsPerSecond: number;
+	readonly seed: number;
+	readonly maximumAttempts?: number;
+};
+
+/** One entry and one life of a target, named together. */
+type Pair = string;
+/** A request that has reached a target. */
+type Arrival = {readonly pair: Pair; readonly target: FleetTarget; readonly at: number};
+/** What a target has asked an entry for, from when it answered. */
+type Rest = {readonly pair: Pair; readonly from: number; readonly until: number};
+/** When an entry first read that a target leaves. */
+type Notice = {readonly pair: Pair; readonly at: number};
+/** A caller's request: when it was asked first, how often, and whether it was served in the end. */
+type Call = {readonly askedAt: number; tries: number; isServed: boolean};
+
+const turnMs = 2;
+const tickMs = 100;
+/** One way between an entry and a target. */
+const latencyMs = 2;
+/** Entries hear what the others have in flight so late. */
+const reportMs = 200;
+/** A stream's first event comes after this time in a slot, and it ends after the other. */
+const firstEventMs = 150;
+const streamMs = 900;
+const deadlineMs = 8000;
+/** Callers keep to the time that they are told up to this share of what they have left. */
+const honouredShare = 1 / 3;
+const slots = 8;
+
+const makeRoute = (maximumAttempts: number) => ({
+	name: 'draft',
+	host: 'desk.example',
+	prefix: '/stream/',
+	kind: 'stream' as const,
+	timeoutMs: deadlineMs,
+	targetLatencyMs: 400,
+	destinations: [{service: 'desk', weight: 1}],
+	maximumAttempts,
+	isPublic: true,
+	isResumable: true,
+});
+
+/** Entries that send callers' streams to targets, all in memory and by one clock: the product's path without a network. */
+export class CallFleet {
+	now = 0;
+	readonly targets: FleetTarget[] = [];
+	readonly paths: Path[] = [];
+	readonly arrivals: Arrival[] = [];
+	readonly rests: Rest[] = [];
+	readonly notices: Notice[] = [];
+	readonly calls: Call[] = [];
+	private readonly random: () => number;
+	private due: Array<{readonly at: number; readonly run: () => void}> = [];
+	private nextCallAt = 0;
+
+	constructor(private readonly options: FleetOptions) {
+		const generator = xoroshiro128plus(options.seed);
+		this.random = () => uniformFloat64(generator);
+		for (let index = 0; index < options.targets; index++) {
+			this.targets.push(new FleetTarget({
+				id: `target-${index}`, service: 'desk', address: '10.0.0.1', port: index + 1, availabilityZone: `zone-${index % 3}`, slots, isLeaving: false, bornAt: 1,
+			}));
+		}
+
+		for (let index = 0; index < options.entries; index++) {
+			this.paths.push(this.openPath(index));
+		}
+
+		this.register();
+	}
+
+	/** Has all entries hear which targets are registered. */
+	register(): void {
+		for (const {directory} of this.paths) {
+			directory.replace(this.targets.map(({target}) => target), this.now, false);
+		}
+	}
+
+	/** Lets time pass up to a moment, milliseconds, with callers that ask at the fleet's rate. */
+	async pass(until: number): Promise<void> {
+		while (this.now < until) {
+			this.now += turnMs;
+			this.turn();
+			await yieldTurn();
+		}
+	}
+
+	/** Draws a number below `count`. */
+	draw(count: number): number {
+		return Math.floor(this.random() * count);
+	}
+
+	private turn(): void {
+		if (this.now % tickMs === 0) {
+			for (const path of this.paths) {
+				path.tick();
+			}
+		}
+
+		if (this.now % reportMs === 0) {
+			this.exchangeReports();
+		}
+
+		while (this.nextCallAt <= this.now) {
+			this.nextCallAt += -Math.log(1 - this.random()) * 1000 / this.options.requestsPerSecond;
+			const call: Call = {askedAt: this.now, tries: 0, isServed: false};
+			this.calls.push(call);
+			void this.ask(call);
+		}
+
+		const ready = this.due.filter(({at}) => at <= this.now);
+		this.due = this.due.filter(({at}) => at > this.now);
+		for (const {run} of ready) {
+			run();
+		}
+	}
+
+	private exchangeReports(): void {
+		for (const [index, {board}] of this.paths.entries()) {
+			const inFlight = board.getOwn();
+			for (const [other, path] of this.paths.entries()) {
+				if (other !== index) {
+					path.board.hear(`entry-${index}`, inFlight, this.now);
+				}
+			}
+		}
+	}
+
+	/* A caller asks some entry, and once more when it is told to come back. */
+	private async ask(call: Call): Promise<void> {
+		call.tries++;
+		const incoming = new IncomingMessage(new Socket());
+		const exchange = new ForwardExchange({
+			incoming,
+			response: new ServerResponse(incoming),
+			arrivedAt: this.now,
+			marks: {id: 'request', deadlineMs, lastEventId: undefined},
+			isAllowedToKeepOpen: () => true,
+		});
+		exchange.route = makeRoute(this.options.maximumAttempts ?? 2);
+		exchange.deadline = call.askedAt + deadlineMs;
+		const result = await this.paths[this.draw(this.options.entries)].dispatcher.run(exchange);
+		if (result.isOk()) {
+			call.isServed = true;
+			return;
+		}
+
+		const afterMs = Math.min(result.error.options.retryAfterMs ?? 0, (exchange.deadline - this.now) * honouredShare);
+		if (call.tries === 1) {
+			this.after(afterMs, () => {
+				void this.ask(call);
+			});
+		}
+	}
+
+	private after(ms: number, run: () => void): void {
+		this.due.push({at: this.now + ms, run});
+	}
+
+	private openPath(entry: number): Path {
+		return makeForwardPath({
+			availabilityZone: `zone-${entry % 3}`,
+			repeats: {ratio: 0.2, slack: 90, windowMs: 10_000},
+			clock: () => this.now,
+			random: this.random,
+			countRegistered: () => this.options.entries,
+			getService: () => undefined,
+			onLoad: () => undefined,
+			onSend: () => undefined,
+			log: () => undefined,
+			openTransport: listener => ({
+				send: async options => this.send(entry, options, listener),
+				drop: () => undefined,
+				close: () => undefined,
+			}),
+		});
+	}
+
+	private async send(entry: number, options: SendOptions, listener: TransportListener): Promise<SendOutcome> {
+		return new Promise(resolve => {
+			this.after(latencyMs, () => {
+				const target = this.targets.find(other => other.target.id === options.target.id)!;
+				const pair = `${entry} ${target.target.id} ${target.target.bornAt}`;
+				this.arrivals.push({pair, target, at: this.now});
+				const refused = target.refuse(this.random());
+				if (!refused) {
+					this.serve(target, pair, options, {listener, resolve});
+					return;
+				}
+
+				if (refused.marks.restMs !== undefined) {
+					this.rests.push({pair, from: this.now, until: this.now + refused.marks.restMs});
+				}
+
+				this.after(latencyMs + refused.lateMs, () => {
+					this.tell(pair, options.target, refused.marks, listener);
+					resolve(refused.outcome);
+				});
+			});
+		});
+	}
+
+	private serve(target: FleetTarget, pair: Pair, {target: meant, delivery, signal, onProgress}: SendOptions, {listener, resolve}: Receiver): void {
+		const life = target.target.bornAt;
+		target.running++;
+		this.after(firstEventMs, () => {
+			this.tell(pair, meant, target.marks, listener);
+			listener.onProgress(meant);
+			onProgress();
+			delivery.start(200, []);
+		});
+		this.after(streamMs, () => {
+			if (target.target.bornAt !== life) {
+				resolve({kind: 'lost', reason: 'the target has started again'});
+				return;
+			}
+
+			target.running--;
+			resolve(signal.aborted ? {kind: 'lost', reason: String(signal.reason)} : {kind: 'streamed'});
+		});
+	}
+
+	private tell(pair: Pair, target: Target, marks: AnswerMarks, listener: TransportListener): void {
+		listener.onHead(target, marks);
+		if (marks.isLeaving) {
+			this.notices.push({pair, at: this.now});
+		}
+	}
+}
--- /dev/null
+++ b/features/support/fleet-target.ts
@@ -0,0 +1,70 @@
+import {type Target} from '../../src/fleet/target.js';
+import {type AnswerMarks} from '../../src/forward/answer-marks.js';
+import {type SendOutcome} from '../../src/forward/send-outcome.js';
+
+type Refusal = {
+	/** Share of the requests that are turned away. */
+	readonly share: number;
+	/** Rest that is asked for; undefined when none is. */
+	readonly restMs: number | undefined;
+	/** How late it answers. */
+	readonly lateMs: number;
+};
+
+type Refused = {readonly marks: AnswerMarks; readonly outcome: SendOutcome; readonly lateMs: number};
+
+/** Requests that wait at a target beyond its slots before it turns the next away. */
+const queueLength = 4;
+
+/** A target in memory: it serves as many requests as it has slots, or turns them away as it is told to. */
+export class FleetTarget {
+	running = 0;
+	refusal: Refusal | undefined;
+	/** Says in each answer that it is about to leave. */
+	isLeaving = false;
+
+	constructor(public target: Target) {}
+
+	/** What its answers say of it. */
+	get marks(): AnswerMarks {
+		return {
+			requestId: undefined,
+			targetId: undefined,
+			isNotRun: false,
+			isGroupDown: false,
+			isMisdirected: false,
+			isSigned: true,
+			isLeaving: this.isLeaving,
+			restMs: undefined,
+			retryAfter: undefined,
+		};
+	}
+
+	/** How it turns a request away; undefined when it takes it. */
+	refuse(chance: number): Refused | undefined {
+		const isFull = this.running >= this.target.slots + queueLength;
+		const isRefusing = this.refusal !== undefined && chance < this.refusal.share;
+		if (!isFull && !isRefusing) {
+			return undefined;
+		}
+
+		const restMs = isRefusing ? this.refusal!.restMs : undefined;
+		return {
+			lateMs: this.refusal?.lateMs ?? 0,
+			marks: {
+				...this.marks, isNotRun: true, restMs, retryAfter: restMs === undefined ? undefined : String(restMs / 1000),
+			},
+			outcome: {
+				kind: 'not-run', reason: 'target refused', wasSent: true, cause: 'busy',
+			},
+		};
+	}
+
+	/** Starts again under its id: it knows nothing of before. */
+	restart(): void {
+		this.target = {...this.target, bornAt: this.target.bornAt! + 1};
+		this.refusal = undefined;
+		this.isLeaving = false;
+		this.running = 0;
+	}
+}
--- a/stand-ins/forward/http-target.ts
+++ b/stand-ins/forward/http-target.ts
@@ -12,6 +12,12 @@
 	readonly cuts: string[];
 	/** How it deals with the next requests; rightly when there is nothing in line. */
 	readonly manners: Manner[];
+	/** How many requests have reached it, run or not. */
+	arrivals: number;
+	/** Turns everything away so; undefined while it serves. */
+	refusal: {readonly status: number; readonly headers: Readonly<Record<string, string>>} | undefined;
+	/** What all its answers say of it beside what is said of the request. */
+	marks: Readonly<Record<string, string>>;
 	/** Lets the slow answer go. */
 	release(): void;
 	close(): void;
--- a/stand-ins/forward/plain-dialect.ts
+++ b/stand-ins/forward/plain-dialect.ts
@@ -31,7 +31,7 @@
 		isMisdirected: status === 421,
 		isSigned: headers.has('x-signed'),
 		isLeaving: headers.has('x-leaving'),
-		restMs: status === 503 ? readRetryAfter(headers) : undefined,
+		restMs: status === 503 || status === 429 ? readRetryAfter(headers) : undefined,
 		retryAfter: headers.get('retry-after'),
 	}),
 };
--- a/stand-ins/forward/start-http-target.ts
+++ b/stand-ins/forward/start-http-target.ts
@@ -15,7 +15,9 @@
 /** Connections that were dropped without a word: what comes next on them is reset and not run. */
 const forgotten = new WeakSet<object>();
 
-const makeHead = (id: string, type: string): Record<string, string> => ({'content-type': type, 'x-request': id, 'x-signed': '1'});
+const makeHead = ({marks}: HttpTarget, id: string, type: string): Record<string, string> => ({
+	'content-type': type, 'x-request': id, 'x-signed': '1', ...marks,
+});
 const makeRawHead = (id: string): string => `HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\nx-request: ${id}\r\nx-signed: 1\r\n`;
 
 /** Starts a target that answers over HTTP, rightly or in the manner that is next in line. */
@@ -32,6 +34,9 @@
 		runs: [],
 		cuts: [],
 		manners: [],
+		arrivals: 0,
+		refusal: undefined,
+		marks: {},
 		release() {
 			releases.get(running)?.();
 		},
@@ -54,6 +59,7 @@
 	}
 
 	const id = String(request.headers['x-request']);
+	running.arrivals++;
 	if (forgotten.has(request.socket)) {
 		resetConnection(request.socket);
 		return;
@@ -64,9 +70,15 @@
 		return;
 	}
 
+	if (running.refusal) {
+		const {status, headers} = running.refusal;
+		response.writeHead(status, {'x-request': id, 'x-not-run': '1', ...headers}).end();
+		return;
+	}
+
 	const manner = running.manners.shift() ?? 'answer';
 	if (manner === 'refuse') {
-		response.writeHead(503, {'x-request': id, 'x-not-run': '1'}).end();
+		response.writeHead(503, {'x-request': id, 'x-not-run': '1', ...running.marks}).end();
 		return;
 	}
 
@@ -81,7 +93,7 @@
 	if (request.url!.includes('/stream/') && manner === 'slow') {
 		startSlowStream(running, id, response);
 	} else if (request.url!.includes('/stream/')) {
-		streamEvents(running.target.id, Number(request.headers['last-event-id'] ?? 0), id, response, manner);
+		streamEvents(running, Number(request.headers['last-event-id'] ?? 0), id, response, manner);
 	} else {
 		answer(running, id, response, manner);
 	}
@@ -92,25 +104,25 @@
 	const socket = response.socket!;
 	switch (manner) {
 		case 'answer': {
-			response.writeHead(200, makeHead(id, 'text/plain')).end(body);
+			response.writeHead(200, makeHead(running, id, 'text/plain')).end(body);
 			break;
 		}
 
 		case 'forget': {
 			forgotten.add(socket);
-			response.writeHead(200, makeHead(id, 'text/plain')).end(body);
+			response.writeHead(200, makeHead(running, id, 'text/plain')).end(body);
 			break;
 		}
 
 		case 'slow': {
 			releases.set(running, () => {
-				response.writeHead(200, makeHead(id, 'text/plain')).end(body);
+				response.writeHead(200, makeHead(running, id, 'text/plain')).end(body);
 			});
 			break;
 		}
 
 		case 'fail': {
-			response.writeHead(500, makeHead(id, 'text/plain')).end('failed');
+			response.writeHead(500, makeHead(running, id, 'text/plain')).end('failed');
 			break;
 		}
 
@@ -120,7 +132,7 @@
 		}
 
 		case 'wrong-id': {
-			response.writeHead(200, makeHead('another', 'text/plain')).end(body);
+			response.writeHead(200, makeHead(running, 'another', 'text/plain')).end(body);
 			break;
 		}
 
@@ -163,7 +175,7 @@
 	}
 }
 
-function streamEvents(name: string, after: number, id: string, response: ServerResponse, manner: Manner): void {
+function streamEvents(running: HttpTarget, after: number, id: string, response: ServerResponse, manner: Manner): void {
 	if (manner === 'reset') {
 		resetConnection(response.socket!);
 		return;
@@ -173,7 +185,7 @@
 		return;
 	}
 
-	response.writeHead(200, makeHead(id, 'text/event-stream'));
+	response.writeHead(200, makeHead(running, id, 'text/event-stream'));
 	for (let event = after + 1; event <= events; event++) {
 		if (manner === 'cut' && event === 4) {
 			response.write(`id: ${event}\ndata: half of an ev`, () => {
@@ -182,7 +194,7 @@
 			return;
 		}
 
-		response.write(`id: ${event}\ndata: ${name} ${event}\n\n`);
+		response.write(`id: ${event}\ndata: ${running.target.id} ${event}\n\n`);
 	}
 
 	response.end();
@@ -190,7 +202,7 @@
 
 /* Sends the first event, and the rest when it is released. */
 function startSlowStream(running: HttpTarget, id: string, response: ServerResponse): void {
-	response.writeHead(200, makeHead(id, 'text/event-stream'));
+	response.writeHead(200, makeHead(running, id, 'text/event-stream'));
 	response.write('id: 1\ndata: first\n\n');
 	releases.set(running, () => {
 		response.end('id: 2\ndata: last\n\n');
