Let the scenario of two entries find its step

Cause: it failed for want of a step, not for the fault.

Change: the step takes one target or several.

--- a/features/steps/forward-steps.ts
+++ b/features/steps/forward-steps.ts
@@ -36,7 +36,7 @@
 	await build(this, 1, targets);
 });
 
-Given('{int} entries before {int} target that know each other', async function (this: SystemWorld, entries: number, targets: number) {
+Given('{int} entries before {int} target(s) that know each other', async function (this: SystemWorld, entries: number, targets: number) {
 	await build(this, entries, targets);
 });
 
