--- a/features/rest.feature
+++ b/features/rest.feature
@@ -104,7 +104,7 @@
       | another's answer   | wrong-id | GET /read/1     |
 
   Scenario: What one entry is told of a leaving target the others hear, while the store names it as ready
-    Given 2 entries before 2 targets that know each other
+    Given 2 entries before 1 target that know each other
     And target 1 says in its answers that it is about to leave
     When a caller sends "GET /read/1" until target 1 has been asked
     And target 1 does not say it any more
