Admit streams by the targets that take requests

Cause: a pass lasts as long as the fullest rank's part. While some of a group refuse, the others have all streams, and admission went on reckoning with the mean over all.

Change: targets that refuse, or are left alone, count neither in the forecast nor in the room.

Scenario in admission.feature: six of twelve refuse, a stream is refused that was admitted before.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -50,6 +50,18 @@
       | a stream without promise on pauses | 4    | admitted |
       | a request in one piece             | 4    | admitted |
 
+  # A pass lasts as long as the fullest rank's part: the mean over ranks of which some refuse says little.
+  Scenario Outline: Targets that refuse have no room to reckon with: <refusing> of 12 refuse
+    Given an entry that has seen pauses of 60 ms, with 3 streams at each of 12 targets
+    When <refusing> of them refuse what they are sent
+    And a peer has 3 more at each of 6 others
+    Then a stream is "<answer>", by what the others have under way
+
+    Examples:
+      | refusing | answer   |
+      | 0        | admitted |
+      | 6        | refused  |
+
   Scenario: Before any stream was seen, none is refused
     Then a forecast without observations admits a stream with 1000 under way
 
--- a/features/steps/admission-steps.ts
+++ b/features/steps/admission-steps.ts
@@ -165,13 +165,30 @@
 		}
 	}
 
-	const admission = new StreamAdmission({board, listOpen: service => directory.list(service), getService: name => ({name, maximumConnections: 100, pace})});
+	const refusing = new Set<string>();
+	const admission = new StreamAdmission({
+		board, listOpen: service => directory.list(service), isSound: ({id}) => !refusing.has(id), getService: name => ({name, maximumConnections: 100, pace}),
+	});
 	for (let now = 0; now < 2000; now += gapMs) {
 		admission.noteGap(list[0], gapMs);
 		admission.tick(now);
 	}
 
-	this.notes.set('entry', {board, admission, list});
+	this.notes.set('entry', {
+		board, admission, list, refusing,
+	});
+});
+
+When('{int} of them refuse what they are sent', function (this: SystemWorld, count: number) {
+	const {list, refusing} = this.notes.get('entry') as {list: readonly Target[]; refusing: Set<string>};
+	for (const {id} of list.slice(0, count)) {
+		refusing.add(id);
+	}
+});
+
+When('a peer has {int} more at each of {int} others', function (this: SystemWorld, streams: number, count: number) {
+	const {board, list} = this.notes.get('entry') as {board: LoadBoard; list: readonly Target[]};
+	board.hear('peer', Object.fromEntries(list.slice(-count).map(({id}) => [id, streams])), 2000);
 });
 
 Given('a peer with {int} more at each target', function (this: SystemWorld, streams: number) {
@@ -186,6 +203,13 @@
 	assert.ok(reason === undefined || reason.includes('84 streams under way'), reason);
 });
 
+Then('a stream is {string}, by what the others have under way', function (this: SystemWorld, answer: string) {
+	const {admission, list} = this.notes.get('entry') as {admission: StreamAdmission; list: readonly Target[]};
+	const reason = admission.findRoom(list, route, 8000, 2000).refusal;
+	assert.equal(reason === undefined ? 'admitted' : 'refused', answer, reason);
+	assert.ok(reason === undefined || reason.includes('36 streams under way'), reason);
+});
+
 Given('an entry that has seen pauses of {int} ms in one group of {int} targets and of {int} ms in another', function (this: SystemWorld, evenMs: number, targets: number, unevenMs: number) {
 	const board = new LoadBoard();
 	const directory = new TargetDirectory();
@@ -198,7 +222,9 @@
 		board.begin(id, 0);
 	}
 
-	const admission = new StreamAdmission({board, listOpen: service => directory.list(service), getService: name => ({name, maximumConnections: 100, pace})});
+	const admission = new StreamAdmission({
+		board, listOpen: service => directory.list(service), isSound: () => true, getService: name => ({name, maximumConnections: 100, pace}),
+	});
 	for (let now = 0; now < 2000; now += tickMs) {
 		admission.noteGap(list[0], evenMs);
 		admission.noteGap(list.at(-1)!, unevenMs);
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -196,7 +196,9 @@
 			onSilentConnection: String,
 			onStopped: String,
 		}),
-		admission: new StreamAdmission({board, listOpen: service => directory.list(service), getService: () => undefined}),
+		admission: new StreamAdmission({
+			board, listOpen: service => directory.list(service), isSound: () => true, getService: () => undefined,
+		}),
 		availabilityZone: 'a',
 		clock,
 		random: () => 0,
--- a/src/forward/make-forward-path.ts
+++ b/src/forward/make-forward-path.ts
@@ -56,7 +56,9 @@
 	const directory = new TargetDirectory();
 	const gate = new ServiceGate(log);
 	const listOpen = (service: string, now: number): readonly Target[] => directory.list(service).filter(({id}) => rests.getRemaining(id, now) === 0);
-	const admission = new StreamAdmission({board, listOpen, getService});
+	const admission = new StreamAdmission({
+		board, listOpen, isSound: ({id}, now) => health.getStanding(id, now) === 'sound', getService,
+	});
 	const stalls = new StallWatch({
 		board,
 		health,
--- a/src/forward/stream-admission.ts
+++ b/src/forward/stream-admission.ts
@@ -8,8 +8,10 @@
 
 type AdmissionOptions = {
 	readonly board: LoadBoard;
-	/** Targets of a service that may be sent something now: the others have no room to reckon with. */
+	/** Targets of a service that may be sent something now. */
 	readonly listOpen: (service: string, now: number) => readonly Target[];
+	/** Whether a target takes requests, as far as known: who refuses has no room to reckon with. */
+	readonly isSound: (target: Target, now: number) => boolean;
 	/** What operators have configured for a service; undefined while it is not known. */
 	readonly getService: (name: string) => Service | undefined;
 };
@@ -54,7 +56,7 @@
 	tick(now: number): void {
 		for (const [unit, {count, sumMs, service}] of this.gaps) {
 			const pace = this.options.getService(service)?.pace;
-			const targets = groupByUnit(this.options.listOpen(service, now)).get(unit) ?? [];
+			const targets = this.listSound(groupByUnit(this.options.listOpen(service, now)).get(unit) ?? [], now);
 			if (pace && targets.length > 0) {
 				const load = this.countInFlight(targets, now) / targets.length;
 				this.getForecast(unit).observe({gapMs: sumMs / count, load, pace}, now);
@@ -79,9 +81,10 @@
 		const open: Target[] = [];
 		const refusals: string[] = [];
 		for (const [unit, members] of groupByUnit(targets)) {
-			const inFlight = this.countInFlight(members, now);
+			const sound = this.listSound(members, now);
+			const inFlight = this.countInFlight(sound, now);
 			const admission = admitStream({
-				forecast: this.getForecast(unit), pace, targetGapMs, inFlight, targets: members.length, isLate: timeoutMs - leftMs > targetLatencyMs,
+				forecast: this.getForecast(unit), pace, targetGapMs, inFlight, targets: sound.length, isLate: timeoutMs - leftMs > targetLatencyMs,
 			});
 			if (admission.kind === 'admitted') {
 				open.push(...members);
@@ -93,6 +96,12 @@
 		return {targets: open, refusal: open.length > 0 ? undefined : refusals.join('; ')};
 	}
 
+	/* Passes last as long as the fullest rank's part: ranks that refuse do not share in it, the others have all of it. */
+	private listSound(targets: readonly Target[], now: number): readonly Target[] {
+		const sound = targets.filter(target => this.options.isSound(target, now));
+		return sound.length > 0 ? sound : targets;
+	}
+
 	private getForecast(unit: string): PauseForecast {
 		const forecast = this.forecasts.get(unit) ?? new PauseForecast();
 		this.forecasts.set(unit, forecast);
