Log and count refusals by target

Cause: from the logs nobody could tell which targets an entry leaves alone for their refusals, nor for how long.

Change: a line as a target refuses twice in a row and as it serves again; counters of refusals by service, with and without a wish for rest, and a gauge of targets that rest. A rest's line names the answer's status.

Conclusion: each belief of an entry on refusing targets has a line at its begin and end.

--- a/features/rest.feature
+++ b/features/rest.feature
@@ -52,6 +52,16 @@
       | 7    |
       | 8    |
 
+  Scenario: The log tells when a rest begins and ends, and who is left out of a request for it
+    Given 1 entries before 4 targets, and callers who need a third of them, seed 1
+    When 1 targets turn everything away from second 1 to 6, asking for 1500 ms rest
+    And another 6 seconds pass
+    Then the log holds a line like "target-0 of desk asks for 1500 ms of rest (503, Retry-After 1.5), "
+    And the log holds a line like "left out target-0 (rests "
+    And the log holds a line like "target-0 of desk has had its rest of 1500 ms, 0 requests were sent to it meanwhile"
+    And the log holds a line like "target-0 refuses what it is sent: others go first"
+    And the log holds a line like "target-0 serves again, "
+
   Scenario Outline: Whoever sends, a target that asks for rest with <status> gets nothing until its end: <request>
     Given an entry before 2 targets
     And target 1 turns everything away with <status> and Retry-After "20"
--- a/features/steps/call-fleet-steps.ts
+++ b/features/steps/call-fleet-steps.ts
@@ -116,6 +116,11 @@
 	await fleet.pass(fleet.now + (seconds * 1000));
 });
 
+Then('the log holds a line like {string}', function (this: SystemWorld, text: string) {
+	const {lines} = getFleet(this);
+	assert.ok(lines.some(line => line.includes(text)), lines.filter(line => line.includes('target-0')).slice(0, 8).join('\n'));
+});
+
 Then('those {int} get at least half of their share in the last {int} seconds', function (this: SystemWorld, count: number, seconds: number) {
 	const {arrivals, targets, now} = getFleet(this);
 	const late = arrivals.filter(({at}) => at >= now - (seconds * 1000));
--- a/features/support/call-fleet.ts
+++ b/features/support/call-fleet.ts
@@ -72,6 +72,8 @@
 	readonly rests: Rest[] = [];
 	readonly notices: Notice[] = [];
 	readonly calls: Call[] = [];
+	/** What entries log, of targets and in the lines of requests. */
+	readonly lines: string[] = [];
 	private readonly random: () => number;
 	private due: Array<{readonly at: number; readonly run: () => void}> = [];
 	private nextCallAt = 0;
@@ -171,6 +173,7 @@
 		exchange.route = makeRoute(this.options.maximumAttempts ?? 2);
 		exchange.deadline = call.askedAt + deadlineMs;
 		const result = await this.paths[this.draw(this.options.entries)].dispatcher.run(exchange);
+		this.lines.push(exchange.trail.join('; '));
 		if (result.isOk()) {
 			call.isServed = true;
 			return;
@@ -198,10 +201,13 @@
 			getService: () => undefined,
 			onLoad: () => undefined,
 			onSend: () => undefined,
+			onRefusal: () => undefined,
 			onLeave: target => {
 				path.directory.noteLeave(target, this.now);
 			},
-			log: () => undefined,
+			log: line => {
+				this.lines.push(line);
+			},
 			openTransport: listener => ({
 				send: async options => this.send(entry, options, listener),
 				drop: () => undefined,
--- a/src/balance/target-health.ts
+++ b/src/balance/target-health.ts
@@ -32,6 +32,9 @@
 /** A peer's word that a target serves again is surely newer than a refusal of so long ago, milliseconds: two of its reports. */
 const newsLagMs = 500;
 
+/** One refusal is common under load, and its request's own line tells it; this many in a row are told of their target. */
+const refusalsToTell = 2;
+
 const getAvoidMs = (times: number): number => Math.min(longestAvoidMs, firstAvoidMs * (2 ** (times - 1)));
 
 /** What this entry has seen of each target lately: failures, latency, refusals, whether it could be reached. Fades with time. */
@@ -40,6 +43,9 @@
 	/** Targets that refuse peers, by peer. */
 	private readonly hearsay = new Map<string, Hearsay>();
 
+	/** @param log - told of targets that refuse again and again, and of their return */
+	constructor(private readonly log: (message: string) => void = () => undefined) {}
+
 	/** Notes an answer, or a failure that the target is to blame for. */
 	note(target: string, hasFailed: boolean, now: number): void {
 		const record = this.read(target, now);
@@ -59,6 +65,10 @@
 	/** Notes that a target has begun to answer a request, not with a refusal or failure. */
 	noteServing(target: string, now: number): void {
 		const record = this.read(target, now);
+		if (record.refusals >= refusalsToTell) {
+			this.log(`target ${target} serves again, ${Math.round(now - record.refusedAt)} ms after the last of ${record.refusals} refusals`);
+		}
+
 		record.servedAt = now;
 		record.recoveredAt = record.refusals > 0 ? now : record.recoveredAt;
 		record.refusals = 0;
@@ -76,6 +86,9 @@
 		record.refusedAt = now;
 		record.recoveredAt = undefined;
 		record.refusedUntil = now + getAvoidMs(record.refusals);
+		if (record.refusals === refusalsToTell) {
+			this.log(`target ${target} refuses what it is sent: others go first, and it gets a request now and then to see`);
+		}
 	}
 
 	/** Targets that have refused what this entry sent last, for its peers; not what it only heard of them. */
--- a/src/balance/target-rests.ts
+++ b/src/balance/target-rests.ts
@@ -5,7 +5,8 @@
 /** How the target asked for it. */
 type Wish = {
 	readonly restMs: number;
-	/** As it was sent. */
+	/** Status of the answer, and its words. */
+	readonly status: number;
 	readonly retryAfter: string;
 	/** Requests of all entries under way there. */
 	readonly inFlight: number;
@@ -27,7 +28,7 @@
 	constructor(private readonly log: (message: string) => void) {}
 
 	/** Notes what a target asks for. A shorter rest does not end a longer one that it asked for before. */
-	begin(target: Target, {restMs, retryAfter, inFlight}: Wish, now: number): void {
+	begin(target: Target, {restMs, status, retryAfter, inFlight}: Wish, now: number): void {
 		const rest = this.rests.get(target.id);
 		if (rest) {
 			rest.until = Math.max(rest.until, now + restMs);
@@ -37,7 +38,12 @@
 		this.rests.set(target.id, {
 			target, since: now, until: now + restMs, sends: 0, goneAt: undefined,
 		});
-		this.log(`target ${target.id} of ${target.service} asks for ${Math.round(restMs)} ms of rest (Retry-After ${retryAfter}), ${inFlight} requests under way there`);
+		this.log(`target ${target.id} of ${target.service} asks for ${Math.round(restMs)} ms of rest (${status}, Retry-After ${retryAfter}), ${inFlight} requests under way there`);
+	}
+
+	/** Targets that rest. */
+	get size(): number {
+		return this.rests.size;
 	}
 
 	/** Milliseconds for which a target still wants nothing; 0 when it takes requests. */
--- a/src/forward/make-forward-path.ts
+++ b/src/forward/make-forward-path.ts
@@ -26,6 +26,8 @@
 	readonly getService: (name: string) => Service | undefined;
 	/** Called when this entry's own requests in flight change. */
 	readonly onLoad: () => void;
+	/** Told of each request that a target turned away, and whether it asked for rest. */
+	readonly onRefusal: (service: string, isRestAsked: boolean) => void;
 	/** Told of a target that says in its answers that it leaves. */
 	readonly onLeave: (target: Target) => void;
 	readonly onSend: (service: string, isRepeat: boolean) => void;
@@ -36,6 +38,7 @@
 	readonly board: LoadBoard;
 	readonly directory: TargetDirectory;
 	readonly health: TargetHealth;
+	readonly rests: TargetRests;
 	readonly dispatcher: ForwardDispatcher;
 	/** Looks for what has gone silent. */
 	tick(): void;
@@ -49,9 +52,9 @@
 };
 
 /** Puts together what takes a request from the filters to a target: choice, gate, budget, connections, watch. */
-export function makeForwardPath({availabilityZone, repeats, openTransport, clock, random, countRegistered, getService, onLoad, onLeave, onSend, log}: PathOptions): ForwardPath {
+export function makeForwardPath({availabilityZone, repeats, openTransport, clock, random, countRegistered, getService, onLoad, onRefusal, onLeave, onSend, log}: PathOptions): ForwardPath {
 	const board = new LoadBoard(onLoad);
-	const health = new TargetHealth();
+	const health = new TargetHealth(log);
 	const rests = new TargetRests(log);
 	const directory = new TargetDirectory();
 	const gate = new ServiceGate(log);
@@ -74,7 +77,7 @@
 	const transport: TargetTransport = openTransport({
 		onHead(target, marks) {
 			noteAnswerHead(target, marks, clock(), {
-				directory, rests, health, board, onLeave,
+				directory, rests, health, board, onRefusal, onLeave,
 			});
 		},
 		onProgress(target) {
@@ -109,6 +112,7 @@
 		board,
 		directory,
 		health,
+		rests,
 		dispatcher,
 		tick() {
 			const now = clock();
--- a/src/forward/note-answer-head.ts
+++ b/src/forward/note-answer-head.ts
@@ -13,6 +13,8 @@
 	readonly rests: TargetRests;
 	readonly health: TargetHealth;
 	readonly board: LoadBoard;
+	/** Told of each request that a target turned away, and whether it asked for rest. */
+	readonly onRefusal: (service: string, isRestAsked: boolean) => void;
 	/** Told of a target that says that it leaves, at each of its answers. */
 	readonly onLeave: (target: Target) => void;
 };
@@ -22,7 +24,7 @@
  * serves or refuses, leaves, or wants to rest. An answer in another target's name says nothing of the one that was meant, and one of a life that
  * has ended nothing of the present one.
  */
-export function noteAnswerHead(target: Target, marks: AnswerMarks, now: number, {directory, rests, health, board, onLeave}: NoteOptions): void {
+export function noteAnswerHead(target: Target, marks: AnswerMarks, now: number, {directory, rests, health, board, onRefusal, onLeave}: NoteOptions): void {
 	const {status, targetId, isNotRun, isGroupDown, isMisdirected, isLeaving, restMs, retryAfter} = marks;
 	const speaker = targetId === undefined || targetId === target.id ? target : directory.get(targetId);
 	const known = speaker && directory.get(speaker.id);
@@ -32,6 +34,7 @@
 
 	if (isNotRun && !isGroupDown && !isMisdirected) {
 		health.noteRefusal(speaker.id, now);
+		onRefusal(speaker.service, restMs !== undefined);
 	} else if (status < leastFailure) {
 		health.noteServing(speaker.id, now);
 	}
@@ -41,6 +44,8 @@
 	}
 
 	if (restMs !== undefined && restMs > 0) {
-		rests.begin(speaker, {restMs, retryAfter: retryAfter ?? '', inFlight: board.count(speaker.id, now)}, now);
+		rests.begin(speaker, {
+			restMs, status, retryAfter: retryAfter ?? '', inFlight: board.count(speaker.id, now),
+		}, now);
 	}
 }
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -66,6 +66,9 @@
 		onLoad() {
 			mesh.reportSoon();
 		},
+		onRefusal(service, isRestAsked) {
+			metrics.refusals.inc({service, rest: String(isRestAsked)});
+		},
 		onLeave(target) {
 			if (state.noteLeave(target, 'it says so in its answers', clock())) {
 				mesh.reportSoon();
@@ -78,7 +81,7 @@
 			requestLog.info(message);
 		},
 	});
-	const {board, directory, health, dispatcher} = path;
+	const {board, directory, health, rests, dispatcher} = path;
 	let isStopping = false;
 
 	const view: StoreView = new StoreView({
@@ -226,6 +229,7 @@
 		const now = clock();
 		mesh.tick();
 		path.tick();
+		metrics.resting.set(rests.size);
 		state.tick(now);
 		void registration.tick(now);
 	}, tickMs);
--- a/src/metrics/forward-metrics.ts
+++ b/src/metrics/forward-metrics.ts
@@ -24,6 +24,19 @@
 		registers: [this.registry],
 	});
 
+	readonly refusals = new Counter({
+		name: 'wardswitch_refusals_total',
+		help: 'Requests that targets turned away, by service and whether they asked for rest',
+		labelNames: ['service', 'rest'] as const,
+		registers: [this.registry],
+	});
+
+	readonly resting = new Gauge({
+		name: 'wardswitch_resting_targets',
+		help: 'Targets that have asked this process to send them nothing for a while, which is not over',
+		registers: [this.registry],
+	});
+
 	readonly seconds = new Histogram({
 		name: 'wardswitch_request_seconds',
 		help: 'Time from a request to the end of its answer, seconds',
