Prove that full targets that ask for rest do not send each other into it

Pattern: a burst fills targets, each of which turns the next away for seconds; their load and the callers who come back fall on the others.

--- a/features/rest.feature
+++ b/features/rest.feature
@@ -35,6 +35,20 @@
       | asking for 3000 ms rest | 1    |
       | asking for nothing      | 2    |
 
+  # Pattern: a burst fills targets, which turn the next away for seconds each. Their load falls on the others, and the callers who come
+  # back as well: without what refusals say, the same targets are asked again while others have room.
+  Scenario Outline: A tenth more callers come than targets can serve, and full ones ask for <restMs> ms rest, seed <seed>
+    Given 8 entries before 16 targets, and callers who need 11 tenths of them, seed <seed>
+    When full targets ask for <restMs> ms rest for 8 seconds
+    Then no target gets anything from an entry half a second after it has asked it for rest, until its end
+    And at least 9 in 10 of those whom the targets have room for are served at once
+
+    Examples:
+      | restMs | seed |
+      | 1000   | 1    |
+      | 3000   | 1    |
+      | 3000   | 2    |
+
   Scenario Outline: Whatever targets ask for, whenever they leave or start again, it is kept: seed <seed>
     Given 6 entries before 12 targets, and callers who need a third of them, seed <seed>
     When targets turn requests away, ask for rests of drawn lengths, leave and start again for 20 seconds, as the seed has it
--- a/features/steps/call-fleet-steps.ts
+++ b/features/steps/call-fleet-steps.ts
@@ -21,6 +21,32 @@
 	}));
 });
 
+Given('{int} entries before {int} targets, and callers who need {int} tenths of them, seed {int}', function (this: SystemWorld, entries: number, targets: number, tenths: number, seed: number) {
+	this.notes.set('fleet', new CallFleet({
+		entries, targets, requestsPerSecond: targets * slots / streamSeconds * tenths / 10, seed,
+	}));
+});
+
+When('full targets ask for {int} ms rest for {int} seconds', async function (this: SystemWorld, restMs: number, seconds: number) {
+	const fleet = getFleet(this);
+	for (const target of fleet.targets) {
+		target.fullRestMs = restMs;
+	}
+
+	await fleet.pass(seconds * 1000);
+	// Whoever asked last has its answer.
+	await fleet.pass((seconds + 2) * 1000);
+	this.notes.set('span', {from: 0, until: seconds * 1000});
+});
+
+Then('at least {int} in {int} of those whom the targets have room for are served at once', function (this: SystemWorld, least: number, outOf: number) {
+	const {calls, targets} = getFleet(this);
+	const {from, until} = this.notes.get('span') as {from: number; until: number};
+	const room = targets.length * slots / streamSeconds * (until - from) / 1000;
+	const served = calls.filter(({askedAt, isServed, tries}) => askedAt >= from && askedAt < until && isServed && tries === 1);
+	assert.ok(served.length >= room * least / outOf, `${served.length} of ${Math.round(room)}`);
+});
+
 const playSpell = async (world: SystemWorld, count: number, seconds: readonly [number, number], restMs: number | undefined): Promise<void> => {
 	const fleet = getFleet(world);
 	const refusing = fleet.targets.slice(0, count);
--- a/features/support/fleet-target.ts
+++ b/features/support/fleet-target.ts
@@ -20,6 +20,8 @@
 export class FleetTarget {
 	running = 0;
 	refusal: Refusal | undefined;
+	/** Rest that it asks for when it is full; undefined when it asks for none. */
+	fullRestMs: number | undefined;
 	/** Says in each answer that it is about to leave. */
 	isLeaving = false;
 
@@ -49,7 +51,7 @@
 			return undefined;
 		}
 
-		const restMs = isRefusing ? this.refusal!.restMs : undefined;
+		const restMs = isRefusing ? this.refusal!.restMs : this.fullRestMs;
 		return {
 			lateMs: this.refusal?.lateMs ?? 0,
 			marks: {
