Look each target's standing up once a choice

Cause: a choice asked for the standing of every target twice, and went over peers that say nothing.

Change: once; a peer that names no refusing target is not kept. A request that finds every target leaving says so.

--- a/src/balance/choose-replica.ts
+++ b/src/balance/choose-replica.ts
@@ -50,7 +50,9 @@
 		return {kind: 'none'};
 	}
 
-	const [sound, doubtful] = (['sound', 'doubtful'] as const).map(standing => open.filter(({id}) => options.getStanding(id) === standing));
+	const standings = new Map(open.map(target => [target, options.getStanding(target.id)]));
+	const sound = open.filter(target => standings.get(target) === 'sound');
+	const doubtful = open.filter(target => standings.get(target) === 'doubtful');
 	const isProbe = doubtful.length > 0 && options.mayProbe();
 	const isAnyReachable = sound.length + doubtful.length > 0;
 	const target = (isProbe ? findEmptiest(doubtful, options) : undefined)
--- a/src/balance/target-health.ts
+++ b/src/balance/target-health.ts
@@ -107,7 +107,12 @@
 	 */
 	hear(peer: string, {refusing, recovered}: PeerWord, now: number): void {
 		const known = this.hearsay.get(peer)?.since;
-		this.hearsay.set(peer, {at: now, since: new Map(refusing.map(target => [target, known?.get(target) ?? now]))});
+		if (refusing.length === 0) {
+			this.hearsay.delete(peer);
+		} else {
+			this.hearsay.set(peer, {at: now, since: new Map(refusing.map(target => [target, known?.get(target) ?? now]))});
+		}
+
 		for (const target of recovered) {
 			const record = this.records.get(target);
 			if (record && now - record.refusedAt > newsLagMs) {
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -81,7 +81,7 @@
 			misdirected: 0,
 			tries: 0,
 			isUnrun: true,
-			reason: 'no target is registered',
+			reason: 'no target is registered, or all leave',
 			failure: undefined,
 			isExpired: false,
 			inFlight: 0,
