Keep who refuses apart from how targets fare

Cause: one class held failures, latency, refusals and peers' word; and the head of an answer to a request that was sent before a refusal counted as proof that its target serves again.

Change: TargetRefusals by itself; a head counts against a refusal only if its request was sent after it. Names of the mesh's functions follow.

--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -8,6 +8,7 @@
 import {RepeatBudget} from '../../src/balance/repeat-budget.js';
 import {ServiceGate} from '../../src/balance/service-gate.js';
 import {TargetHealth} from '../../src/balance/target-health.js';
+import {TargetRefusals} from '../../src/balance/target-refusals.js';
 import {TargetRests} from '../../src/balance/target-rests.js';
 import {getUnit} from '../../src/fleet/get-unit.js';
 import {TargetDirectory} from '../../src/fleet/target-directory.js';
@@ -183,7 +184,9 @@
 		board,
 		gate: world.notes.get('gate') as ServiceGate,
 		health,
+		refusals: new TargetRefusals(String),
 		rests: new TargetRests(String),
+		getStanding: () => 'sound',
 		probes: new ProbeBudget(),
 		budget: new RepeatBudget({
 			ratio: 0.2, slack: 90, windowMs: 10_000, countEntries: () => 1,
--- a/features/support/call-fleet.ts
+++ b/features/support/call-fleet.ts
@@ -14,7 +14,8 @@
 
 type Path = ReturnType<typeof makeForwardPath>;
 type SendOptions = Parameters<TargetTransport['send']>[0];
-type Receiver = {readonly listener: TransportListener; readonly resolve: (outcome: SendOutcome) => void};
+type Sent = {readonly target: Target; readonly sentAt: number};
+type Receiver = {readonly sentAt: number; readonly listener: TransportListener; readonly resolve: (outcome: SendOutcome) => void};
 type FleetOptions = {
 	readonly entries: number;
 	readonly targets: number;
@@ -144,16 +145,16 @@
 	}
 
 	private exchangeReports(): void {
-		for (const [index, {board, health}] of this.paths.entries()) {
+		for (const [index, {board, refusals}] of this.paths.entries()) {
 			const inFlight = board.getOwn();
-			const word = {refusing: health.listRefusing(), recovered: health.listRecovered(this.now)};
+			const word = refusals.getWord(this.now);
 			for (const [other, path] of this.paths.entries()) {
 				if (other !== index) {
 					path.board.hear(`entry-${index}`, inFlight, this.now);
 				}
 
 				if (other !== index && other % zones === index % zones) {
-					path.health.hear(`entry-${index}`, word, this.now);
+					path.refusals.hear(`entry-${index}`, word, this.now);
 				}
 			}
 		}
@@ -218,6 +219,7 @@
 	}
 
 	private async send(entry: number, options: SendOptions, listener: TransportListener): Promise<SendOutcome> {
+		const sentAt = this.now;
 		return new Promise(resolve => {
 			this.after(latencyMs, () => {
 				const target = this.targets.find(other => other.target.id === options.target.id)!;
@@ -225,7 +227,7 @@
 				this.arrivals.push({pair, target, at: this.now});
 				const refused = target.refuse(this.random());
 				if (!refused) {
-					this.serve(target, pair, options, {listener, resolve});
+					this.serve(target, pair, options, {sentAt, listener, resolve});
 					return;
 				}
 
@@ -234,18 +236,19 @@
 				}
 
 				this.after(latencyMs + refused.lateMs, () => {
-					this.tell(pair, options.target, refused.marks, listener);
+					this.tell(pair, {target: options.target, sentAt}, refused.marks, listener);
 					resolve(refused.outcome);
 				});
 			});
 		});
 	}
 
-	private serve(target: FleetTarget, pair: Pair, {target: meant, delivery, signal, onProgress}: SendOptions, {listener, resolve}: Receiver): void {
+	private serve(target: FleetTarget, pair: Pair, {target: meant, delivery, signal, onProgress}: SendOptions, {sentAt, listener, resolve}: Receiver): void {
+		const sent = {target: meant, sentAt};
 		const life = target.target.bornAt;
 		target.running++;
 		this.after(firstEventMs, () => {
-			this.tell(pair, meant, target.marks, listener);
+			this.tell(pair, sent, target.marks, listener);
 			delivery.start(200, []);
 		});
 		for (let eventAfterMs = firstEventMs; eventAfterMs < streamMs; eventAfterMs += eventMs) {
@@ -266,8 +269,8 @@
 		});
 	}
 
-	private tell(pair: Pair, target: Target, marks: AnswerMarks, listener: TransportListener): void {
-		listener.onHead(target, marks);
+	private tell(pair: Pair, {target, sentAt}: Sent, marks: AnswerMarks, listener: TransportListener): void {
+		listener.onHead(target, marks, sentAt);
 		if (marks.isLeaving) {
 			this.notices.push({pair, at: this.now});
 		}
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -5,7 +5,9 @@
 import {type RepeatBudget} from '../balance/repeat-budget.js';
 import {type ServiceGate} from '../balance/service-gate.js';
 import {type TargetHealth} from '../balance/target-health.js';
+import {type TargetRefusals} from '../balance/target-refusals.js';
 import {type TargetRests} from '../balance/target-rests.js';
+import {type TargetStanding} from '../balance/target-standing.js';
 import {getUnit} from '../fleet/get-unit.js';
 import {type TargetDirectory} from '../fleet/target-directory.js';
 import {type Target} from '../fleet/target.js';
@@ -31,9 +33,11 @@
 	readonly directory: TargetDirectory;
 	/** Targets of a service that may be sent something now: those in the directory that do not rest. */
 	readonly listOpen: (service: string, now: number) => readonly Target[];
+	readonly getStanding: (target: string, now: number) => TargetStanding;
 	readonly board: LoadBoard;
 	readonly gate: ServiceGate;
 	readonly health: TargetHealth;
+	readonly refusals: TargetRefusals;
 	readonly rests: TargetRests;
 	readonly budget: RepeatBudget;
 	readonly probes: ProbeBudget;
@@ -101,7 +105,7 @@
 	}
 
 	private choose(exchange: ForwardExchange, progress: SendProgress): Target | Refusal {
-		const {board, health, probes, availabilityZone, clock, random} = this.options;
+		const {board, health, refusals, probes, getStanding, availabilityZone, clock, random} = this.options;
 		const now = clock();
 		if (progress.tries >= maximumTries || progress.sent - progress.misdirected >= exchange.route!.maximumAttempts) {
 			return {spread: overloadSpread, detail: progress.reason};
@@ -133,8 +137,8 @@
 			excluded: progress.excluded,
 			availabilityZone,
 			count: target => board.count(target, now),
-			getStanding: target => health.getStanding(target, now),
-			getServedAt: target => health.getServedAt(target),
+			getStanding: target => getStanding(target, now),
+			getServedAt: target => refusals.getServedAt(target),
 			getFailureRate: target => health.getFailureRate(target, now),
 			getLatency: target => exchange.route!.kind === 'stream' ? 0 : health.getLatency(target, now),
 			// What the caller has half of goes before what it has nothing of.
--- a/src/forward/make-forward-path.ts
+++ b/src/forward/make-forward-path.ts
@@ -3,8 +3,10 @@
 import {RepeatBudget} from '../balance/repeat-budget.js';
 import {ServiceGate} from '../balance/service-gate.js';
 import {TargetHealth} from '../balance/target-health.js';
+import {TargetRefusals} from '../balance/target-refusals.js';
 import {TargetRests} from '../balance/target-rests.js';
 import {type ForwardEntrySettings} from '../config/forward-entry-settings.js';
+import {type TargetStanding} from '../balance/target-standing.js';
 import {type Service} from '../fleet/service.js';
 import {getUnit} from '../fleet/get-unit.js';
 import {TargetDirectory} from '../fleet/target-directory.js';
@@ -37,7 +39,7 @@
 type ForwardPath = {
 	readonly board: LoadBoard;
 	readonly directory: TargetDirectory;
-	readonly health: TargetHealth;
+	readonly refusals: TargetRefusals;
 	readonly rests: TargetRests;
 	readonly dispatcher: ForwardDispatcher;
 	/** Looks for what has gone silent. */
@@ -54,13 +56,15 @@
 /** Puts together what takes a request from the filters to a target: choice, gate, budget, connections, watch. */
 export function makeForwardPath({availabilityZone, repeats, openTransport, clock, random, countRegistered, getService, onLoad, onRefusal, onLeave, onSend, log}: PathOptions): ForwardPath {
 	const board = new LoadBoard(onLoad);
-	const health = new TargetHealth(log);
+	const health = new TargetHealth();
+	const refusals = new TargetRefusals(log);
 	const rests = new TargetRests(log);
 	const directory = new TargetDirectory();
 	const gate = new ServiceGate(log);
 	const listOpen = (service: string, now: number): readonly Target[] => directory.list(service).filter(({id}) => rests.getRemaining(id, now) === 0);
+	const getStanding = (target: string, now: number): TargetStanding => health.isAvoided(target, now) ? 'avoided' : refusals.getStanding(target, now);
 	const admission = new StreamAdmission({
-		board, listOpen, isSound: ({id}, now) => health.getStanding(id, now) === 'sound', getService,
+		board, listOpen, isSound: ({id}, now) => getStanding(id, now) === 'sound', getService,
 	});
 	const stalls = new StallWatch({
 		board,
@@ -75,9 +79,9 @@
 		},
 	});
 	const transport: TargetTransport = openTransport({
-		onHead(target, marks) {
-			noteAnswerHead(target, marks, clock(), {
-				directory, rests, health, board, onRefusal, onLeave,
+		onHead(target, marks, sentAt) {
+			noteAnswerHead({target, marks, sentAt}, clock(), {
+				directory, rests, refusals, board, onRefusal, onLeave,
 			});
 		},
 		onProgress(target) {
@@ -93,9 +97,11 @@
 		send: async options => transport.send(options),
 		directory,
 		listOpen,
+		getStanding,
 		board,
 		gate,
 		health,
+		refusals,
 		rests,
 		probes: new ProbeBudget(),
 		budget: new RepeatBudget({...repeats, countEntries: now => Math.max(board.countPeers(now) + 1, countRegistered())}),
@@ -111,13 +117,13 @@
 	return {
 		board,
 		directory,
-		health,
+		refusals,
 		rests,
 		dispatcher,
 		tick() {
 			const now = clock();
 			stalls.tick();
-			health.tick(now);
+			refusals.tick(now);
 			rests.tick(now, isKnown);
 			admission.tick(now);
 		},
@@ -125,10 +131,12 @@
 			transport.drop(target);
 			board.prune(isKnown);
 			health.prune(isKnown);
+			refusals.prune(isKnown);
 		},
 		renew(target) {
 			transport.drop(target);
 			health.forget(target);
+			refusals.forget(target);
 			rests.forget(target);
 		},
 		reopen(unit) {
--- a/src/forward/note-answer-head.ts
+++ b/src/forward/note-answer-head.ts
@@ -1,5 +1,5 @@
 import {type LoadBoard} from '../balance/load-board.js';
-import {type TargetHealth} from '../balance/target-health.js';
+import {type TargetRefusals} from '../balance/target-refusals.js';
 import {type TargetRests} from '../balance/target-rests.js';
 import {type TargetDirectory} from '../fleet/target-directory.js';
 import {type Target} from '../fleet/target.js';
@@ -8,10 +8,17 @@
 /** First status of answers that bring nothing that was asked for. */
 const leastFailure = 400;
 
+type Head = {
+	readonly target: Target;
+	readonly marks: AnswerMarks;
+	/** When the request was sent that the answer was waited for, milliseconds. */
+	readonly sentAt: number;
+};
+
 type NoteOptions = {
 	readonly directory: TargetDirectory;
 	readonly rests: TargetRests;
-	readonly health: TargetHealth;
+	readonly refusals: TargetRefusals;
 	readonly board: LoadBoard;
 	/** Told of each request that a target turned away, and whether it asked for rest. */
 	readonly onRefusal: (service: string, isRestAsked: boolean) => void;
@@ -24,7 +31,7 @@
  * serves or refuses, leaves, or wants to rest. An answer in another target's name says nothing of the one that was meant, and one of a life that
  * has ended nothing of the present one.
  */
-export function noteAnswerHead(target: Target, marks: AnswerMarks, now: number, {directory, rests, health, board, onRefusal, onLeave}: NoteOptions): void {
+export function noteAnswerHead({target, marks, sentAt}: Head, now: number, {directory, rests, refusals, board, onRefusal, onLeave}: NoteOptions): void {
 	const {status, targetId, isNotRun, isGroupDown, isMisdirected, isLeaving, restMs, retryAfter} = marks;
 	const speaker = targetId === undefined || targetId === target.id ? target : directory.get(targetId);
 	const known = speaker && directory.get(speaker.id);
@@ -33,10 +40,10 @@
 	}
 
 	if (isNotRun && !isGroupDown && !isMisdirected) {
-		health.noteRefusal(speaker.id, now);
+		refusals.noteRefusal(speaker.id, now);
 		onRefusal(speaker.service, restMs !== undefined);
 	} else if (status < leastFailure) {
-		health.noteServing(speaker.id, now);
+		refusals.noteServing(speaker.id, sentAt, now);
 	}
 
 	if (isLeaving) {
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -81,7 +81,7 @@
 			requestLog.info(message);
 		},
 	});
-	const {board, directory, health, rests, dispatcher} = path;
+	const {board, directory, refusals, rests, dispatcher} = path;
 	let isStopping = false;
 
 	const view: StoreView = new StoreView({
@@ -159,9 +159,9 @@
 		hello,
 		view,
 		board,
-		listRefusing: () => ({refusing: health.listRefusing(), recovered: health.listRecovered(clock())}),
-		onRefusing(peer, word, now) {
-			health.hear(peer, word, now);
+		getRefusals: () => refusals.getWord(clock()),
+		onRefusals(peer, word, now) {
+			refusals.hear(peer, word, now);
 		},
 		listLeaves: () => directory.listLeaves(),
 		onLeaves(peer, leaves) {
--- a/src/forward/target-sender.ts
+++ b/src/forward/target-sender.ts
@@ -41,10 +41,12 @@
 	private isSettled = false;
 	/** When the last part of a stream came, milliseconds. */
 	private eventAt: number | undefined;
+	private readonly sentAt: number;
 	private readonly connection: TargetConnection;
 	private resolve!: (outcome: SendOutcome) => void;
 
 	constructor(private readonly sender: SenderOptions, private readonly options: SendOptions) {
+		this.sentAt = sender.clock();
 		this.connection = sender.pool.take(options.target, options.exchange.isRepeatable ? Number.POSITIVE_INFINITY : onceIdleMs);
 	}
 
@@ -120,7 +122,7 @@
 		this.headers = headers;
 		const index = indexHeaders(headers);
 		const marks = this.sender.dialect.readAnswer(status, index);
-		this.sender.onHead(target, marks);
+		this.sender.onHead(target, marks, this.sentAt);
 		// A target that answers twice may refuse an earlier request here: that proves nothing of this one.
 		const isForeign = marks.requestId !== exchange.marks.id && (marks.requestId !== undefined || !marks.isNotRun);
 		if (isForeign) {
--- a/src/mesh/entry-mesh.ts
+++ b/src/mesh/entry-mesh.ts
@@ -19,9 +19,9 @@
 	readonly view: StoreView;
 	readonly board: LoadBoard;
 	/** Targets that refuse this entry, and those that lately serve it again. */
-	readonly listRefusing: () => RefusalWord;
+	readonly getRefusals: () => RefusalWord;
 	/** Told of those of a peer in the same zone, at each of its reports: a target may refuse the callers of some zones only. */
-	readonly onRefusing: (peer: string, word: RefusalWord, now: number) => void;
+	readonly onRefusals: (peer: string, word: RefusalWord, now: number) => void;
 	/** Targets that have said that they leave, as far as this entry knows. */
 	readonly listLeaves: () => Leaves;
 	/** Told of what a peer knows of that, at each of its reports. */
@@ -165,11 +165,11 @@
 	}
 
 	private hear(message: MessageOf<'entry-load'>, send: (message: LinkMessage) => boolean): void {
-		const {board, view, clock, availabilityZone, onLeaves, onRefusing} = this.options;
+		const {board, view, clock, availabilityZone, onLeaves, onRefusals} = this.options;
 		const now = clock();
 		board.hear(message.id, message.inFlight, now);
 		if (message.availabilityZone === availabilityZone) {
-			onRefusing(message.id, {refusing: message.refusing ?? [], recovered: message.recovered ?? []}, now);
+			onRefusals(message.id, {refusing: message.refusing ?? [], recovered: message.recovered ?? []}, now);
 		}
 
 		onLeaves(message.id, message.leaves ?? []);
@@ -192,8 +192,8 @@
 
 	private report(now: number): void {
 		const namesPeers = now - this.peersToldAt >= peersMs;
-		const {board, view, listLeaves, listRefusing} = this.options;
-		const summary = JSON.stringify([board.getOwn(), view.asOf, listLeaves(), listRefusing()]);
+		const {board, view, listLeaves, getRefusals} = this.options;
+		const summary = JSON.stringify([board.getOwn(), view.asOf, listLeaves(), getRefusals()]);
 		if (summary === this.lastReport && now - this.reportedAt < quietMs) {
 			return;
 		}
@@ -213,9 +213,9 @@
 	}
 
 	private makeReport(namesPeers: boolean): MessageOf<'entry-load'> {
-		const {id, address, availabilityZone, board, view, clock, listLeaves, listRefusing} = this.options;
+		const {id, address, availabilityZone, board, view, clock, listLeaves, getRefusals} = this.options;
 		const leaves = listLeaves();
-		const {refusing, recovered} = listRefusing();
+		const {refusing, recovered} = getRefusals();
 		return {
 			type: 'entry-load',
 			id,
