Read the limit that a target names, log when it begins, changes and ends, and what was sent meanwhile

Cause: the logs could not tell what a target had said, to whom, and how much each entry sent it since. Change: the header is decoded in the adapter, one place keeps what targets name, its lines and a gauge tell of it. No decision uses it yet.

--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -9,6 +9,7 @@
 import {ServiceGate} from '../../src/balance/service-gate.js';
 import {TargetHealth} from '../../src/balance/target-health.js';
 import {TargetRefusals} from '../../src/balance/target-refusals.js';
+import {TargetLimits} from '../../src/balance/target-limits.js';
 import {TargetRests} from '../../src/balance/target-rests.js';
 import {getUnit} from '../../src/fleet/get-unit.js';
 import {TargetDirectory} from '../../src/fleet/target-directory.js';
@@ -185,6 +186,7 @@
 		gate: world.notes.get('gate') as ServiceGate,
 		health,
 		refusals: new TargetRefusals(String),
+		limits: new TargetLimits(String),
 		rests: new TargetRests(String),
 		getStanding: () => 'sound',
 		probes: new ProbeBudget(),
--- a/features/support/fleet-target.ts
+++ b/features/support/fleet-target.ts
@@ -22,6 +22,8 @@
 	refusal: Refusal | undefined;
 	/** Rest that it asks for when it is full; undefined when it asks for none. */
 	fullRestMs: number | undefined;
+	/** Requests per second that it takes from all entries together, as its answers say; undefined when it names none. */
+	limit: number | undefined;
 	/** Says in each answer that it is about to leave. */
 	isLeaving = false;
 
@@ -39,6 +41,7 @@
 			isSigned: true,
 			isLeaving: this.isLeaving,
 			restMs: undefined,
+			limit: this.limit === undefined ? undefined : {perSecond: this.limit},
 			retryAfter: undefined,
 		};
 	}
--- a/src/forward/answer-marks.ts
+++ b/src/forward/answer-marks.ts
@@ -17,6 +17,11 @@
 	readonly isLeaving: boolean;
 	/** How long the target wants nothing from this process, milliseconds; undefined when it does not say, or not so that it can be read. */
 	readonly restMs: number | undefined;
-	/** What it said of that, as it was sent, for the log. */
+	/** The rate at which the target takes requests from all entries together; undefined when it names none. */
+	readonly limit: {
+		/** Undefined when what it names cannot be read. */
+		readonly perSecond: number | undefined;
+	} | undefined;
+	/** What it said of its rest, as it was sent, for the log. */
 	readonly retryAfter: string | undefined;
 };
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -5,6 +5,7 @@
 import {type RepeatBudget} from '../balance/repeat-budget.js';
 import {type ServiceGate} from '../balance/service-gate.js';
 import {type TargetHealth} from '../balance/target-health.js';
+import {type TargetLimits} from '../balance/target-limits.js';
 import {type TargetRefusals} from '../balance/target-refusals.js';
 import {type TargetRests} from '../balance/target-rests.js';
 import {type TargetStanding} from '../balance/target-standing.js';
@@ -39,6 +40,7 @@
 	readonly health: TargetHealth;
 	readonly refusals: TargetRefusals;
 	readonly rests: TargetRests;
+	readonly limits: TargetLimits;
 	readonly budget: RepeatBudget;
 	readonly probes: ProbeBudget;
 	readonly stalls: StallWatch;
@@ -198,7 +200,7 @@
 	}
 
 	private async sendTo(target: Target, exchange: ForwardExchange, progress: SendProgress): Promise<SendOutcome> {
-		const {board, clock, rests, send, stalls, onSend} = this.options;
+		const {board, clock, rests, limits, send, stalls, onSend} = this.options;
 		const now = clock();
 		const remainingMs = exchange.deadline - now;
 		if (exchange.departure.signal.aborted) {
@@ -213,6 +215,7 @@
 		progress.inFlight = board.count(target.id, now);
 		board.begin(target.id, now);
 		rests.noteSend(target.id, now);
+		limits.noteSend(target.id);
 		onSend(exchange.service, progress.sent > 0);
 		progress.tries++;
 		try {
--- a/src/forward/make-forward-path.ts
+++ b/src/forward/make-forward-path.ts
@@ -3,6 +3,7 @@
 import {RepeatBudget} from '../balance/repeat-budget.js';
 import {ServiceGate} from '../balance/service-gate.js';
 import {TargetHealth} from '../balance/target-health.js';
+import {TargetLimits} from '../balance/target-limits.js';
 import {TargetRefusals} from '../balance/target-refusals.js';
 import {TargetRests} from '../balance/target-rests.js';
 import {type ForwardEntrySettings} from '../config/forward-entry-settings.js';
@@ -41,6 +42,7 @@
 	readonly directory: TargetDirectory;
 	readonly refusals: TargetRefusals;
 	readonly rests: TargetRests;
+	readonly limits: TargetLimits;
 	readonly dispatcher: ForwardDispatcher;
 	/** Looks for what has gone silent. */
 	tick(): void;
@@ -59,6 +61,7 @@
 	const health = new TargetHealth();
 	const refusals = new TargetRefusals(log);
 	const rests = new TargetRests(log);
+	const limits = new TargetLimits(log);
 	const directory = new TargetDirectory();
 	const gate = new ServiceGate(log);
 	const listOpen = (service: string, now: number): readonly Target[] => directory.list(service).filter(({id}) => rests.getRemaining(id, now) === 0);
@@ -81,7 +84,7 @@
 	const transport: TargetTransport = openTransport({
 		onHead(target, marks, sentAt) {
 			noteAnswerHead({target, marks, sentAt}, clock(), {
-				directory, rests, refusals, board, onRefusal, onLeave,
+				directory, rests, limits, refusals, board, onRefusal, onLeave,
 			});
 		},
 		onProgress(target) {
@@ -103,6 +106,7 @@
 		health,
 		refusals,
 		rests,
+		limits,
 		probes: new ProbeBudget(),
 		budget: new RepeatBudget({...repeats, countEntries: now => Math.max(board.countPeers(now) + 1, countRegistered())}),
 		stalls,
@@ -119,6 +123,7 @@
 		directory,
 		refusals,
 		rests,
+		limits,
 		dispatcher,
 		tick() {
 			const now = clock();
@@ -138,6 +143,7 @@
 			health.forget(target);
 			refusals.forget(target);
 			rests.forget(target);
+			limits.forget(target);
 		},
 		reopen(unit) {
 			gate.open(unit, clock());
--- a/src/forward/note-answer-head.ts
+++ b/src/forward/note-answer-head.ts
@@ -1,4 +1,5 @@
 import {type LoadBoard} from '../balance/load-board.js';
+import {type TargetLimits} from '../balance/target-limits.js';
 import {type TargetRefusals} from '../balance/target-refusals.js';
 import {type TargetRests} from '../balance/target-rests.js';
 import {type TargetDirectory} from '../fleet/target-directory.js';
@@ -18,6 +19,7 @@
 type NoteOptions = {
 	readonly directory: TargetDirectory;
 	readonly rests: TargetRests;
+	readonly limits: TargetLimits;
 	readonly refusals: TargetRefusals;
 	readonly board: LoadBoard;
 	/** Told of each request that a target turned away, and whether it asked for rest. */
@@ -28,11 +30,11 @@
 
 /**
  * Takes what the head of an answer says of its target for all requests to come, whatever became of the request it answers: that it
- * serves or refuses, leaves, or wants to rest. An answer in another target's name says nothing of the one that was meant, and one of a life that
+ * serves or refuses, leaves, wants to rest, or takes so many requests a second only. An answer in another target's name says nothing of the one that was meant, and one of a life that
  * has ended nothing of the present one.
  */
-export function noteAnswerHead({target, marks, sentAt}: Head, now: number, {directory, rests, refusals, board, onRefusal, onLeave}: NoteOptions): void {
-	const {status, targetId, isNotRun, isGroupDown, isMisdirected, isLeaving, restMs, retryAfter} = marks;
+export function noteAnswerHead({target, marks, sentAt}: Head, now: number, {directory, rests, limits, refusals, board, onRefusal, onLeave}: NoteOptions): void {
+	const {status, targetId, isNotRun, isGroupDown, isMisdirected, isLeaving, restMs, limit, retryAfter} = marks;
 	const speaker = targetId === undefined || targetId === target.id ? target : directory.get(targetId);
 	const known = speaker && directory.get(speaker.id);
 	if (!speaker || (known && known.bornAt !== speaker.bornAt)) {
@@ -46,6 +48,7 @@
 		refusals.noteServing(speaker.id, sentAt, now);
 	}
 
+	limits.note(speaker, limit, sentAt, now);
 	if (isLeaving) {
 		onLeave(speaker);
 	}
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -81,7 +81,7 @@
 			requestLog.info(message);
 		},
 	});
-	const {board, directory, refusals, rests, dispatcher} = path;
+	const {board, directory, refusals, rests, limits, dispatcher} = path;
 	let isStopping = false;
 
 	const view: StoreView = new StoreView({
@@ -230,6 +230,7 @@
 		mesh.tick();
 		path.tick();
 		metrics.resting.set(rests.size);
+		metrics.limited.set(limits.size);
 		state.tick(now);
 		void registration.tick(now);
 	}, tickMs);
--- a/src/metrics/forward-metrics.ts
+++ b/src/metrics/forward-metrics.ts
@@ -37,6 +37,12 @@
 		registers: [this.registry],
 	});
 
+	readonly limited = new Gauge({
+		name: 'wardswitch_limited_targets',
+		help: 'Targets that take so many requests a second only from all entries together',
+		registers: [this.registry],
+	});
+
 	readonly seconds = new Histogram({
 		name: 'wardswitch_request_seconds',
 		help: 'Time from a request to the end of its answer, seconds',
--- a/stand-ins/forward/plain-dialect.ts
+++ b/stand-ins/forward/plain-dialect.ts
@@ -1,4 +1,5 @@
 import {type HeaderDialect} from '../../src/forward/header-dialect.js';
+import {readRate} from '../../src/forward/read-rate.js';
 import {readRetryAfter} from '../../src/forward/read-retry-after.js';
 
 const requestId = 'x-request';
@@ -33,6 +34,7 @@
 		isSigned: headers.has('x-signed'),
 		isLeaving: headers.has('x-leaving'),
 		restMs: status === 503 || status === 429 ? readRetryAfter(headers) : undefined,
+		limit: headers.has('x-limit') ? {perSecond: readRate(headers.get('x-limit')!)} : undefined,
 		retryAfter: headers.get('retry-after'),
 	}),
 };
