Bring a request about that crashes its targets and comes again at any entry

Cause: a request whose target is lost before its answer goes on elsewhere and is then forgotten. Conclusion: the mend has to remember such a request by what it is, and tell the other entries.

--- a/features/support/call-fleet.ts
+++ b/features/support/call-fleet.ts
@@ -28,13 +28,13 @@
 /** One entry and one life of a target, named together. */
 type Pair = string;
 /** A request that has reached a target. */
-type Arrival = {readonly pair: Pair; readonly target: FleetTarget; readonly at: number};
+type Arrival = {readonly pair: Pair; readonly target: FleetTarget; readonly at: number; readonly isCrashing: boolean};
 /** What a target has asked an entry for, from when it answered. */
 type Rest = {readonly pair: Pair; readonly from: number; readonly until: number};
 /** When an entry first read that a target leaves. */
 type Notice = {readonly pair: Pair; readonly at: number};
 /** A caller's request: when it was asked first, how often, and whether it was served in the end. */
-type Call = {readonly askedAt: number; tries: number; isServed: boolean};
+type Call = {readonly askedAt: number; readonly body: Uint8Array<ArrayBuffer>; tries: number; isServed: boolean};
 
 const turnMs = 2;
 const tickMs = 100;
@@ -47,6 +47,10 @@
 const eventMs = 75;
 const streamMs = 900;
 const deadlineMs = 8000;
+/** A target that has crashed is back after this time. */
+const restartMs = 1500;
+/** The request that crashes its targets, as they begin to run it. */
+const crashingBody = new Uint8Array([255]);
 /** Callers keep to the time that they are told up to this share of what they have left. */
 const honouredShare = 1 / 3;
 const slots = 8;
@@ -69,6 +73,8 @@
 export class CallFleet {
 	now = 0;
 	readonly targets: FleetTarget[] = [];
+	/** Whether callers' requests all look alike; each is another one if not. */
+	isAlike = true;
 	/** Entries that hear only each other, for now; empty when all hear all. */
 	cutOff: ReadonlySet<number> = new Set();
 	readonly paths: Path[] = [];
@@ -117,6 +123,13 @@
 		}
 	}
 
+	/** A caller asks for what crashes the targets that run it, at an entry that is drawn. */
+	crash(): void {
+		void this.ask({
+			askedAt: this.now, body: crashingBody, tries: 0, isServed: false,
+		});
+	}
+
 	/** Draws a number below `count`. */
 	draw(count: number): number {
 		return Math.floor(this.random() * count);
@@ -135,7 +148,10 @@
 
 		while (this.nextCallAt <= this.now) {
 			this.nextCallAt += -Math.log(1 - this.random()) * 1000 / this.options.requestsPerSecond;
-			const call: Call = {askedAt: this.now, tries: 0, isServed: false};
+			const body = new Uint8Array(this.isAlike ? [0] : [this.calls.length % 251, Math.floor(this.calls.length / 251), 1]);
+			const call: Call = {
+				askedAt: this.now, body, tries: 0, isServed: false,
+			};
 			this.calls.push(call);
 			void this.ask(call);
 		}
@@ -189,6 +205,7 @@
 		});
 		exchange.route = makeRoute(this.options.maximumAttempts ?? 2);
 		exchange.deadline = call.askedAt + deadlineMs;
+		exchange.body = call.body;
 		const result = await this.paths[this.draw(this.options.entries)].dispatcher.run(exchange);
 		this.lines.push(exchange.trail.join('; '));
 		if (result.isOk()) {
@@ -247,7 +264,14 @@
 			this.after(latencyMs, () => {
 				const target = this.targets.find(other => other.target.id === options.target.id)!;
 				const pair = `${entry} ${target.target.id} ${target.target.bornAt}`;
-				this.arrivals.push({pair, target, at: this.now});
+				if (target.isDown) {
+					resolve({kind: 'not-run', reason: 'not sent: nobody listens', wasSent: false});
+					return;
+				}
+
+				this.arrivals.push({
+					pair, target, at: this.now, isCrashing: options.exchange.body === crashingBody,
+				});
 				const refused = target.refuse(this.random());
 				if (!refused) {
 					this.serve(target, pair, options, {sentAt, listener, resolve});
@@ -266,32 +290,47 @@
 		});
 	}
 
-	private serve(target: FleetTarget, pair: Pair, {target: meant, delivery, signal, onProgress}: SendOptions, {sentAt, listener, resolve}: Receiver): void {
+	private serve(target: FleetTarget, pair: Pair, {target: meant, exchange, delivery, signal, onProgress}: SendOptions, {sentAt, listener, resolve}: Receiver): void {
 		const sent = {target: meant, sentAt};
-		const life = target.target.bornAt;
-		target.running++;
+		const state = {isLost: false};
+		const end = target.run(() => {
+			state.isLost = true;
+			resolve({kind: 'lost', reason: 'other side closed'});
+		});
 		this.after(firstEventMs, () => {
+			if (state.isLost) {
+				return;
+			}
+
 			this.tell(pair, sent, target.marks, listener);
 			delivery.start(200, []);
+			if (exchange.body === crashingBody) {
+				this.crashTarget(target);
+			}
 		});
 		for (let eventAfterMs = firstEventMs; eventAfterMs < streamMs; eventAfterMs += eventMs) {
 			this.after(eventAfterMs, () => {
-				listener.onProgress(meant);
-				onProgress();
+				if (!state.isLost) {
+					listener.onProgress(meant);
+					onProgress();
+				}
 			});
 		}
 
 		this.after(streamMs, () => {
-			if (target.target.bornAt !== life) {
-				resolve({kind: 'lost', reason: 'the target has started again'});
-				return;
-			}
-
-			target.running--;
+			end();
 			resolve(signal.aborted ? {kind: 'lost', reason: String(signal.reason)} : {kind: 'streamed'});
 		});
 	}
 
+	private crashTarget(target: FleetTarget): void {
+		target.crash();
+		this.after(restartMs, () => {
+			target.restart();
+			this.register();
+		});
+	}
+
 	private tell(pair: Pair, {target, sentAt}: Sent, marks: AnswerMarks, listener: TransportListener): void {
 		listener.onHead(target, marks, sentAt);
 		if (marks.isLeaving) {
--- a/features/support/fleet-target.ts
+++ b/features/support/fleet-target.ts
@@ -24,9 +24,14 @@
 	fullRestMs: number | undefined;
 	/** Requests per second that it takes from all entries together, as its answers say; undefined when it names none. */
 	limit: number | undefined;
+	/** Whether it has crashed and is not back yet: nobody listens at its address. */
+	isDown = false;
 	/** Says in each answer that it is about to leave. */
 	isLeaving = false;
 
+	/** What ends with it when it crashes: the requests that it runs. */
+	private readonly losses = new Set<() => void>();
+
 	constructor(public target: Target) {}
 
 	/** What its answers say of it. */
@@ -66,11 +71,34 @@
 		};
 	}
 
+	/** Has a request end if the target crashes before it is done; gives what is to be called then. */
+	run(onLost: () => void): () => void {
+		this.losses.add(onLost);
+		this.running++;
+		return () => {
+			if (this.losses.delete(onLost)) {
+				this.running--;
+			}
+		};
+	}
+
+	/** Crashes: all that it runs is cut off. */
+	crash(): void {
+		this.isDown = true;
+		const losses = [...this.losses];
+		this.losses.clear();
+		for (const lose of losses) {
+			lose();
+		}
+	}
+
 	/** Starts again under its id: it knows nothing of before. */
 	restart(): void {
 		this.target = {...this.target, bornAt: this.target.bornAt! + 1};
 		this.refusal = undefined;
 		this.isLeaving = false;
+		this.isDown = false;
 		this.running = 0;
+		this.losses.clear();
 	}
 }
