Bring a suspended VM about, whose steady clock has stood still

Cause: all ages, leases and deadlines are reckoned by the steady clock, which does not count the time for which a VM is suspended. Conclusion: the time since the VM's start may be used where it agrees with the steady clock otherwise.

--- /dev/null
+++ b/features/steps/suspend-steps.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {SteadyClock} from '../../src/config/steady-clock.js';
+import {readMonotonicClock} from '../../src/config/read-monotonic-clock.js';
+import {type ForwardSystem} from '../support/forward-system.js';
+import {type SystemWorld} from '../support/system-world.js';
+
+/** A VM's clocks as a process reads them. */
+type Clocks = {
+	steadyMs: number;
+	timeOfDayMs: number;
+	uptimeMs: number;
+	/** How fast the time since the VM's start seems to go on. */
+	readonly uptimePace: number;
+	/** What happens after the next reading of the steady clock. */
+	onRead: (() => void) | undefined;
+	readonly clock: SteadyClock;
+	readonly lines: string[];
+};
+
+/** The process reads its clocks as often as it has something to do. */
+const turnMs = 10;
+
+const getClocks = (world: SystemWorld): Clocks => world.notes.get('clocks') as Clocks;
+
+const pass = (clocks: Clocks, ms: number): void => {
+	for (let passed = 0; passed < ms; passed += turnMs) {
+		clocks.steadyMs += turnMs;
+		clocks.timeOfDayMs += turnMs;
+		clocks.uptimeMs += turnMs * clocks.uptimePace;
+		clocks.clock.read();
+	}
+};
+
+const start = (world: SystemWorld, uptimePace: number): Clocks => {
+	const lines: string[] = [];
+	const clocks: Clocks = {
+		steadyMs: 40,
+		timeOfDayMs: 1_700_000_000_000,
+		uptimeMs: 86_400_000,
+		uptimePace,
+		onRead: undefined,
+		lines,
+		clock: new SteadyClock({
+			readSteady() {
+				const {steadyMs, onRead} = clocks;
+				clocks.onRead = undefined;
+				onRead?.();
+				return steadyMs;
+			},
+			readTimeOfDay: () => clocks.timeOfDayMs,
+			readUptime: () => clocks.uptimeMs,
+			log(message) {
+				lines.push(message);
+			},
+		}),
+	};
+	world.notes.set('clocks', clocks);
+	pass(clocks, 5000);
+	world.notes.set('before', clocks.clock.read());
+	return clocks;
+};
+
+Given('a process whose clocks have run for 5000 ms', function (this: SystemWorld) {
+	start(this, 1);
+});
+
+Given('a process whose VM tells another time since its start than passes', function (this: SystemWorld) {
+	start(this, 0.6);
+});
+
+When('its VM is suspended for {int} ms and its time of day steps by {int} ms', function (this: SystemWorld, suspendedMs: number, stepMs: number) {
+	const clocks = getClocks(this);
+	clocks.timeOfDayMs += suspendedMs + stepMs;
+	clocks.uptimeMs += suspendedMs;
+});
+
+When('it is frozen for {int} ms between one reading and the next', function (this: SystemWorld, ms: number) {
+	const clocks = getClocks(this);
+	clocks.onRead = () => {
+		clocks.steadyMs += ms;
+		clocks.timeOfDayMs += ms;
+		clocks.uptimeMs += ms;
+	};
+
+	clocks.clock.read();
+});
+
+When('{int} ms pass for its clocks', function (this: SystemWorld, ms: number) {
+	pass(getClocks(this), ms);
+});
+
+Then('its clock has gone on by {int} ms', function (this: SystemWorld, ms: number) {
+	assert.equal(Math.round(getClocks(this).clock.read() - (this.notes.get('before') as number)), ms);
+});
+
+Then('its log says that the time since the VM\'s start cannot be used', function (this: SystemWorld) {
+	const {lines} = getClocks(this);
+	assert.ok(lines.some(line => line.includes('time since the VM was started')), lines.join('\n'));
+});
+
+When('a caller waits for {string} as the entry\'s VM is suspended for {int} ms', async function (this: SystemWorld, request: string, ms: number) {
+	const system = this.notes.get('forward') as ForwardSystem;
+	const [method, path] = request.split(' ');
+	this.notes.set('answer', system.call({method, path, body: 'a block'}));
+	await system.until(() => system.targets.get('target-1')!.runs.length === 1);
+	system.skip(ms);
+	this.notes.set('woken', readMonotonicClock());
+});
+
+Then('the caller is told within {int} s that it is not known whether it ran', async function (this: SystemWorld, seconds: number) {
+	const {status, body} = await (this.notes.get('answer') as ReturnType<ForwardSystem['call']>);
+	assert.equal(status, 504);
+	assert.equal((JSON.parse(body) as {outcome: string}).outcome, 'unknown');
+	assert.ok(readMonotonicClock() - (this.notes.get('woken') as number) <= seconds * 1000);
+});
--- a/src/config/read-monotonic-clock.ts
+++ b/src/config/read-monotonic-clock.ts
@@ -1,6 +1,19 @@
+import {uptime} from 'node:os';
 import {performance} from 'node:perf_hooks';
+import {getLogger} from '../log/get-logger.js';
+import {SteadyClock} from './steady-clock.js';
+
+const logger = getLogger('clock');
+const clock = new SteadyClock({
+	readSteady: () => performance.now(),
+	readTimeOfDay: () => Date.now(),
+	readUptime: () => uptime() * 1000,
+	log(message) {
+		logger.info(message);
+	},
+});
 
 /** Milliseconds since the process started; a step of the time of day does not move it. */
 export function readMonotonicClock(): number {
-	return performance.now();
+	return clock.read();
 }
