Count the time for which a VM was suspended

What callers saw: after a VM's suspension an entry takes old words of peers, its view, rests and deadlines for fresh; a caller whose time was over is answered up to its whole remaining time later. Cause: the steady clock stands still meanwhile, and every age and deadline is reckoned by it. Ruled out: the time of day alone (it steps; taking a step for a suspension would end rests too early and cut links).

--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -245,7 +245,7 @@
 				target,
 				progress,
 				stalls,
-				remainingMs,
+				clock,
 				send: async (signal, onProgress) => send({
 					exchange, target, delivery: progress.delivery, signal, onProgress,
 				}),
--- a/src/forward/limit-send.ts
+++ b/src/forward/limit-send.ts
@@ -1,5 +1,6 @@
 import {type Target} from '../fleet/target.js';
 import {type ForwardExchange} from './forward-exchange.js';
+import {runAt} from './run-at.js';
 import {type SendOutcome} from './send-outcome.js';
 import {type SendProgress} from './send-progress.js';
 import {type StallWatch} from './stall-watch.js';
@@ -9,8 +10,8 @@
 	readonly target: Target;
 	readonly progress: SendProgress;
 	readonly stalls: StallWatch;
-	/** Time left to the request's deadline, milliseconds. */
-	readonly remainingMs: number;
+	/** The present, milliseconds; the request's deadline is by it. */
+	readonly clock: () => number;
 	/** Sends the request, until the signal ends it. */
 	readonly send: (signal: AbortSignal, onProgress: () => void) => Promise<SendOutcome>;
 };
@@ -19,18 +20,18 @@
 const patienceFactor = 2.5;
 
 /** Runs one send, and ends it at the deadline, when the caller leaves, when it helps no more, or when its target is silent. */
-export async function limitSend({exchange, target, progress, stalls, remainingMs, send}: Limits): Promise<SendOutcome> {
+export async function limitSend({exchange, target, progress, stalls, clock, send}: Limits): Promise<SendOutcome> {
 	const route = exchange.route!;
 	const abort = new AbortController();
-	const timers = [setTimeout(() => {
+	const cancels = [runAt(exchange.deadline, clock, () => {
 		progress.isExpired = true;
 		abort.abort('the deadline passed');
-	}, remainingMs)];
-	const patienceMs = patienceFactor * route.targetLatencyMs;
-	if (route.kind === 'idempotent' && progress.sent + 1 < route.maximumAttempts && patienceMs < remainingMs) {
-		timers.push(setTimeout(() => {
+	})];
+	const patienceEnd = clock() + (patienceFactor * route.targetLatencyMs);
+	if (route.kind === 'idempotent' && progress.sent + 1 < route.maximumAttempts && patienceEnd < exchange.deadline) {
+		cancels.push(runAt(patienceEnd, clock, () => {
 			abort.abort('no answer in time to be useful');
-		}, patienceMs));
+		}));
 	}
 
 	const leave = (): void => {
@@ -49,8 +50,8 @@
 	} finally {
 		watch?.stop();
 		exchange.departure.signal.removeEventListener('abort', leave);
-		for (const timer of timers) {
-			clearTimeout(timer);
+		for (const cancel of cancels) {
+			cancel();
 		}
 	}
 }
