--- a/features/limit.feature
+++ b/features/limit.feature
@@ -35,3 +35,88 @@
       | GET /stream/1   | 0.2      | 6    |
       | POST /release/1 | 0.5      | 8    |
       | GET /read/1     | 1, 30    | 11   |
+
+  # Pattern: what targets take is less than what is asked for. Who cannot be served is told at once, and comes back at the pace of the
+  # places: told one time, all would come together, and be refused again but for the first.
+  Scenario Outline: All <targets> targets name <perSecond> a second, and callers want more, <entries> entries, seed <seed>
+    Given <entries> entries before <targets> targets, and callers who need 5 tenths of them, seed <seed>
+    When <targets> targets name a limit of <perSecond> a second from second 2 to 14
+    Then none of them gets more from all entries in any 4 seconds than one and a half times its limit and 5 requests
+    And each of them gets at least 8 tenths of its limit
+    And whoever is refused is told within 50 ms
+    And no 200 ms are told to more than 4 times as many as others are, by the mean
+
+    Examples:
+      | entries | targets | perSecond | seed |
+      | 8       | 6       | 1.5       | 1    |
+      | 8       | 6       | 3         | 2    |
+      | 32      | 16      | 1         | 3    |
+      | 2       | 3       | 2         | 4    |
+
+  # Its answers alone tell that a limit has ended, so that a target that takes nothing has to be asked now and then.
+  Scenario Outline: A target that named <perSecond> a second and does no more gets its share again
+    Given 8 entries before 6 targets, and callers who need 5 tenths of them, seed 3
+    When 2 targets name a limit of <perSecond> a second from second 2 to 14
+    And another 6 seconds pass
+    Then those 2 get at least half of their share in the last 2 seconds
+
+    Examples:
+      | perSecond |
+      | 0         |
+      | 0.2       |
+      | 1         |
+
+  # Who is cut off has its part, and the parts add up to no more than the whole.
+  Scenario Outline: Entries that do not hear each other for 5 s send no more together, <cut> of <entries> apart, seed <seed>
+    Given <entries> entries before 6 targets, and callers who need 5 tenths of them, seed <seed>
+    When <cut> of the entries and the others do not hear each other from second 6 to 11
+    And 2 targets name a limit of <perSecond> a second from second 2 to 16
+    Then none of them gets more from all entries in any 4 seconds than one and a half times its limit and 5 requests
+    And each of them gets at least 6 tenths of its limit
+
+    Examples:
+      | entries | cut | perSecond | seed |
+      | 8       | 3   | 1         | 1    |
+      | 8       | 1   | 0.5       | 2    |
+      | 32      | 12  | 1         | 3    |
+      | 8       | 4   | 2         | 4    |
+
+  Scenario Outline: Whatever targets name, whoever is cut off, leaves or starts again, it is kept: seed <seed>
+    Given <entries> entries before 6 targets, and callers who need 5 tenths of them, seed <seed>
+    When targets name limits that change, leave, crash and start again, and entries are cut off, for 24 seconds, as the seed has it
+    Then no life of a target gets more from all entries in any 4 seconds than one and a half times the most that it named, and 5 requests
+
+    Examples:
+      | entries | seed |
+      | 8       | 1    |
+      | 8       | 2    |
+      | 8       | 3    |
+      | 8       | 4    |
+      | 24      | 5    |
+      | 24      | 6    |
+      | 3       | 7    |
+      | 3       | 8    |
+
+  Scenario Outline: What cannot be read changes nothing, and ends no limit: "<limit>"
+    Given an entry before 2 targets
+    And target 1 names a limit of "0.5" in its answers
+    When callers send "GET /read/1" 10 times, to the entries in turn
+    And target 1 names a limit of "<limit>" in its answers
+    And 2100 ms pass
+    And callers send "GET /read/1" 40 times, to the entries in turn
+    Then target 1 has been asked at most 8 times
+
+    Examples:
+      | limit     |
+      | -1        |
+      | many      |
+      | 1e3       |
+      | 0.5, none |
+
+  Scenario: What a target named in its former life is not held against its next
+    Given an entry before 2 targets
+    And target 1 names a limit of "0.2" in its answers
+    When callers send "GET /stream/1" 20 times, to the entries in turn
+    And target 1 starts again under its id
+    And callers send "GET /stream/1" 60 times, to the entries in turn
+    Then target 1 has been asked at least 15 times
--- a/features/steps/limit-steps.ts
+++ b/features/steps/limit-steps.ts
@@ -6,6 +6,9 @@
 import {type ForwardSystem} from '../support/forward-system.js';
 import {type SystemWorld} from '../support/system-world.js';
 
+type Cut = {readonly entries: ReadonlySet<number>; readonly from: number; readonly until: number};
+/** What a life of a target has named from a moment on; undefined when nothing. */
+type Named = {readonly life: string; readonly at: number; readonly perSecond: number | undefined};
 type Limited = {readonly targets: readonly FleetTarget[]; readonly perSecond: number; readonly from: number; readonly until: number};
 
 /** From then on after a target first names its limit, all entries keep to it, milliseconds. */
@@ -14,6 +17,10 @@
 /** What a target may get in a window: so many times what its limit allows, and so many requests more. */
 const allowedShare = 1.5;
 const allowedMore = 5;
+/** Time between two troubles that are drawn, milliseconds. */
+const troubleMs = 400;
+/** What a target named counts for so long after it has named something else, milliseconds: entries hear of it late. */
+const newsMs = 1000;
 
 const getFleet = (world: SystemWorld): CallFleet => world.notes.get('fleet') as CallFleet;
 const getLimited = (world: SystemWorld): Limited => world.notes.get('limited') as Limited;
@@ -26,6 +33,23 @@
 	return getFleet(world).arrivals.filter(arrival => arrival.target === target && arrival.at >= from + settleMs && arrival.at < until).map(({at}) => at);
 };
 
+/* Troubles that come at a moment while time passes otherwise. */
+const passWith = async (fleet: CallFleet, until: number, cut: Cut | undefined): Promise<void> => {
+	for (const at of [cut?.from, cut?.until]) {
+		if (at !== undefined && at < until) {
+			await fleet.pass(at);
+			fleet.cutOff = at === cut!.from ? cut!.entries : new Set();
+		}
+	}
+
+	await fleet.pass(until);
+};
+
+When('{int} of the entries and the others do not hear each other from second {int} to {int}', function (this: SystemWorld, count: number, from: number, until: number) {
+	const cut: Cut = {entries: new Set(Array.from({length: count}, (_, entry) => entry)), from: from * 1000, until: until * 1000};
+	this.notes.set('cut', cut);
+});
+
 When('{int} targets name a limit of {float} a second from second {int} to {int}', async function (this: SystemWorld, count: number, perSecond: number, fromSecond: number, untilSecond: number) {
 	const fleet = getFleet(this);
 	const [from, until] = [fromSecond * 1000, untilSecond * 1000];
@@ -35,7 +59,7 @@
 		target.limit = perSecond;
 	}
 
-	await fleet.pass(until);
+	await passWith(fleet, until, this.notes.get('cut') as Cut | undefined);
 	for (const target of targets) {
 		target.limit = undefined;
 	}
@@ -46,6 +70,7 @@
 		targets, perSecond, from, until,
 	});
 	this.notes.set('span', {from, until});
+	this.notes.set('refusing', targets);
 });
 
 Then('none of them gets more from all entries in any 4 seconds than one and a half times its limit and 5 requests', function (this: SystemWorld) {
@@ -102,3 +127,97 @@
 		return target.arrivals > before;
 	});
 });
+
+Then('whoever is refused is told within {int} ms', function (this: SystemWorld, ms: number) {
+	const {refusals} = getFleet(this);
+	const {from, until} = getLimited(this);
+	const slow = refusals.filter(({at, afterMs}) => at >= from && at < until && afterMs > ms);
+	assert.ok(refusals.length > 0);
+	assert.deepEqual(slow.slice(0, 3), [], `${slow.length} of ${refusals.length}`);
+});
+
+Then('no {int} ms are told to more than {int} times as many as others are, by the mean', function (this: SystemWorld, ms: number, most: number) {
+	const {from, until} = getLimited(this);
+	const told = getFleet(this).refusals.filter(({at}) => at >= from + settleMs && at < until).map(({returnAt}) => returnAt);
+	const mean = told.length * ms / (Math.max(...told) - Math.min(...told));
+	const highest = Math.max(...told.map(start => told.filter(at => at >= start && at < start + ms).length));
+	assert.ok(highest <= most * mean, `${highest} within ${ms} ms, ${mean} by the mean`);
+});
+
+const nameLife = ({target: {id, bornAt}}: FleetTarget): string => `${id} ${bornAt}`;
+
+const trouble = (fleet: CallFleet): void => {
+	const target = fleet.targets[fleet.draw(fleet.targets.length)];
+	switch (fleet.draw(12)) {
+		case 0: {
+			if (!target.isDown) {
+				fleet.crashTarget(target);
+			}
+
+			break;
+		}
+
+		case 1: {
+			target.isLeaving = true;
+			break;
+		}
+
+		case 2: {
+			target.limit = undefined;
+			break;
+		}
+
+		case 3: {
+			const first = fleet.draw(fleet.paths.length);
+			fleet.cutOff = new Set(Array.from({length: fleet.draw(fleet.paths.length)}, (_, step) => (first + step) % fleet.paths.length));
+			break;
+		}
+
+		case 4: {
+			fleet.cutOff = new Set();
+			break;
+		}
+
+		default: {
+			target.limit = [0, 0.2, 0.5, 1, 1.5, 3, 10, 1000][fleet.draw(8)];
+		}
+	}
+};
+
+When('targets name limits that change, leave, crash and start again, and entries are cut off, for {int} seconds, as the seed has it', async function (this: SystemWorld, seconds: number) {
+	const fleet = getFleet(this);
+	const named: Named[] = [];
+	while (fleet.now < seconds * 1000) {
+		await fleet.pass(fleet.now + troubleMs);
+		trouble(fleet);
+		named.push(...fleet.targets.map(target => ({life: nameLife(target), at: fleet.now, perSecond: target.limit})));
+	}
+
+	this.notes.set('named', named);
+});
+
+Then('no life of a target gets more from all entries in any 4 seconds than one and a half times the most that it named, and 5 requests', function (this: SystemWorld) {
+	const named = this.notes.get('named') as Named[];
+	const {arrivals} = getFleet(this);
+	let windows = 0;
+	for (const life of new Set(named.map(entry => entry.life))) {
+		const lifeArrivals = arrivals.filter(({pair}) => pair.endsWith(` ${life}`)).map(({at}) => at);
+		for (const start of lifeArrivals) {
+			const during = named.filter(entry => entry.life === life && entry.at >= start - settleMs - troubleMs && entry.at < start + windowMs);
+			const hasNamed = during.length >= (settleMs + windowMs) / troubleMs && during.every(({perSecond}) => perSecond !== undefined);
+			if (hasNamed) {
+				windows++;
+				const most = Math.max(...during.filter(({at}) => at >= start - newsMs - troubleMs).map(({perSecond}) => perSecond!));
+				const got = lifeArrivals.filter(at => at >= start && at < start + windowMs).length;
+				assert.ok(got <= (allowedShare * most * windowMs / 1000) + allowedMore, `${life} got ${got} from ${start} ms on, at ${most} a second`);
+			}
+		}
+	}
+
+	assert.ok(windows > 0, 'no target has named a limit for long enough');
+});
+
+Then('target {int} has been asked at least {int} times', function (this: SystemWorld, number: number, least: number) {
+	const {arrivals} = getTarget(this, number);
+	assert.ok(arrivals >= least, `${arrivals} times`);
+});
--- a/features/support/call-fleet.ts
+++ b/features/support/call-fleet.ts
@@ -33,6 +33,8 @@
 type Rest = {readonly pair: Pair; readonly from: number; readonly until: number};
 /** When an entry first read that a target leaves. */
 type Notice = {readonly pair: Pair; readonly at: number};
+/** A refusal: at which entry, when, how long that had taken, and when the caller was told to come back. */
+type Refusal = {readonly entry: number; readonly at: number; readonly afterMs: number; readonly returnAt: number};
 /** A caller's request: when it was asked first, how often, and whether it was served in the end. */
 type Call = {readonly askedAt: number; readonly body: Uint8Array<ArrayBuffer>; tries: number; isServed: boolean};
 
@@ -82,6 +84,7 @@
 	readonly rests: Rest[] = [];
 	readonly notices: Notice[] = [];
 	readonly calls: Call[] = [];
+	readonly refusals: Refusal[] = [];
 	/** What entries log, of targets and in the lines of requests. */
 	readonly lines: string[] = [];
 	private readonly random: () => number;
@@ -220,13 +223,17 @@
 		exchange.route = makeRoute(this.options.maximumAttempts ?? 2);
 		exchange.deadline = call.askedAt + deadlineMs;
 		exchange.body = call.body;
-		const result = await this.paths[this.draw(this.options.entries)].dispatcher.run(exchange);
+		const entry = this.draw(this.options.entries);
+		const result = await this.paths[entry].dispatcher.run(exchange);
 		this.lines.push(exchange.trail.join('; '));
 		if (result.isOk()) {
 			call.isServed = true;
 			return;
 		}
 
+		this.refusals.push({
+			entry, at: this.now, afterMs: this.now - exchange.arrivedAt, returnAt: this.now + (result.error.options.retryAfterMs ?? 0),
+		});
 		const afterMs = Math.min(result.error.options.retryAfterMs ?? 0, (exchange.deadline - this.now) * honouredShare);
 		if (call.tries === 1) {
 			this.after(afterMs, () => {
