Send a request to a target without a limit when those that name one have no permit left

Cause: a request asked for four permits at most and was refused then, though others had room; what its caller or its deadline ended counted as lost at a target that may crash later; peers were told at once of each new life of a target. Change: after the fourth question only targets without a limit are looked at; only what a target or a connection ended counts as lost; peers are told at once where a request is accused.

--- a/features/steps/limit-steps.ts
+++ b/features/steps/limit-steps.ts
@@ -221,3 +221,21 @@
 	const {arrivals} = getTarget(this, number);
 	assert.ok(arrivals >= least, `${arrivals} times`);
 });
+
+Given('each target but {int} names a limit of {string} in its answers', function (this: SystemWorld, number: number, limit: string) {
+	for (const target of getSystem(this).targets.values()) {
+		target.marks = target === getTarget(this, number) ? {} : {'x-limit': limit};
+	}
+});
+
+When('{int} times {int} ms pass and callers send {string}', async function (this: SystemWorld, times: number, ms: number, request: string) {
+	const system = getSystem(this);
+	const [method, path] = request.split(' ');
+	const answers = [];
+	for (let round = 0; round < times; round++) {
+		system.skip(ms);
+		answers.push(await system.call({method, path}));
+	}
+
+	this.notes.set('answers', answers);
+});
--- a/src/balance/crash-suspects.ts
+++ b/src/balance/crash-suspects.ts
@@ -97,13 +97,15 @@
 		this.losses.push({fingerprint, life, at: now});
 	}
 
-	/** Notes that a target has crashed: what it ran was lost by that. */
-	noteCrash(target: string, now: number): void {
+	/** Notes that a target has crashed: what it ran was lost by that. Gives whether that accuses any request. */
+	noteCrash(target: string, now: number): boolean {
 		const lost = this.losses.filter(({life, at}) => life.id === target && now - at <= lossMemoryMs);
 		this.losses = this.losses.filter(loss => !lost.includes(loss));
 		for (const {fingerprint, life} of lost) {
 			this.accuse(fingerprint, [nameLife(life)], now);
 		}
+
+		return lost.length > 0;
 	}
 
 	/**
--- a/src/forward/crash-watch.ts
+++ b/src/forward/crash-watch.ts
@@ -53,12 +53,11 @@
 
 	/** Notes that a target has started again under its id. */
 	noteRenewal(target: string): void {
-		this.suspects.noteCrash(target, this.options.clock());
-		this.options.onNews();
+		this.accuse(target);
 	}
 
 	private async look(target: Target): Promise<void> {
-		const {check, health, onNews, clock, log} = this.options;
+		const {check, health, clock, log} = this.options;
 		this.checked.add(target.id);
 		const finding = await check(target);
 		this.checked.delete(target.id);
@@ -66,10 +65,15 @@
 			return;
 		}
 
-		const now = clock();
 		log(`target ${target.id} of ${target.service} has crashed: it has ended its connections, and nobody listens at its address`);
-		health.avoid(target.id, now);
-		this.suspects.noteCrash(target.id, now);
-		onNews();
+		health.avoid(target.id, clock());
+		this.accuse(target.id);
+	}
+
+	private accuse(target: string): void {
+		const {clock, onNews} = this.options;
+		if (this.suspects.noteCrash(target, clock())) {
+			onNews();
+		}
 	}
 }
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -137,8 +137,8 @@
 				progress.sent++;
 				progress.isUnrun = false;
 				this.noteFailure(target, outcome.reason, progress, exchange);
-				this.options.crashes.noteLost(exchange, target, outcome.isCut ?? false);
 				if (!isOver) {
+					this.options.crashes.noteLost(exchange, target, outcome.isCut ?? false);
 					this.options.book.health.note(target.id, true, now);
 				}
 
--- a/src/forward/target-picker.ts
+++ b/src/forward/target-picker.ts
@@ -42,7 +42,7 @@
 	async pick(exchange: ForwardExchange, progress: SendProgress): Promise<Target | Refusal> {
 		const {book, gate, clock} = this.options;
 		for (let questions = 0; questions < mostQuestions; questions++) {
-			const target = this.choose(exchange, progress);
+			const target = this.choose(exchange, progress, true);
 			if ('detail' in target || await book.permits.take(target)) {
 				return target;
 			}
@@ -51,10 +51,11 @@
 			gate.excuse(getUnit(target), clock());
 		}
 
-		return {spread: returnSpreads.overload, detail: 'targets take so many requests a second only'};
+		return this.choose(exchange, progress, false);
 	}
 
-	private choose(exchange: ForwardExchange, progress: SendProgress): Target | Refusal {
+	/* @param mayAsk - whether targets count for which a permit is to be taken first */
+	private choose(exchange: ForwardExchange, progress: SendProgress, mayAsk: boolean): Target | Refusal {
 		const {board, book, probes, availabilityZone, clock, random} = this.options;
 		const {health, refusals} = book;
 		const now = clock();
@@ -91,7 +92,7 @@
 		progress.isPaid = progress.sent > 0;
 
 		const choice = chooseReplica({
-			targets,
+			targets: mayAsk ? targets : targets.filter(({id}) => book.limits.get(id) === undefined),
 			excluded: progress.excluded,
 			availabilityZone,
 			count: target => board.count(target, now),
