--- a/src/forward/target-picker.ts
+++ b/src/forward/target-picker.ts
@@ -65,7 +65,7 @@
 
 		const blockMs = this.options.crashes.getBlockMs(exchange, now);
 		if (blockMs > 0) {
-			return {spread: 0, shutMs: blockMs, detail: `targets crashed as they ran this request, which is refused for ${Math.round(blockMs)} ms more`};
+			return {spread: 0, shutMs: blockMs, detail: `targets crashed as they ran this request (${exchange.fingerprint}), which is refused for ${Math.round(blockMs)} ms more`};
 		}
 
 		const shut = this.findShut(exchange, now);
