--- a/src/balance/choose-replica.ts
+++ b/src/balance/choose-replica.ts
@@ -65,8 +65,7 @@
 const hasRoom = ({id, slots}: Target, {count, queueLength}: ChoiceOptions): boolean => count(id) < slots + queueLength;
 
 /*
- * What one target refused, another may refuse as well: the one that began to answer last is least likely to. In memory, of callers in
- * the first second in which five of 16 targets refuse, 97 in 100 are served at once with this and 88 without it (5 seeds).
+ * What one target refused, another may refuse as well: the one that began to answer last is least likely to.
  */
 function findLastServing(targets: readonly Target[], options: ChoiceOptions): Target | undefined {
 	const serving = targets.filter(target => options.getServedAt(target.id) !== undefined && hasRoom(target, options));
--- a/src/balance/probe-budget.ts
+++ b/src/balance/probe-budget.ts
@@ -5,8 +5,7 @@
 
 /**
  * Bounds how many requests are sent to see whether targets that have refused take some again: by the requests that there are, so
- * that neither more entries nor more such targets turn most requests into probes. In memory, 40 entries before 16 targets of which
- * five refuse everything send these 76 in 100 requests without it and 12 with it (5 seeds).
+ * that neither more entries nor more such targets turn most requests into probes.
  */
 export class ProbeBudget {
 	private readonly credits = new Map<string, number>();
--- a/src/balance/service-gate.ts
+++ b/src/balance/service-gate.ts
@@ -4,7 +4,7 @@
 const probeMs = 300;
 /**
  * Time for which a group gets nothing while others of its service run, milliseconds, unless it is known to run again. What is
- * sent to a group that has stopped is held for its stall time, 1.5 s on the users' platform, and then goes on late.
+ * sent to a group that has stopped is held for its stall time, and then goes on late.
  */
 const groupRetryMs = 2000;
 
--- a/src/balance/target-refusals.ts
+++ b/src/balance/target-refusals.ts
@@ -29,8 +29,7 @@
  * Which targets refuse what they are sent, as this entry and its peers have found.
  *
  * A refusal ends at once and leaves nothing in flight, so that its giver would look the emptiest and get the next request as well.
- * So others go first for a while, and until it has served a request it is doubtful. In memory, five of 16 targets that refuse
- * everything get 66 in 100 requests of 8 entries without this and 12 with it (5 seeds).
+ * So others go first for a while, and until it has served a request it is doubtful.
  */
 export class TargetRefusals {
 	private readonly records = new Map<string, Record>();
--- a/src/decisions/admit-stream.ts
+++ b/src/decisions/admit-stream.ts
@@ -26,8 +26,7 @@
 const spikeShare = 0.85;
 /**
  * Share of the room that is kept for callers who can still be on time. Callers who were refused return together, and
- * would take it from those who ask for the first time, of whom more would then be refused and return late. In the model
- * 52 instead of 39 in 100 are on time by it, and 24 instead of 22 refused twice (`examples/lab.toml`, 20 seeds).
+ * would take it from those who ask for the first time, of whom more would then be refused and return late.
  */
 const punctualShare = 0.1;
 /** Requests at each target that are always admitted, so that the forecast goes on learning. */
--- a/src/mesh/entry-mesh.ts
+++ b/src/mesh/entry-mesh.ts
@@ -31,7 +31,7 @@
 
 /**
  * Least time between two reports of what is in flight, milliseconds: for each peer, so that a burst costs the same
- * whatever their number, and at most. An entry of the users' sites sends a request each 100 to 150 ms.
+ * whatever their number, and at most: what is in flight at a target changes many times a second.
  */
 const reportMsPerPeer = 10;
 const mostReportMs = 200;
