Prove limits under late permits, and while the entries that keep them are killed

Cause: both were argued for, and no scenario would have failed without them. Change: links that take 100 ms each way in memory; entries killed one after the other over sockets. Troubles that come and go are one type in the steps.

--- a/features/limit.feature
+++ b/features/limit.feature
@@ -81,6 +81,30 @@
       | 32      | 12  | 1         | 3    |
       | 8       | 4   | 2         | 4    |
 
+  # A permit that was given out for an earlier moment would add to those of now.
+  Scenario: Answers of the entry that keeps the permits come late, and are not used
+    Given 8 entries before 16 targets, and callers who need 5 tenths of them, seed 4
+    When links between entries take 100 ms each way from second 6 to 16
+    And 2 targets name a limit of 1 a second from second 2 to 14
+    Then none of them gets more from all entries in any 4 seconds than one and a half times its limit and 5 requests
+    And at least 9 in 10 of all callers meanwhile are served at once
+
+  Scenario Outline: Over sockets, the entries that keep the permits are killed one after the other, a limit of "<limit>"
+    Given 4 entries before 2 targets that know each other
+    And target 1 names a limit of "<limit>" in its answers
+    When callers send "GET /stream/1" 40 times, to the entries in turn
+    And entry "entry-4" is killed
+    And callers send "GET /stream/1" 40 times, to the entries in turn
+    And entry "entry-3" is killed
+    And callers send "GET /stream/1" 40 times, to the entries in turn
+    Then target 1 has been asked at most <most> times
+    And soon a caller who sends "GET /stream/1" reaches target 1
+
+    Examples:
+      | limit | most |
+      | 1     | 11   |
+      | 3     | 23   |
+
   Scenario Outline: Whatever targets name, whoever is cut off, leaves or starts again, it is kept: seed <seed>
     Given <entries> entries before 6 targets, and callers who need 5 tenths of them, seed <seed>
     When targets name limits that change, leave, crash and start again, and entries are cut off, for 24 seconds, as the seed has it
--- a/features/steps/limit-steps.ts
+++ b/features/steps/limit-steps.ts
@@ -6,7 +6,8 @@
 import {type ForwardSystem} from '../support/forward-system.js';
 import {type SystemWorld} from '../support/system-world.js';
 
-type Cut = {readonly entries: ReadonlySet<number>; readonly from: number; readonly until: number};
+/** A trouble that comes and goes, milliseconds. */
+type Spell = {readonly from: number; readonly until: number; readonly begin: (fleet: CallFleet) => void; readonly end: (fleet: CallFleet) => void};
 /** What a life of a target has named from a moment on; undefined when nothing. */
 type Named = {readonly life: string; readonly at: number; readonly perSecond: number | undefined};
 type Limited = {readonly targets: readonly FleetTarget[]; readonly perSecond: number; readonly from: number; readonly until: number};
@@ -33,21 +34,51 @@
 	return getFleet(world).arrivals.filter(arrival => arrival.target === target && arrival.at >= from + settleMs && arrival.at < until).map(({at}) => at);
 };
 
-/* Troubles that come at a moment while time passes otherwise. */
-const passWith = async (fleet: CallFleet, until: number, cut: Cut | undefined): Promise<void> => {
-	for (const at of [cut?.from, cut?.until]) {
-		if (at !== undefined && at < until) {
-			await fleet.pass(at);
-			fleet.cutOff = at === cut!.from ? cut!.entries : new Set();
-		}
+/* Lets time pass, with a trouble that comes and goes meanwhile. */
+const passWith = async (fleet: CallFleet, until: number, spell: Spell | undefined): Promise<void> => {
+	if (spell) {
+		await fleet.pass(spell.from);
+		spell.begin(fleet);
+		await fleet.pass(Math.min(until, spell.until));
+		spell.end(fleet);
 	}
 
 	await fleet.pass(until);
 };
 
 When('{int} of the entries and the others do not hear each other from second {int} to {int}', function (this: SystemWorld, count: number, from: number, until: number) {
-	const cut: Cut = {entries: new Set(Array.from({length: count}, (_, entry) => entry)), from: from * 1000, until: until * 1000};
-	this.notes.set('cut', cut);
+	const spell: Spell = {
+		from: from * 1000,
+		until: until * 1000,
+		begin(fleet) {
+			fleet.cutOff = new Set(Array.from({length: count}, (_, entry) => entry));
+		},
+		end(fleet) {
+			fleet.cutOff = new Set();
+		},
+	};
+	this.notes.set('spell', spell);
+});
+
+When('links between entries take {int} ms each way from second {int} to {int}', function (this: SystemWorld, ms: number, from: number, until: number) {
+	const usualMs = getFleet(this).linkMs;
+	const spell: Spell = {
+		from: from * 1000,
+		until: until * 1000,
+		begin(fleet) {
+			fleet.linkMs = ms;
+		},
+		end(fleet) {
+			fleet.linkMs = usualMs;
+		},
+	};
+	this.notes.set('spell', spell);
+});
+
+When('entry {string} is killed', async function (this: SystemWorld, entry: string) {
+	const {entries} = getSystem(this);
+	await entries.get(entry)!.kill();
+	entries.delete(entry);
 });
 
 When('{int} targets name a limit of {float} a second from second {int} to {int}', async function (this: SystemWorld, count: number, perSecond: number, fromSecond: number, untilSecond: number) {
@@ -59,7 +90,7 @@
 		target.limit = perSecond;
 	}
 
-	await passWith(fleet, until, this.notes.get('cut') as Cut | undefined);
+	await passWith(fleet, until, this.notes.get('spell') as Spell | undefined);
 	for (const target of targets) {
 		target.limit = undefined;
 	}
--- a/features/support/call-fleet.ts
+++ b/features/support/call-fleet.ts
@@ -75,6 +75,8 @@
 export class CallFleet {
 	now = 0;
 	readonly targets: FleetTarget[] = [];
+	/** One way between two entries. */
+	linkMs = latencyMs;
 	/** Whether callers' requests all look alike; each is another one if not. */
 	isAlike = true;
 	/** Entries that hear only each other, for now; empty when all hear all. */
@@ -200,9 +202,9 @@
 			return false;
 		}
 
-		this.after(latencyMs, () => {
+		this.after(this.linkMs, () => {
 			const answer = this.paths[keeper].book.permits.answer(question);
-			this.after(latencyMs, () => {
+			this.after(this.linkMs, () => {
 				this.paths[entry].book.permits.receive(answer);
 			});
 		});
