Prove the guards of limits, crashing requests and the clock by taking each out

Cause: of thirteen guards taken out of the built program one at a time, seven broke no scenario. Change: scenarios for parts under more callers than places, an older answer, an entry that is asked though it hears another keeper, a permit read after a standstill, a request that comes at all entries when its time is over, a time since the VM's start that goes on too fast.

--- a/features/crash.feature
+++ b/features/crash.feature
@@ -19,6 +19,18 @@
       | 32      | 16      | their requests are all alike          | 3    |
       | 2       | 3       | each of their requests is another one | 4    |
 
+  Scenario: It comes at all of 8 entries at the same moments
+    Given 8 entries before 16 targets, and callers who need 3 tenths of them, seed 6
+    When a request that crashes its targets comes at all entries each 1500 ms from second 2 to 32
+    Then it reaches targets at most 3 times later than 3 seconds after it has crashed the third
+
+  # Once its time is over it is let through once, and not by each entry.
+  Scenario: It has crashed two targets, and comes at all entries when its time is over
+    Given 8 entries before 16 targets, and callers who need 3 tenths of them, seed 7
+    When a request that crashes its targets comes each 1000 ms from second 2 to 3
+    And a request that crashes its targets comes at all entries each 1000 ms from second 14 to 20
+    Then it reaches targets at most 4 times in all
+
   # Targets that crash by themselves say nothing of what they ran, however often the same is asked for.
   Scenario Outline: A target crashes each <everyMs> ms by itself, <likeness>, seed <seed>
     Given <entries> entries before <targets> targets, and callers who need 3 tenths of them, seed <seed>
--- a/features/limit.feature
+++ b/features/limit.feature
@@ -151,3 +151,33 @@
     When callers send "GET /stream/1" 60 times, to the entries in turn
     And 4 times 1010 ms pass and callers send "GET /stream/1"
     Then all of that is served
+
+  # With more callers than targets take, whatever two sides may send they do send.
+  Scenario Outline: Entries that do not hear each other for 6 s want more than there is, <cut> of 8 apart, seed <seed>
+    Given 8 entries before 6 targets, and callers who need 20 tenths of them, seed <seed>
+    When <cut> of the entries and the others do not hear each other from second 6 to 12
+    And 6 targets name a limit of 5 a second from second 2 to 14
+    Then none of them gets more from all entries in any 4 seconds than one and a half times its limit and 5 requests
+    And each of them gets at least 8 tenths of its limit
+
+    Examples:
+      | cut | seed |
+      | 4   | 1    |
+      | 3   | 2    |
+
+  Scenario: An older answer that names no limit, and comes later, does not end it
+    Given a target that has named 1 a second at 1000 ms
+    When an answer that names none comes at 1010 ms to a request of 990 ms
+    Then the target takes 1 a second
+    When an answer that names none comes at 1030 ms to a request of 1020 ms
+    Then the target names no limit
+
+  Scenario: An entry that is asked for a permit, and hears another that keeps them, gives none
+    Given an entry that hears another which keeps the permits of a target
+    When a third entry asks it for a permit at 1 a second, 10000 ms later
+    Then it gives none
+
+  Scenario: A permit that an entry reads after it stood still is not used
+    Given an entry that hears another which keeps the permits of a target
+    When it asks for a permit, and reads after 5000 ms that it has it
+    Then it does not send the request
--- a/features/steps/crash-steps.ts
+++ b/features/steps/crash-steps.ts
@@ -24,18 +24,32 @@
 	getFleet(this).isAlike = true;
 });
 
-When('a request that crashes its targets comes each {int} ms from second {int} to {int}', async function (this: SystemWorld, everyMs: number, fromSecond: number, untilSecond: number) {
-	const fleet = getFleet(this);
+/* Has a request that crashes its targets come again and again, and lets whoever asked last have its answer. */
+const comeAgain = async (world: SystemWorld, everyMs: number, [fromSecond, untilSecond]: readonly [number, number], come: (fleet: CallFleet) => void): Promise<void> => {
+	const fleet = getFleet(world);
 	const [from, until] = [fromSecond * 1000, untilSecond * 1000];
 	await fleet.pass(from);
 	while (fleet.now < until) {
-		fleet.crash();
+		come(fleet);
 		await fleet.pass(fleet.now + everyMs);
 	}
 
-	// Whoever asked last has its answer.
 	await fleet.pass(until + 2000);
-	this.notes.set('span', {from, until});
+	world.notes.set('span', {from, until});
+};
+
+When('a request that crashes its targets comes each {int} ms from second {int} to {int}', async function (this: SystemWorld, everyMs: number, from: number, until: number) {
+	await comeAgain(this, everyMs, [from, until], fleet => {
+		fleet.crash();
+	});
+});
+
+When('a request that crashes its targets comes at all entries each {int} ms from second {int} to {int}', async function (this: SystemWorld, everyMs: number, from: number, until: number) {
+	await comeAgain(this, everyMs, [from, until], fleet => {
+		for (const entry of fleet.paths.keys()) {
+			fleet.crash(entry);
+		}
+	});
 });
 
 Then('it reaches targets at most {int} times later than {int} seconds after it has crashed the third', function (this: SystemWorld, most: number, seconds: number) {
--- a/features/steps/limit-steps.ts
+++ b/features/steps/limit-steps.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {TargetLimits} from '../../src/balance/target-limits.js';
+import {LimitPermits} from '../../src/forward/limit-permits.js';
 import {type HttpTarget} from '../../stand-ins/forward/http-target.js';
 import {type CallFleet} from '../support/call-fleet.js';
 import {type FleetTarget} from '../support/fleet-target.js';
@@ -270,3 +272,75 @@
 
 	this.notes.set('answers', answers);
 });
+
+const life = {id: 'target-1', bornAt: 1};
+
+Given('a target that has named {float} a second at {int} ms', function (this: SystemWorld, perSecond: number, now: number) {
+	const limits = new TargetLimits(String);
+	limits.note(life, {perSecond}, now, now);
+	this.notes.set('limits', limits);
+});
+
+When('an answer that names none comes at {int} ms to a request of {int} ms', function (this: SystemWorld, now: number, sentAt: number) {
+	(this.notes.get('limits') as TargetLimits).note(life, undefined, sentAt, now);
+});
+
+Then('the target takes {float} a second', function (this: SystemWorld, perSecond: number) {
+	assert.equal((this.notes.get('limits') as TargetLimits).get(life.id), perSecond);
+});
+
+Then('the target names no limit', function (this: SystemWorld) {
+	assert.equal((this.notes.get('limits') as TargetLimits).get(life.id), undefined);
+});
+
+type AskingEntry = {readonly permits: LimitPermits; now: number; asked: number | undefined};
+
+Given('an entry that hears another which keeps the permits of a target', function (this: SystemWorld) {
+	const limits = new TargetLimits(String);
+	limits.note(life, {perSecond: 1}, 0, 0);
+	const entry: AskingEntry = {
+		now: 0,
+		asked: undefined,
+		permits: new LimitPermits({
+			address: 'here',
+			electEntry: () => 'there',
+			listPeers: () => ['there'],
+			countRegistered: () => 2,
+			ask(_peer, {number}) {
+				entry.asked = number;
+				return true;
+			},
+			limits,
+			clock: () => entry.now,
+		}),
+	};
+	this.notes.set('asking', entry);
+});
+
+When('a third entry asks it for a permit at {float} a second, {int} ms later', function (this: SystemWorld, perSecond: number, ms: number) {
+	const entry = this.notes.get('asking') as AskingEntry;
+	const ask = () => entry.permits.answer({type: 'permit-wanted', number: 1, limit: {...life, perSecond, agoMs: 0}});
+	ask();
+	entry.now += ms;
+	this.notes.set('isGranted', ask().isGranted);
+});
+
+Then('it gives none', function (this: SystemWorld) {
+	assert.equal(this.notes.get('isGranted'), false);
+});
+
+When('it asks for a permit, and reads after {int} ms that it has it', async function (this: SystemWorld, ms: number) {
+	const entry = this.notes.get('asking') as AskingEntry;
+	const taken = entry.permits.take({
+		...life, service: 'desk', address: '10.0.0.1', port: 1, availabilityZone: 'a', slots: 8, isLeaving: false,
+	});
+	entry.now += ms;
+	entry.permits.receive({
+		type: 'permit', number: entry.asked!, isGranted: true, nextMs: 0,
+	});
+	this.notes.set('isTaken', await taken);
+});
+
+Then('it does not send the request', function (this: SystemWorld) {
+	assert.equal(this.notes.get('isTaken'), false);
+});
--- a/features/steps/suspend-steps.ts
+++ b/features/steps/suspend-steps.ts
@@ -65,8 +65,8 @@
 	start(this, 1);
 });
 
-Given('a process whose VM tells another time since its start than passes', function (this: SystemWorld) {
-	start(this, 0.6);
+Given('a process whose VM\'s time since its start goes on {float} times as fast as others', function (this: SystemWorld, pace: number) {
+	start(this, pace);
 });
 
 When('its VM is suspended for {int} ms and its time of day steps by {int} ms', function (this: SystemWorld, suspendedMs: number, stepMs: number) {
--- a/features/support/call-fleet.ts
+++ b/features/support/call-fleet.ts
@@ -128,11 +128,12 @@
 		}
 	}
 
-	/** A caller asks for what crashes the targets that run it, at an entry that is drawn. */
-	crash(): void {
-		void this.ask({
+	/** A caller asks for what crashes the targets that run it, at an entry that is drawn unless one is named. */
+	crash(entry = this.draw(this.options.entries)): void {
+		const call: Call = {
 			askedAt: this.now, body: crashingBody, tries: 0, isServed: false,
-		});
+		};
+		void this.ask(call, entry);
 	}
 
 	/** A target crashes, and is back a little later. */
@@ -212,7 +213,7 @@
 	}
 
 	/* A caller asks some entry, and once more when it is told to come back. */
-	private async ask(call: Call): Promise<void> {
+	private async ask(call: Call, entry = this.draw(this.options.entries)): Promise<void> {
 		call.tries++;
 		const incoming = new IncomingMessage(new Socket());
 		const exchange = new ForwardExchange({
@@ -225,7 +226,6 @@
 		exchange.route = makeRoute(this.options.maximumAttempts ?? 2);
 		exchange.deadline = call.askedAt + deadlineMs;
 		exchange.body = call.body;
-		const entry = this.draw(this.options.entries);
 		const result = await this.paths[entry].dispatcher.run(exchange);
 		this.lines.push(exchange.trail.join('; '));
 		if (result.isOk()) {
--- a/features/suspend.feature
+++ b/features/suspend.feature
@@ -23,13 +23,18 @@
     And 1500 ms pass for its clocks
     Then its clock has gone on by 5500 ms
 
-  Scenario: A VM whose time since its start cannot be trusted says so, and takes no step of its time of day for more
-    Given a process whose VM tells another time since its start than passes
+  Scenario Outline: A VM whose time since its start cannot be trusted says so, and takes no step of its time of day for more: <pace>
+    Given a process whose VM's time since its start goes on <pace> times as fast as others
     When its VM is suspended for 0 ms and its time of day steps by 2400 ms
     And 1500 ms pass for its clocks
     Then its clock has gone on by 1500 ms
     And its log says that the time since the VM's start cannot be used
 
+    Examples:
+      | pace |
+      | 0.6  |
+      | 1.6  |
+
   Scenario: What a caller may still wait for is over when its VM wakes
     Given an entry before 1 target
     And target 1 answers "slow" first
