Say so where no target that is asked has a permit left

What callers saw: after four questions without a permit, where all targets name limits, a caller was told that no target is registered, and to come back as late as after an outage, together with others. Cause: the last look leaves out targets that name limits, and an empty list was taken for no target at all. Change: it is refused like one whose targets are all shut, and comes back at the pace of the places.

--- a/features/limit.feature
+++ b/features/limit.feature
@@ -145,6 +145,13 @@
     And callers send "GET /stream/1" 60 times, to the entries in turn
     Then target 1 has been asked at least 15 times
 
+  Scenario: Where no target that is asked has a permit left, callers are told so, and not all the same time
+    Given an entry before 9 targets
+    And each target but 10 names a limit of "0.2" in its answers
+    When callers send "GET /stream/1" 60 times, to the entries in turn
+    And 12 times 1010 ms pass and callers send "GET /stream/1"
+    Then those that are refused hear that targets take no more for now, and some of them other times than others
+
   Scenario: Where most targets have no permit left, a request goes to one that names no limit, at once
     Given an entry before 9 targets
     And each target but 9 names a limit of "0.2" in its answers
--- a/features/steps/limit-steps.ts
+++ b/features/steps/limit-steps.ts
@@ -12,6 +12,7 @@
 type Spell = {readonly from: number; readonly until: number; readonly begin: (fleet: CallFleet) => void; readonly end: (fleet: CallFleet) => void};
 /** What a life of a target has named from a moment on; undefined when nothing. */
 type Named = {readonly life: string; readonly at: number; readonly perSecond: number | undefined};
+type Answer = Awaited<ReturnType<ForwardSystem['call']>>;
 type Limited = {readonly targets: readonly FleetTarget[]; readonly perSecond: number; readonly from: number; readonly until: number};
 
 /** From then on after a target first names its limit, all entries keep to it, milliseconds. */
@@ -257,7 +258,7 @@
 
 Given('each target but {int} names a limit of {string} in its answers', function (this: SystemWorld, number: number, limit: string) {
 	for (const target of getSystem(this).targets.values()) {
-		target.marks = target === getTarget(this, number) ? {} : {'x-limit': limit};
+		target.marks = target.target.id === `target-${number}` ? {} : {'x-limit': limit};
 	}
 });
 
@@ -344,3 +345,13 @@
 Then('it does not send the request', function (this: SystemWorld) {
 	assert.equal(this.notes.get('isTaken'), false);
 });
+
+Then('those that are refused hear that targets take no more for now, and some of them other times than others', function (this: SystemWorld) {
+	const refused = (this.notes.get('answers') as Answer[]).filter(({status}) => status === 503);
+	assert.ok(refused.length > 1, `${refused.length} are refused`);
+	for (const {body} of refused) {
+		assert.match((JSON.parse(body) as {detail: string}).detail, /no more for now/v);
+	}
+
+	assert.ok(new Set(refused.map(({headers}) => headers['retry-after'])).size > 1);
+});
--- a/src/forward/target-picker.ts
+++ b/src/forward/target-picker.ts
@@ -11,6 +11,7 @@
 import {type Refusal} from './refusal.js';
 import {returnSpreads} from './return-spreads.js';
 import {type SendProgress} from './send-progress.js';
+import {type ShutTarget} from './shut-target.js';
 import {type StreamAdmission} from './stream-admission.js';
 import {type TargetBook} from './target-book.js';
 
@@ -85,14 +86,19 @@
 			return {spread: returnSpreads.overload, detail: refusal};
 		}
 
+		const candidates = mayAsk ? targets : targets.filter(({id}) => book.limits.get(id) === undefined);
+		const left = mayAsk ? [] : book.listShut(exchange.service, now);
+		if (candidates.length === 0 && left.length > 0) {
+			return this.refuseShut(left);
+		}
+
 		if (progress.sent > 0 && !progress.isPaid && !this.options.budget.spend(exchange.service, now)) {
 			return {spread: returnSpreads.overload, detail: `${progress.reason}; the budget of repeats is spent`};
 		}
 
 		progress.isPaid = progress.sent > 0;
-
 		const choice = chooseReplica({
-			targets: mayAsk ? targets : targets.filter(({id}) => book.limits.get(id) === undefined),
+			targets: candidates,
 			excluded: progress.excluded,
 			availabilityZone,
 			count: target => board.count(target, now),
@@ -130,12 +136,12 @@
 		}
 
 		exchange.note(`left out ${describeShutTargets(shut)}`);
-		if (shut.length < book.directory.list(exchange.service).length) {
-			return undefined;
-		}
+		return shut.length < book.directory.list(exchange.service).length ? undefined : this.refuseShut(shut);
+	}
 
+	private refuseShut(shut: readonly ShutTarget[]): Refusal {
 		const shutMs = Math.min(...shut.map(({waitMs}) => waitMs));
-		return {spread: 1, shutMs, detail: `every target asks for rest or takes no more for now, for ${Math.round(shutMs)} ms more at least`};
+		return {spread: 1, shutMs, detail: `targets ask for rest or take no more for now, for ${Math.round(shutMs)} ms more at least`};
 	}
 
 	/*
