Bring about that requests are taken for the cause of crashes that they only met, and list it

What callers see: with a crash each 0.4 s at one of 16 targets, 7 to 20 of some 850 are not served, who all but one are without the block. Cause: two crashes are enough to accuse a request, and one that is lost goes on elsewhere and meets the next. No product code. Conclusion: open.

--- a/features/steps/crash-steps.ts
+++ b/features/steps/crash-steps.ts
@@ -150,3 +150,8 @@
 Then('all of that is served', function (this: SystemWorld) {
 	assert.deepEqual([...new Set((this.notes.get('answers') as Answer[]).map(({status}) => status))], [200]);
 });
+
+Then('no request is refused for a crash', function (this: SystemWorld) {
+	const accused = new Set(getFleet(this).lines.filter(line => line.includes(' is refused for ')).map(line => line.split(' ')[1]));
+	assert.deepEqual([...accused], [], `${accused.size} requests are taken for the cause`);
+});
