Put what an entry knows of the fleet together in one place

Cause: an entry's view of the store, what is in force by it, its links to peers and its registration were put together within the start of the process, so that no scenario could run them as they are run without sockets. Change: makeEntryState puts them together; the start of an entry passes what they need. No decision is changed.

--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -1,25 +1,21 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {type ForwardEntrySettings} from '../config/forward-entry-settings.js';
 import {connectLink} from '../link/connect-link.js';
-import {linkProtocol} from '../link/link-protocol.js';
 import {type LinkConnection} from '../link/link-connection.js';
 import {listenLink} from '../link/listen-link.js';
 import {type MessageOf} from '../link/message-of.js';
 import {getLogger} from '../log/get-logger.js';
 import {makeIncarnation} from '../membership/make-incarnation.js';
-import {EntryMesh} from '../mesh/entry-mesh.js';
-import {Registration} from '../mesh/registration.js';
 import {ForwardMetrics} from '../metrics/forward-metrics.js';
 import {startAdminServer} from '../metrics/start-admin-server.js';
-import {StoreView} from '../view/store-view.js';
 import {describeEnd} from './describe-end.js';
 import {makeForwardFilter} from './filters/make-forward-filter.js';
 import {makeKeyFilter} from './filters/make-key-filter.js';
 import {makeReadFilter} from './filters/make-read-filter.js';
 import {makeRouteFilter} from './filters/make-route-filter.js';
-import {FleetState} from './fleet-state.js';
 import {ForwardServer} from './forward-server.js';
 import {type ForwardSurroundings} from './forward-surroundings.js';
+import {makeEntryState} from './make-entry-state.js';
 import {makeForwardPath} from './make-forward-path.js';
 import {makeHttpTransport} from './make-http-transport.js';
 
@@ -38,24 +34,17 @@
 const fleetLog = getLogger('fleet');
 const entryLog = getLogger('entry');
 
-/** Keys under which this system's own processes register. */
-const entriesPrefix = 'wardswitch/entries/';
 /** Time between two looks at peers, stalls and registrations, milliseconds. */
 const tickMs = 100;
 const linkTimeoutMs = 1000;
-/** A process that was cut off must be up to date 3 s after its way to the store is back (the platform's bound). */
-const viewWaitMs = 2000;
-/** Even half as long again, and then the call, is within that bound; each refused call has its price. */
-const longestPauseMs = 1000;
 /** The process ends so long before it would be ended by force, milliseconds. */
 const graceMarginMs = 400;
 
 /** Starts an entry that forwards straight to registered targets: its parts, what they tell each other, its servers. */
 export async function startForwardEntry(settings: ForwardEntrySettings, surroundings: ForwardSurroundings): Promise<RunningForwardEntry> {
-	const {feed, registry, source, dialect, openEngine, clock, random} = surroundings;
+	const {dialect, openEngine, clock, random} = surroundings;
 	const {id, availabilityZone, callers: {host: address, port: httpPort}} = settings;
 	const linkAddress = `${address}:${settings.linkPort}`;
-	const incarnation = makeIncarnation(Date.now());
 	const metrics = new ForwardMetrics();
 	const path = makeForwardPath({
 		...settings,
@@ -65,8 +54,8 @@
 		listPeers: now => mesh.listHeard(now),
 		ask: (peer, question) => mesh.send(peer, question),
 		openTransport: listener => makeHttpTransport({dialect, clock}, listener),
-		countRegistered: () => view.list(entriesPrefix).length,
-		getService: name => state.table?.findService(name),
+		countRegistered: () => knowledge.countRegistered(),
+		getService: name => fleet.table?.findService(name),
 		onLoad() {
 			mesh.reportSoon();
 		},
@@ -74,7 +63,7 @@
 			metrics.refusals.inc({service, rest: String(isRestAsked)});
 		},
 		onLeave(target, source) {
-			if (state.noteLeave(target, source, clock())) {
+			if (fleet.noteLeave(target, source, clock())) {
 				mesh.reportSoon();
 			}
 		},
@@ -91,28 +80,31 @@
 	const {board, book, dispatcher} = path;
 	let isStopping = false;
 
-	const view: StoreView = new StoreView({
-		feed,
-		prefix: '',
-		waitMs: viewWaitMs,
-		longestPauseMs,
-		clock,
-		random,
+	const knowledge = makeEntryState({
+		...surroundings,
+		id,
+		incarnation: makeIncarnation(Date.now()),
+		address: linkAddress,
+		availabilityZone,
+		directory: book.directory,
+		board,
 		delay,
-		log(message) {
-			viewLog.info(message);
+		async connect(peer) {
+			const [host, port] = peer.split(':');
+			return connectLink({
+				...settings.link, address: host, port: Number(port), timeoutMs: linkTimeoutMs, meter: metrics.meterLink,
+			});
 		},
-		onChange(now) {
-			state.refresh(now);
-			meetRegistered();
+		getNews: (isWhole, now) => path.getNews(isWhole, now),
+		onNews(peer, news, isNear, now) {
+			path.hearNews(peer, news, isNear, now);
 		},
-	});
-	const state = new FleetState({
-		view,
-		source,
-		directory: book.directory,
-		log(message) {
-			fleetLog.info(message);
+		onMessage(message, send) {
+			if (message.type === 'permit-wanted') {
+				send(book.permits.answer(message));
+			} else if (message.type === 'permit') {
+				book.permits.receive(message);
+			}
 		},
 		onTable({configuration: {version, limits}}) {
 			metrics.configurationVersion.set(version);
@@ -127,8 +119,20 @@
 		onFormed(unit) {
 			path.reopen(unit);
 		},
+		log: {
+			view(message) {
+				viewLog.info(message);
+			},
+			fleet(message) {
+				fleetLog.info(message);
+			},
+			entry(message) {
+				entryLog.info(message);
+			},
+		},
 	});
-	const getTable = () => state.table;
+	const {view, fleet, mesh} = knowledge;
+	const getTable = () => fleet.table;
 	const server = new ForwardServer({
 		address,
 		port: httpPort,
@@ -150,51 +154,6 @@
 		},
 	});
 
-	const hello = (): MessageOf<'hello'> => ({
-		type: 'hello', protocol: linkProtocol, id, role: 'entry', availabilityZone, incarnation, tableVersion: 0,
-	});
-	const mesh = new EntryMesh({
-		id,
-		address: linkAddress,
-		availabilityZone,
-		async connect(peer) {
-			const [host, port] = peer.split(':');
-			return connectLink({
-				...settings.link, address: host, port: Number(port), timeoutMs: linkTimeoutMs, meter: metrics.meterLink,
-			});
-		},
-		hello,
-		view,
-		board,
-		getNews: (isWhole, now) => path.getNews(isWhole, now),
-		onNews(peer, news, isNear, now) {
-			path.hearNews(peer, news, isNear, now);
-		},
-		onMessage(message, send) {
-			if (message.type === 'permit-wanted') {
-				send(book.permits.answer(message));
-			} else if (message.type === 'permit') {
-				book.permits.receive(message);
-			}
-		},
-		clock,
-		random,
-		log(message) {
-			viewLog.info(message);
-		},
-	});
-	const meetRegistered = (): void => {
-		mesh.meet(view.list(entriesPrefix).map(({value}) => value));
-	};
-
-	const registration = new Registration({
-		registry,
-		key: `${entriesPrefix}${id}`,
-		value: linkAddress,
-		log(message) {
-			entryLog.info(message);
-		},
-	});
 	const giveOrder = async ({number, engineAddress, order}: MessageOf<'engine-order'>, connection: LinkConnection): Promise<void> => {
 		const outcome = openEngine ? await openEngine(engineAddress).order(order) : 'refused';
 		entryLog.info(`order ${order.type} given to ${engineAddress} for a planner: ${outcome}`);
@@ -220,9 +179,9 @@
 		},
 	});
 	await server.listen();
-	const isReady = () => !isStopping && state.table !== undefined;
+	const isReady = () => !isStopping && fleet.table !== undefined;
 	const getStatus = () => ({
-		id, availabilityZone, isReady: isReady(), configuration: state.table?.version, revision: view.asOf, ageMs: view.getAge(clock()), openRequests: server.openRequests, inFlight: board.getOwn(),
+		id, availabilityZone, isReady: isReady(), configuration: fleet.table?.version, revision: view.asOf, ageMs: view.getAge(clock()), openRequests: server.openRequests, inFlight: board.getOwn(),
 	});
 	const shared = {
 		address, registry: metrics.registry, isReady, pages: {status: getStatus},
@@ -231,16 +190,13 @@
 		...shared, address: settings.ready.address.host, port: settings.ready.address.port, readyPath: settings.ready.path,
 	});
 	const admin = await startAdminServer({...shared, port: settings.metricsPort});
-	mesh.meet(settings.seeds);
-	void view.run();
+	knowledge.start(settings.seeds);
 	const timer = setInterval(() => {
 		const now = clock();
-		mesh.tick();
+		knowledge.tick(now);
 		path.tick();
 		metrics.resting.set(book.rests.size);
 		metrics.limited.set(book.limits.size);
-		state.tick(now);
-		void registration.tick(now);
 	}, tickMs);
 	entryLog.info(`started in ${availabilityZone}, callers at ${address}:${server.port}`);
 
@@ -250,8 +206,7 @@
 	});
 	const close = async (): Promise<void> => {
 		clearInterval(timer);
-		view.close();
-		mesh.close();
+		knowledge.close();
 		path.close();
 		ready.close();
 		admin.close();
