Show the store's era, how new a view is, and what it drops

Ruled out: another number than Store-Era to tell it by; revisions alone cannot, since they are given out again. The view logs a change of era with both revisions, and an answer that it drops; a history that is gone is logged once in a row. The line of a request names the era. No decision uses any of it yet. The store in memory can go back to a copy. Conclusion: a view that stands still now shows as dropped answers that grow while its revision does not.

--- a/features/steps/view-steps.ts
+++ b/features/steps/view-steps.ts
@@ -19,7 +19,7 @@
 	let now = 0;
 	const view: StoreView = new StoreView({
 		feed: {
-			list: async () => ok({asOf: 1, items: []}),
+			list: async () => ok({era: 0, asOf: 1, items: []}),
 			async poll(_prefix, after, wait) {
 				waits.push(wait);
 				const end = left.shift();
@@ -29,7 +29,11 @@
 
 				now += end === 'refused' ? 0 : wait;
 				now += end === 'lost' ? marginMs : 0;
-				return end === 'answered' ? ok({kind: 'changes', asOf: after, changes: []}) : err(new PlatformError(`the call was ${end}`, 'unknown'));
+				return end === 'answered'
+					? ok({
+						kind: 'changes', era: 0, asOf: after, changes: [],
+					})
+					: err(new PlatformError(`the call was ${end}`, 'unknown'));
 			},
 		},
 		prefix: '',
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -147,7 +147,7 @@
 		onEnd(exchange, problem) {
 			const now = clock();
 			metrics.noteEnd(exchange, problem, now);
-			requestLog.info(describeEnd(exchange, problem, {viewAgeMs: view.getAge(now), now}));
+			requestLog.info(describeEnd(exchange, problem, {era: view.storeEra, viewAgeMs: view.getAge(now), now}));
 		},
 		log(message) {
 			requestLog.error(message);
@@ -195,6 +195,10 @@
 		const now = clock();
 		knowledge.tick(now);
 		path.tick();
+		metrics.storeEra.set(view.storeEra);
+		metrics.viewRevision.set(view.asOf);
+		metrics.viewAge.set(Math.min(Number.MAX_SAFE_INTEGER, view.getAge(now)) / 1000);
+		metrics.droppedAnswers.set(view.dropped);
 		metrics.resting.set(book.rests.size);
 		metrics.limited.set(book.limits.size);
 	}, tickMs);
--- a/src/view/store-view.ts
+++ b/src/view/store-view.ts
@@ -45,6 +45,11 @@
 	private revision = 0;
 	private pauseMs = firstPauseMs;
 	private needsList = true;
+	/** Era of the store's last answer; it rises each time the store comes back from an older copy. */
+	private era: number | undefined;
+	private droppedAnswers = 0;
+	/** Whether the history that the view was waiting for is known to be gone, so that it is logged once. */
+	private isForgotten = false;
 	private isClosed = false;
 	private failedSince: number | undefined;
 	private returnedAt = Number.NEGATIVE_INFINITY;
@@ -58,6 +63,16 @@
 		return this.revision;
 	}
 
+	/** Era of the store that answered last; 0 before any answer. */
+	get storeEra(): number {
+		return this.era ?? 0;
+	}
+
+	/** Answers that were not taken over because the view knew more. */
+	get dropped(): number {
+		return this.droppedAnswers;
+	}
+
 	/** Whether anything is known yet. */
 	get isKnown(): boolean {
 		return this.revision > 0;
@@ -140,12 +155,17 @@
 			return false;
 		}
 
+		const {era, asOf, items} = answer.value;
 		this.noteAnswer(now);
+		this.noteEra(era, asOf);
 		this.needsList = false;
-		if (answer.value.asOf >= this.revision) {
-			this.items = new Map(answer.value.items.map(item => [item.key, item]));
-			this.revision = answer.value.asOf;
+		if (asOf >= this.revision) {
+			this.isForgotten = false;
+			this.items = new Map(items.map(item => [item.key, item]));
+			this.revision = asOf;
 			this.options.onChange(now);
+		} else {
+			this.noteDropped(asOf);
 		}
 
 		return true;
@@ -162,11 +182,18 @@
 
 		this.noteAnswer(now);
 		if (answer.value.kind === 'forgotten') {
-			this.options.log(`history after revision ${this.revision} is gone, reading all`);
+			this.noteEra(answer.value.era);
+			if (!this.isForgotten) {
+				this.options.log(`history after revision ${this.revision} is gone, reading all`);
+			}
+
+			this.isForgotten = true;
 			this.needsList = true;
 			return true;
 		}
 
+		this.noteEra(answer.value.era, answer.value.asOf);
+		this.isForgotten = false;
 		this.apply(answer.value.changes, answer.value.asOf, now);
 		return true;
 	}
@@ -194,6 +221,22 @@
 		return true;
 	}
 
+	private noteEra(era: number, asOf?: number): void {
+		if (this.era !== undefined && era !== this.era) {
+			const at = asOf === undefined ? '' : ` at revision ${asOf}`;
+			this.options.log(`store is in era ${era}${at}, it was in era ${this.era}; this view is at revision ${this.revision}`);
+		}
+
+		this.era = era;
+	}
+
+	private noteDropped(asOf: number): void {
+		this.droppedAnswers++;
+		if (!this.isForgotten || this.droppedAnswers === 1) {
+			this.options.log(`all keys as of revision ${asOf} not taken over: this view is at revision ${this.revision}`);
+		}
+	}
+
 	private noteFailure(now: number, message: string): void {
 		if (this.failedSince === undefined) {
 			this.options.log(`store does not answer: ${message}; going on with revision ${this.revision}`);
--- a/stand-ins/forward/memory-store.ts
+++ b/stand-ins/forward/memory-store.ts
@@ -7,25 +7,40 @@
 
 type Change = StoredValue | RemovedKey;
 type Fault = 'none' | 'down' | 'hanging';
+type Item = StoredValue & {readonly lease: string | undefined};
+type Lease = {readonly lifeMs: number; endsAt: number};
+type Copy = {readonly items: ReadonlyMap<string, Item>; readonly revision: number; readonly leases: ReadonlyMap<string, Lease>; readonly granted: number};
 
 /** A key-value service in memory, with changes and faults for each of the processes that use it. */
 export class MemoryStore {
-	private readonly items = new Map<string, StoredValue>();
+	/** Calls that each process has made. */
+	readonly calls = new Map<string, number>();
+	private items = new Map<string, Item>();
 	private history: Change[] = [];
 	private revision = 0;
+	private era = 0;
 	private forgottenTo = 0;
 	private readonly waiting = new Set<() => void>();
 	private readonly faults = new Map<string, Fault>();
-	private leases = 0;
+	private leases = new Map<string, Lease>();
+	private granted = 0;
+	private copy: Copy | undefined;
+
+	/**
+	 * @param clock - the present, milliseconds; leases last for ever while it stands still
+	 */
+	constructor(private readonly clock = () => 0) {}
 
 	get lastRevision(): number {
 		return this.revision;
 	}
 
 	/** Writes a key as an operator or a target does. */
-	put(key: string, value: unknown): void {
+	put(key: string, value: unknown, lease?: string): void {
 		this.revision++;
-		const item = {key, value: typeof value === 'string' ? value : JSON.stringify(value), revision: this.revision};
+		const item = {
+			key, value: typeof value === 'string' ? value : JSON.stringify(value), revision: this.revision, lease,
+		};
 		this.items.set(key, item);
 		this.note(item);
 	}
@@ -38,6 +53,11 @@
 		}
 	}
 
+	/** What the service holds under a key; undefined when nothing. */
+	read(key: string): string | undefined {
+		return this.items.get(key)?.value;
+	}
+
 	/** Forgets the history of changes. */
 	compact(): void {
 		this.history = [];
@@ -45,32 +65,82 @@
 		this.wake();
 	}
 
+	/** Takes the copy that `goBack` returns to. */
+	takeCopy(): void {
+		this.copy = {
+			items: new Map(this.items), revision: this.revision, leases: new Map(this.leases), granted: this.granted,
+		};
+	}
+
+	/**
+	 * Comes back from the copy taken last, in a new era: what was written since is gone, and its revisions are given out again.
+	 *
+	 * @param isSilent - whether calls that wait for changes stay as they are instead of being answered
+	 */
+	goBack(isSilent = false): void {
+		const {items, revision, leases, granted} = this.copy!;
+		this.items = new Map(items);
+		this.revision = revision;
+		this.leases = new Map(leases);
+		this.granted = granted;
+		this.history = this.history.filter(change => change.revision <= revision);
+		this.forgottenTo = Math.min(this.forgottenTo, revision);
+		this.era++;
+		if (!isSilent) {
+			this.wake();
+		}
+	}
+
 	/** Sets what a process's calls come to. */
 	setFault(process: string, fault: Fault): void {
 		this.faults.set(process, fault);
 		this.wake();
 	}
 
+	/** Ends leases that were not renewed in time, and removes their keys. */
+	expire(): void {
+		const now = this.clock();
+		for (const [id, {endsAt}] of this.leases) {
+			if (endsAt <= now) {
+				this.leases.delete(id);
+				for (const {key} of [...this.items.values()].filter(({lease}) => lease === id)) {
+					this.remove(key);
+				}
+			}
+		}
+	}
+
 	/** The service as one process uses it. */
 	open(process: string): ChangeFeed & Registry {
 		const fail = () => err(new PlatformError('the store does not answer', 'unknown'));
 		const isFaulty = () => (this.faults.get(process) ?? 'none') !== 'none';
+		const count = () => {
+			this.calls.set(process, (this.calls.get(process) ?? 0) + 1);
+		};
+
 		return {
-			list: async prefix => isFaulty()
-				? fail()
-				: ok({asOf: this.revision, items: [...this.items.values()].filter(({key}) => key.startsWith(prefix))}),
+			list: async prefix => {
+				count();
+				return isFaulty()
+					? fail()
+					: ok({era: this.era, asOf: this.revision, items: [...this.items.values()].filter(({key}) => key.startsWith(prefix))});
+			},
 			poll: async (prefix, after, waitMs) => {
+				count();
 				await this.waitFor(after, waitMs);
 				if (isFaulty()) {
 					return fail();
 				}
 
-				return after < this.forgottenTo
-					? ok({kind: 'forgotten' as const})
-					: ok({kind: 'changes' as const, asOf: this.revision, changes: this.history.filter(change => change.revision > after && change.key.startsWith(prefix))});
+				return after < this.forgottenTo || after > this.revision
+					? ok({kind: 'forgotten' as const, era: this.era})
+					: ok({
+						kind: 'changes' as const, era: this.era, asOf: this.revision, changes: this.history.filter(change => change.revision > after && change.key.startsWith(prefix)),
+					});
 			},
 			get: async key => isFaulty() ? fail() : ok(this.items.get(key)),
 			commit: async ({conditions, puts}) => {
+				count();
 				if (isFaulty()) {
 					return fail();
 				}
@@ -79,14 +149,39 @@
 					return ok(undefined);
 				}
 
-				for (const {key, value} of puts) {
-					this.put(key, value);
+				if (puts.some(({lease}) => lease !== undefined && !this.leases.has(lease))) {
+					return err(new PlatformError('no such lease', 'no'));
+				}
+
+				for (const {key, value, lease} of puts) {
+					this.put(key, value, lease);
 				}
 
 				return ok(this.revision);
 			},
-			grantLeaseFor: async () => isFaulty() ? fail() : ok(String(++this.leases)),
-			keepLease: async () => isFaulty() ? fail() : ok(true),
+			grantLeaseFor: async lifeMs => {
+				count();
+				if (isFaulty()) {
+					return fail();
+				}
+
+				const id = String(++this.granted);
+				this.leases.set(id, {lifeMs, endsAt: this.clock() + lifeMs});
+				return ok(id);
+			},
+			keepLease: async id => {
+				count();
+				if (isFaulty()) {
+					return fail();
+				}
+
+				const lease = this.leases.get(id);
+				if (lease) {
+					lease.endsAt = this.clock() + lease.lifeMs;
+				}
+
+				return ok(lease !== undefined);
+			},
 		};
 	}
 
@@ -102,7 +197,7 @@
 	}
 
 	private async waitFor(after: number, waitMs: number): Promise<void> {
-		if (this.revision > after) {
+		if (this.revision !== after) {
 			return;
 		}
 
