--- a/features/support/narrow-network.ts
+++ b/features/support/narrow-network.ts
@@ -19,6 +19,8 @@
 	readonly bytesPerSecond: number;
 	readonly latencyMs: number;
 	readonly clock: () => number;
+	/** Whether one VM reaches another now; all do where it is left out. What is under way when it does not is lost. */
+	readonly isReachable?: (from: string, to: string) => boolean;
 };
 
 type Ends = {readonly here: string; readonly there: string; readonly own: End; readonly other: End; readonly state: {isOpen: boolean}};
@@ -49,7 +51,7 @@
 	/** Opens a link from one VM to another. */
 	async connect(from: string, to: string): Promise<LinkConnection> {
 		const {accept} = this.getHost(to);
-		if (!accept) {
+		if (!accept || !this.isReachable(from, to)) {
 			throw new Error(`nobody listens at ${to}`);
 		}
 
@@ -64,6 +66,15 @@
 		});
 	}
 
+	/** Cuts what a process has open and listens with, as its end does. */
+	forget(address: string): void {
+		this.getHost(address).accept = undefined;
+	}
+
+	private isReachable(from: string, to: string): boolean {
+		return this.options.isReachable?.(from, to) ?? true;
+	}
+
 	private openEnd({here, there, own, other, state}: Ends): LinkConnection {
 		const close = (): void => {
 			if (!state.isOpen) {
@@ -94,7 +105,7 @@
 			send: (message: LinkMessage): boolean => {
 				if (state.isOpen) {
 					leavesAt = this.carry(here, there, message, () => {
-						if (state.isOpen) {
+						if (state.isOpen && this.isReachable(here, there)) {
 							other.receive(message);
 						}
 					});
--- a/stand-ins/forward/memory-store.ts
+++ b/stand-ins/forward/memory-store.ts
@@ -15,12 +15,15 @@
 export class MemoryStore {
 	/** Calls that each process has made. */
 	readonly calls = new Map<string, number>();
+	/** When calls that write have come in, milliseconds. */
+	readonly writtenAt: number[] = [];
 	private items = new Map<string, Item>();
 	private history: Change[] = [];
 	private revision = 0;
 	private era = 0;
 	private forgottenTo = 0;
-	private readonly waiting = new Set<() => void>();
+	/** Calls that wait for changes, with the revision that they go on from. */
+	private readonly waiting = new Map<() => void, number>();
 	private readonly faults = new Map<string, Fault>();
 	private leases = new Map<string, Lease>();
 	private granted = 0;
@@ -93,8 +96,15 @@
 
 	/** Sets what a process's calls come to. */
 	setFault(process: string, fault: Fault): void {
-		this.faults.set(process, fault);
-		this.wake();
+		if (fault !== this.getFault(process)) {
+			this.faults.set(process, fault);
+			this.wake();
+		}
+	}
+
+	/** What a process's calls come to. */
+	getFault(process: string): Fault {
+		return this.faults.get(process) ?? 'none';
 	}
 
 	/** Ends leases that were not renewed in time, and removes their keys. */
@@ -113,7 +123,7 @@
 	/** The service as one process uses it. */
 	open(process: string): ChangeFeed & Registry {
 		const fail = () => err(new PlatformError('the store does not answer', 'unknown'));
-		const isFaulty = () => (this.faults.get(process) ?? 'none') !== 'none';
+		const isFaulty = () => this.getFault(process) !== 'none';
 		const count = () => {
 			this.calls.set(process, (this.calls.get(process) ?? 0) + 1);
 		};
@@ -141,6 +151,7 @@
 			get: async key => isFaulty() ? fail() : ok(this.items.get(key)),
 			commit: async ({conditions, puts}) => {
 				count();
+				this.writtenAt.push(this.clock());
 				if (isFaulty()) {
 					return fail();
 				}
@@ -161,6 +172,7 @@
 			},
 			grantLeaseFor: async lifeMs => {
 				count();
+				this.writtenAt.push(this.clock());
 				if (isFaulty()) {
 					return fail();
 				}
@@ -187,11 +199,15 @@
 
 	private note(change: Change): void {
 		this.history.push(change);
-		this.wake();
+		for (const [wake, after] of this.waiting) {
+			if (this.revision > after) {
+				wake();
+			}
+		}
 	}
 
 	private wake(): void {
-		for (const wake of this.waiting) {
+		for (const wake of this.waiting.keys()) {
 			wake();
 		}
 	}
@@ -209,7 +225,7 @@
 			};
 
 			const timer = setTimeout(wake, waitMs);
-			this.waiting.add(wake);
+			this.waiting.set(wake, after);
 		});
 	}
 }
