Tell earlier from later by the store's era and revision together, and keep what a copy takes back

What callers saw: changes that had been accepted were not in force for seconds, and a target that had said that it leaves got requests. Cause: a number that the store gives out was taken for an order in time. Revisions are given out again after the store has come back from a copy; a view that only went forward in revisions dropped every list until they had passed its own, asked without a pause, and then went on as if it had heard what was written meanwhile. Change: Revision (era, number) is the one notion of how new something is, for the view, peers, registrations and terms of planners. A new era starts from the store's list. What the copy lacks counts on for 2 s; what it has older, for good where the items tell (versions of the configuration, lives of targets that leave, later lives), for 2 s otherwise; a registration that was removed and that it has again is not believed for 10 s unless it is written. An answer of a former era takes nothing back. A leaving is remembered by life, whoever told it, and told to peers for 5 s after the registration has gone. An entry that starts takes a peer's view before it serves by the store's alone (0.3 s at most), with what peers keep against the store. A store that goes back within an era is noticed too. Registrations that the copy lacks are written again, spread over 2 s. A planner's term is made of era and revision; it takes its office again in a new era. Calls that bring nothing are spaced; waits of a former era end once any answer tells of a new one. Lines and gauges say what is kept against the store. Ruled out: a fixed time for which all reads are not believed: it would hold back what is new as well.

--- a/features/steps/expert-plan-steps.ts
+++ b/features/steps/expert-plan-steps.ts
@@ -140,14 +140,15 @@
 			get: async () => ok(office),
 			keepLease: async () => ok(true),
 			grantLeaseFor: async () => ok('lease'),
-			commit: async ({conditions}) => ok(conditions[0].revision === office.revision ? office.revision + 1 : undefined),
+			commit: async ({conditions}) => ok(conditions[0].revision === office.revision ? {era: 0, number: office.revision + 1} : undefined),
 		},
 		key: office.key,
 		address,
 		random: () => 0,
 		log: String,
 	});
-	await election.tick(0, office, false);
+	const item = {...office, era: 0};
+	await election.tick(0, {era: 0, holder: item, stored: item}, false);
 	this.notes.set('term', election.term);
 });
 
--- a/features/steps/view-steps.ts
+++ b/features/steps/view-steps.ts
@@ -3,6 +3,7 @@
 import {err, ok} from 'neverthrow';
 import {PlatformError} from '../../src/key-value/platform-error.js';
 import {StoreView} from '../../src/view/store-view.js';
+import {unguarded} from '../../src/view/unguarded.js';
 import {type SystemWorld} from '../support/system-world.js';
 
 const waitMs = 2000;
@@ -37,6 +38,7 @@
 			},
 		},
 		prefix: '',
+		guard: unguarded,
 		waitMs,
 		longestPauseMs: 1000,
 		clock: () => now,
--- a/features/support/entry-crowd.ts
+++ b/features/support/entry-crowd.ts
@@ -5,6 +5,7 @@
 import {LoadBoard} from '../../src/balance/load-board.js';
 import {EntryMesh} from '../../src/mesh/entry-mesh.js';
 import {StoreView} from '../../src/view/store-view.js';
+import {unguarded} from '../../src/view/unguarded.js';
 import {MemoryStore} from '../../stand-ins/forward/memory-store.js';
 import {NarrowNetwork} from './narrow-network.js';
 
@@ -136,11 +137,21 @@
 			availabilityZone,
 			connect: async peer => this.network.connect(address, peer),
 			hello: () => ({
-				type: 'hello', protocol: 1, id: `entry-${index}`, role: 'entry', availabilityZone, incarnation: '1', tableVersion: 0,
+				type: 'hello', protocol: 2, id: `entry-${index}`, role: 'entry', availabilityZone, incarnation: '1', tableVersion: 0,
 			}),
 			view: new StoreView({
-				feed: new MemoryStore().open(address), prefix: '', waitMs: 1, longestPauseMs: 1, clock, random: this.random, delay: async () => undefined, log: String, onChange: String,
+				feed: new MemoryStore().open(address),
+				prefix: '',
+				guard: unguarded,
+				waitMs: 1,
+				longestPauseMs: 1,
+				clock,
+				random: this.random,
+				delay: async () => undefined,
+				log: String,
+				onChange: String,
 			}),
+			getConfigurationVersion: () => 0,
 			board,
 			getNews: () => ({}),
 			onNews: () => undefined,
--- a/features/support/store-crowd.ts
+++ b/features/support/store-crowd.ts
@@ -187,12 +187,12 @@
 
 	/** The store goes away and comes back from its copy; later all that it has lost is written again by who wrote it. */
 	async drill({awayMs, rewriteMs, isSilent}: Drill): Promise<void> {
+		this.disturb();
 		if (awayMs > 0) {
 			this.setFault('down');
 			await this.pass(awayMs);
 		}
 
-		this.disturb();
 		this.store.goBack(isSilent);
 		this.setFault('none');
 		await this.pass(rewriteMs);
@@ -264,8 +264,9 @@
 		mock.timers.reset();
 	}
 
-	private isUsed({path}: Entry, id: string): boolean {
-		return path.book.directory.list('desk').some(target => target.id === id);
+	/* An entry without a configuration in force serves nobody. */
+	private isUsed({path, version}: Entry, id: string): boolean {
+		return version > 0 && path.book.directory.list('desk').some(target => target.id === id);
 	}
 
 	private write(key: string, value: unknown): void {
@@ -292,7 +293,7 @@
 	}
 
 	private checkConfiguration(entry: Entry): void {
-		const version = entry.state.fleet.table?.version ?? 0;
+		const version = entry.state.getTable(this.now)?.version ?? 0;
 		if (version < entry.version) {
 			this.report(`entry ${entry.id} went from configuration ${entry.version} to ${version}`);
 		}
@@ -319,10 +320,10 @@
 				this.report(`entry ${entry.id} sends to ${id}, which left ${this.now - leftAt} ms before`);
 			}
 
-			if (!isUsed) {
-				entry.dropped.add(id);
-			} else if (entry.version > 0) {
+			if (isUsed) {
 				entry.usedAfterLeave.add(id);
+			} else if (entry.version > 0 && (entry.used.has(id) || entry.usedAfterLeave.has(id) || this.now - leftAt > drainMs)) {
+				entry.dropped.add(id);
 			}
 		}
 
--- a/src/expert-balance/group-publication.ts
+++ b/src/expert-balance/group-publication.ts
@@ -7,6 +7,7 @@
 	readonly service: string;
 	readonly group: string;
 	readonly registry: Registry;
+	readonly random: () => number;
 	readonly log: (message: string) => void;
 };
 
@@ -21,8 +22,9 @@
 	 * Writes what has changed, and keeps it.
 	 *
 	 * @param listing - the group as it is known now; undefined while not all of its ranks are heard
+	 * @param era - era of the store, as far as known: what was written is written again in a new one
 	 */
-	tick(listing: GroupListing | undefined, now: number): void {
+	tick(listing: GroupListing | undefined, era: number, now: number): void {
 		const value = JSON.stringify(listing);
 		if (listing && value !== this.written) {
 			const {service, group} = this.options;
@@ -30,6 +32,6 @@
 			this.registration = new Registration({...this.options, key: groupKeys.make(service, group), value});
 		}
 
-		void this.registration?.tick(now);
+		void this.registration?.tick(now, {era});
 	}
 }
--- a/src/expert-balance/rank-process.ts
+++ b/src/expert-balance/rank-process.ts
@@ -3,6 +3,7 @@
 import {type Registry} from '../key-value/registry.js';
 import {type LinkConnection} from '../link/link-connection.js';
 import {StoreView} from '../view/store-view.js';
+import {unguarded} from '../view/unguarded.js';
 import {type BalanceSettings} from './balance-settings.js';
 import {getOfficeKey} from './get-office-key.js';
 import {GroupPublication} from './group-publication.js';
@@ -12,6 +13,7 @@
 import {PlannerLink} from './planner-link.js';
 import {type RankEngine} from './rank-engine.js';
 import {RankMember} from './rank-member.js';
+import {toTerm} from './to-term.js';
 
 type ProcessOptions = {
 	readonly service: string;
@@ -48,8 +50,6 @@
 const longestPauseMs = 2000;
 /** A group that is held this long at the step it has reached is taken over by another planner, milliseconds. */
 const stuckMs = 400;
-/** Stands for an office of which nothing is known yet: it is not sought. */
-const unknownOffice = {key: '', value: '', revision: 0};
 
 /** What this process knows of the office of its rank's group, and its own part in it. */
 type Office = {readonly group: string; readonly key: string; readonly view: StoreView; readonly election: PlannerElection; readonly publication: GroupPublication};
@@ -123,12 +123,13 @@
 		const view: StoreView = new StoreView({
 			...this.options,
 			prefix: key,
+			guard: unguarded,
 			waitMs: viewWaitMs,
 			longestPauseMs,
 			onChange: () => {
 				const known = view.get(key);
 				if (known && this.office?.view === view) {
-					this.member.hearTerm(known.revision);
+					this.member.hearTerm(toTerm({era: known.era, number: known.revision}));
 				}
 			},
 		});
@@ -212,10 +213,11 @@
 		const {heldSince} = this.member;
 		const isStuck = heldSince !== undefined && now - heldSince > stuckMs;
 		this.planner.follow(view.get(key)?.value, now);
-		void election.tick(now, view.isKnown ? view.get(key) : unknownOffice, isStuck);
+		view.tick(now);
+		void election.tick(now, view.isKnown ? {era: view.asOf.era, holder: view.get(key), stored: view.getStored(key)} : undefined, isStuck);
 		this.desk.tick(election.term === undefined ? undefined : {term: election.term, group}, now);
 		if (election.term !== undefined) {
-			publication.tick(this.desk.getListing(now), now);
+			publication.tick(this.desk.getListing(now), view.asOf.era, now);
 		}
 	}
 }
--- a/src/fleet/target-directory.ts
+++ b/src/fleet/target-directory.ts
@@ -1,7 +1,7 @@
 import {type Target} from './target.js';
 
 type Entry = {target: Target; lostAt: number | undefined; isGone: boolean};
-/** One life of a target that has said itself that it leaves, and since when it is not registered. */
+/** One life of a target that leaves, and since when it is not registered. */
 type Leave = {readonly bornAt: number | undefined; unregisteredAt: number | undefined};
 
 /**
@@ -13,10 +13,16 @@
 const returnGraceMs = 1700;
 
 /**
- * A target's own word that it leaves counts for so long after its registration has gone, milliseconds: one that lapsed while the
- * store was away may still come back, as if nothing had been said.
+ * That a target leaves counts for so long after its registration has gone, milliseconds: one that lapsed while the store was away, or
+ * that an older copy of the store holds, may still come back as if it had never left.
  */
-const leaveMemoryMs = 10_000;
+const leaveMemoryMs = 60_000;
+
+/**
+ * Peers are told for so long after its registration has gone, milliseconds: one that missed the leaving while the store was away may
+ * take the target for one that registers again.
+ */
+const leaveToldMs = 5000;
 
 const isLaterLife = ({bornAt}: Target, than: Target): boolean => bornAt !== undefined && bornAt > (than.bornAt ?? Number.NEGATIVE_INFINITY);
 
@@ -86,9 +92,10 @@
 		return true;
 	}
 
-	/** Lives of registered targets that have said that they leave. */
-	listLeaves(): Array<Pick<Target, 'id' | 'bornAt'>> {
-		return [...this.leaves].filter(([id]) => this.entries.has(id)).map(([id, {bornAt}]) => ({id, ...(bornAt !== undefined && {bornAt})}));
+	/** Lives of targets that leave, for peers: those that are registered, or were lately. */
+	listLeaves(now: number): Array<Pick<Target, 'id' | 'bornAt'>> {
+		const isTold = ({unregisteredAt}: Leave): boolean => unregisteredAt === undefined || now - unregisteredAt <= leaveToldMs;
+		return [...this.leaves].filter(([, leave]) => isTold(leave)).map(([id, {bornAt}]) => ({id, ...(bornAt !== undefined && {bornAt})}));
 	}
 
 	/** Drops targets whose registration did not come back in time; gives those. */
--- a/src/forward/fleet-state.ts
+++ b/src/forward/fleet-state.ts
@@ -23,7 +23,6 @@
 /** The configuration and the targets in force at this process, as far as its view of the store goes. */
 export class FleetState {
 	private current: RouteTable | undefined;
-	private leaving = new Set<string>();
 	private readonly groups = new GroupIndex();
 	private problem = '';
 	/** Registrations that cannot be used, so that each is logged once and not at every change of the store. */
@@ -47,7 +46,7 @@
 		this.refreshTargets(now);
 	}
 
-	/** Takes a target's word that it leaves: its own in an answer, or as a peer has heard it; true when that is news. */
+	/** Notes that a life of a target leaves: by its registration, its own answer, or what a peer has heard; true when that was not known. */
 	noteLeave(target: Pick<Target, 'id' | 'bornAt'>, source: string, now: number): boolean {
 		const isNews = this.options.directory.noteLeave(target, now);
 		if (isNews) {
@@ -77,7 +76,7 @@
 
 			this.current = new RouteTable(configuration);
 			this.problem = '';
-			log(`configuration ${configuration.version} in force, store revision ${view.asOf}`);
+			log(`configuration ${configuration.version} in force, store era ${view.asOf.era} revision ${view.asOf.number}`);
 			onTable(this.current);
 		} catch (error) {
 			const problem = (error as Error).message;
@@ -131,14 +130,9 @@
 			onRenew(id);
 		}
 
-		const leaving = new Set(targets.filter(({isLeaving}) => isLeaving).map(({id}) => id));
-		for (const id of leaving) {
-			if (!this.leaving.has(id)) {
-				log(`target ${id} is leaving`);
-				onLeave(id);
-			}
+		// Known by the target's life, so that no registration that says otherwise later, as in an older copy, takes it back.
+		for (const target of targets.filter(({isLeaving}) => isLeaving)) {
+			this.noteLeave(target, 'its registration says so', now);
 		}
-
-		this.leaving = leaving;
 	}
 }
--- /dev/null
+++ b/src/forward/make-item-guard.ts
@@ -0,0 +1,57 @@
+import {type Target} from '../fleet/target.js';
+import {type StoredValue} from '../key-value/stored-value.js';
+import {type ItemGuard} from '../view/item-guard.js';
+import {type FleetSource} from './fleet-source.js';
+
+/** Tells which of two items is to be believed, by what they say: versions of the configuration only rise, a life of a target that leaves does not come back. */
+export function makeItemGuard(source: FleetSource): ItemGuard {
+	const readVersion = (item: StoredValue): number | undefined => {
+		try {
+			return source.readConfiguration({get: () => item})?.version;
+		} catch {
+			// What cannot be used is reported where the configuration is taken over.
+			return undefined;
+		}
+	};
+
+	const readTarget = (item: StoredValue): Target | undefined => source.readTargets({list: () => [item]}, () => undefined).at(0);
+	const isOlderConfiguration = (known: StoredValue, offered: StoredValue | undefined): boolean => {
+		const knownVersion = readVersion(known);
+		const offeredVersion = offered && readVersion(offered);
+		return knownVersion !== undefined && (offered === undefined || (offeredVersion !== undefined && offeredVersion < knownVersion));
+	};
+
+	const isOlderTarget = (known: StoredValue, offered: StoredValue | undefined): boolean => {
+		const before = readTarget(known);
+		const after = offered && readTarget(offered);
+		if (!before || !after) {
+			return false;
+		}
+
+		const isFormerLife = (after.bornAt ?? Number.NEGATIVE_INFINITY) < (before.bornAt ?? Number.NEGATIVE_INFINITY);
+		return isFormerLife || (after.bornAt === before.bornAt && before.isLeaving && !after.isLeaving);
+	};
+
+	return {
+		isOlder(known, offered) {
+			switch (source.getKind(known.key)) {
+				case 'configuration': {
+					return isOlderConfiguration(known, offered);
+				}
+
+				case 'target': {
+					return isOlderTarget(known, offered);
+				}
+
+				default: {
+					return undefined;
+				}
+			}
+		},
+		isSame(removed, offered) {
+			const before = source.getKind(removed.key) === 'target' ? readTarget(removed) : undefined;
+			const after = readTarget(offered);
+			return before !== undefined && after !== undefined && (after.bornAt ?? Number.NEGATIVE_INFINITY) <= (before.bornAt ?? Number.NEGATIVE_INFINITY);
+		},
+	};
+}
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -132,7 +132,7 @@
 		},
 	});
 	const {view, fleet, mesh} = knowledge;
-	const getTable = () => fleet.table;
+	const getTable = () => knowledge.getTable(clock());
 	const server = new ForwardServer({
 		address,
 		port: httpPort,
@@ -147,7 +147,7 @@
 		onEnd(exchange, problem) {
 			const now = clock();
 			metrics.noteEnd(exchange, problem, now);
-			requestLog.info(describeEnd(exchange, problem, {era: view.storeEra, viewAgeMs: view.getAge(now), now}));
+			requestLog.info(describeEnd(exchange, problem, {era: view.asOf.era, viewAgeMs: view.getAge(now), now}));
 		},
 		log(message) {
 			requestLog.error(message);
@@ -179,9 +179,17 @@
 		},
 	});
 	await server.listen();
-	const isReady = () => !isStopping && fleet.table !== undefined;
+	const isReady = () => !isStopping && getTable() !== undefined;
 	const getStatus = () => ({
-		id, availabilityZone, isReady: isReady(), configuration: fleet.table?.version, revision: view.asOf, ageMs: view.getAge(clock()), openRequests: server.openRequests, inFlight: board.getOwn(),
+		id,
+		availabilityZone,
+		isReady: isReady(),
+		configuration: fleet.table?.version,
+		era: view.asOf.era,
+		revision: view.asOf.number,
+		ageMs: view.getAge(clock()),
+		openRequests: server.openRequests,
+		inFlight: board.getOwn(),
 	});
 	const shared = {
 		address, registry: metrics.registry, isReady, pages: {status: getStatus},
@@ -195,10 +203,11 @@
 		const now = clock();
 		knowledge.tick(now);
 		path.tick();
-		metrics.storeEra.set(view.storeEra);
-		metrics.viewRevision.set(view.asOf);
+		metrics.storeEra.set(view.asOf.era);
+		metrics.viewRevision.set(view.asOf.number);
 		metrics.viewAge.set(Math.min(Number.MAX_SAFE_INTEGER, view.getAge(now)) / 1000);
 		metrics.droppedAnswers.set(view.dropped);
+		metrics.retainedKeys.set(view.retainedKeys);
 		metrics.resting.set(book.rests.size);
 		metrics.limited.set(book.limits.size);
 	}, tickMs);
@@ -221,7 +230,7 @@
 	return {
 		httpPort: server.port,
 		isReady,
-		getRevision: () => view.asOf,
+		getRevision: () => view.asOf.number,
 		stopped,
 		async stop() {
 			isStopping = true;
--- a/src/forward/target-book.ts
+++ b/src/forward/target-book.ts
@@ -104,7 +104,7 @@
 	/** What peers are told. */
 	getNews(now: number): EntryNews {
 		const {refusing, recovered} = this.refusals.getWord(now);
-		const leaves = this.directory.listLeaves();
+		const leaves = this.directory.listLeaves(now);
 		const limits = this.limits.getWord(now);
 		return {
 			...(refusing.length > 0 && {refusing: [...refusing]}),
--- a/src/link/link-message.ts
+++ b/src/link/link-message.ts
@@ -6,6 +6,7 @@
 import {RankPlacement} from '../expert-balance/rank-placement.js';
 import {RankReport} from '../expert-balance/rank-report.js';
 import {EntryNews} from '../mesh/entry-news.js';
+import {Revision} from '../key-value/revision.js';
 import {ViewSnapshot} from '../view/view-snapshot.js';
 
 const bytes = z.instanceof(Uint8Array);
@@ -171,9 +172,11 @@
 		address: z.string(),
 		availabilityZone: z.string(),
 		/** Revision of the store that the sender's view includes. */
-		viewRevision: z.int().min(0),
+		viewRevision: Revision,
 		/** How long ago that view was known to be current, milliseconds. */
 		viewAgeMs: z.number(),
+		/** Version of the configuration in force at the sender; 0 while none is. */
+		configurationVersion: z.int().min(0),
 		/** Requests that the sender has in flight, by target. */
 		inFlight: z.record(z.string(), z.int().min(0)),
 		...EntryNews.shape,
@@ -189,7 +192,7 @@
 		/** How long until the next one can be had, milliseconds. */
 		nextMs: z.number().min(0),
 	}),
-	z.object({type: z.literal('view-wanted'), after: z.int().min(0)}),
+	z.object({type: z.literal('view-wanted'), after: Revision}),
 	z.object({type: z.literal('view-offered'), view: ViewSnapshot}),
 	z.object({
 		type: z.literal('rank-status'),
--- a/src/mesh/entry-mesh.ts
+++ b/src/mesh/entry-mesh.ts
@@ -4,6 +4,8 @@
 import {type MessageOf} from '../link/message-of.js';
 import {PersistentLink} from '../link/persistent-link.js';
 import {type StoreView} from '../view/store-view.js';
+import {isLater} from '../key-value/is-later.js';
+import {type Revision} from '../key-value/revision.js';
 import {type EntryNews} from './entry-news.js';
 
 type MeshOptions = {
@@ -14,6 +16,8 @@
 	readonly connect: (address: string) => Promise<LinkConnection>;
 	readonly hello: () => LinkMessage;
 	readonly view: StoreView;
+	/** Version of the configuration in force at this entry; 0 while none is. */
+	readonly getConfigurationVersion: () => number;
 	readonly board: LoadBoard;
 	/** What peers are told of targets and requests; all of it where the peer may have heard nothing yet. */
 	readonly getNews: (isWhole: boolean, now: number) => EntryNews;
@@ -50,6 +54,10 @@
 /** A link on which a peer was not heard for so long is cut and opened anew, milliseconds. */
 const lostMs = 1500;
 const maximumDelayMs = 800;
+/** Time between two questions for a peer's view, milliseconds. */
+const wantedMs = 300;
+/** Before all that a view may be of. */
+const anyRevision: Revision = {era: 0, number: 0};
 
 /**
  * The entries' links to each other. Each tells the others what it has in flight, so that all choose targets by the
@@ -62,8 +70,8 @@
 	private farReportedAt = 0;
 	private lastReport = '';
 	private timer: NodeJS.Timeout | undefined;
-	private wantedRevision = 0;
-	private wantedAt = 0;
+	private wantedAt = Number.NEGATIVE_INFINITY;
+	private hasPeerView = false;
 
 	constructor(private readonly options: MeshOptions) {}
 
@@ -108,6 +116,11 @@
 		return [...this.peers].filter(([, {link, heardAt}]) => link.current !== undefined && now - heardAt <= lostMs).map(([address]) => address);
 	}
 
+	/** Whether a peer has passed on its view since the start. */
+	get hasHeardView(): boolean {
+		return this.hasPeerView;
+	}
+
 	/** Sends a peer a message; false when there is no link to it. */
 	send(address: string, message: LinkMessage): boolean {
 		return this.peers.get(address)?.link.current?.send(message) ?? false;
@@ -117,13 +130,13 @@
 	receive(message: LinkMessage, send: (message: LinkMessage) => boolean): void {
 		switch (message.type) {
 			case 'entry-load': {
-				this.hear(message, send);
+				this.receiveLoad(message, send);
 				break;
 			}
 
 			case 'view-wanted': {
 				const {view, clock} = this.options;
-				if (view.asOf > message.after) {
+				if (isLater(view.asOf, message.after)) {
 					send({type: 'view-offered', view: view.getSnapshot(clock())});
 				}
 
@@ -131,8 +144,10 @@
 			}
 
 			case 'view-offered': {
+				this.hasPeerView = true;
 				if (this.options.view.takeSnapshot(message.view)) {
-					this.options.log(`took revision ${message.view.asOf} from a peer`);
+					const {era, number} = message.view.asOf;
+					this.options.log(`took a peer's view of era ${era} revision ${number}`);
 				}
 
 				break;
@@ -177,7 +192,7 @@
 		this.peers.set(address, peer);
 	}
 
-	private hear(message: MessageOf<'entry-load'>, send: (message: LinkMessage) => boolean): void {
+	private receiveLoad(message: MessageOf<'entry-load'>, send: (message: LinkMessage) => boolean): void {
 		const {board, view, clock, availabilityZone, onNews} = this.options;
 		const now = clock();
 		board.hear(message.id, message.inFlight, now);
@@ -189,22 +204,34 @@
 			peer.availabilityZone = message.availabilityZone;
 		}
 
-		// With the store in reach, the own wait brings a change sooner than a peer's word, as a rule.
-		const isBehind = message.viewRevision > view.asOf && (view.isCutOff || !view.isKnown || view.getAge(now) > message.viewAgeMs + quietMs);
-		const isAsked = message.viewRevision <= this.wantedRevision && now - this.wantedAt < quietMs;
-		if (isBehind && !isAsked) {
-			this.wantedRevision = message.viewRevision;
+		view.noteEra(message.viewRevision.era);
+		const after = this.chooseWanted(message, now);
+		if (after && now - this.wantedAt >= wantedMs) {
 			this.wantedAt = now;
-			send({type: 'view-wanted', after: view.asOf});
+			send({type: 'view-wanted', after});
+		}
+	}
+
+	/* The revision after which a peer's view is wanted; undefined when it is not. */
+	private chooseWanted({viewRevision, viewAgeMs, configurationVersion}: MessageOf<'entry-load'>, now: number): Revision | undefined {
+		const {view, getConfigurationVersion} = this.options;
+		// With the store in reach, the own wait brings a change sooner than a peer, as a rule.
+		if (isLater(viewRevision, view.asOf)) {
+			const isStale = view.isCutOff || !view.isKnown || view.getAge(now) > viewAgeMs + quietMs;
+			return isStale ? view.asOf : undefined;
 		}
+
+		// A store that has come back from a copy may have less than a peer knows, which an entry that has just started cannot tell.
+		const hasLess = viewRevision.number > 0 && (!this.hasPeerView || configurationVersion > getConfigurationVersion());
+		return hasLess ? anyRevision : undefined;
 	}
 
 	private report(now: number): void {
 		const namesPeers = now - this.peersToldAt >= peersMs;
-		const {board, view, getNews} = this.options;
+		const {board, view, getConfigurationVersion, getNews} = this.options;
 		const news = getNews(false, now);
 		// How old a word on a limit is grows with time, and is no change.
-		const summary = JSON.stringify([board.getOwn(), view.asOf, {...news, limits: news.limits?.map(({agoMs, ...limit}) => limit)}]);
+		const summary = JSON.stringify([board.getOwn(), view.asOf, getConfigurationVersion(), {...news, limits: news.limits?.map(({agoMs, ...limit}) => limit)}]);
 		if (summary === this.lastReport && now - this.reportedAt < quietMs) {
 			return;
 		}
@@ -224,7 +251,7 @@
 	}
 
 	private makeReport(namesPeers: boolean): MessageOf<'entry-load'> {
-		const {id, address, availabilityZone, board, view, clock, getNews} = this.options;
+		const {id, address, availabilityZone, board, view, getConfigurationVersion, clock, getNews} = this.options;
 		const now = clock();
 		return {
 			type: 'entry-load',
@@ -232,6 +259,7 @@
 			address,
 			availabilityZone,
 			viewRevision: view.asOf,
+			configurationVersion: getConfigurationVersion(),
 			viewAgeMs: Math.min(Number.MAX_SAFE_INTEGER, Math.max(0, Math.round(view.getAge(now)))),
 			inFlight: board.getOwn(),
 			...getNews(namesPeers, now),
--- a/src/metrics/forward-metrics.ts
+++ b/src/metrics/forward-metrics.ts
@@ -59,7 +59,7 @@
 
 	readonly storeEra = new Gauge({
 		name: 'wardswitch_store_era',
-		help: 'Era of the store that answered last; it rises each time the store comes back from an older copy',
+		help: 'Era of the store that this process goes by; it rises each time the store comes back from an older copy',
 		registers: [this.registry],
 	});
 
@@ -81,6 +81,12 @@
 		registers: [this.registry],
 	});
 
+	readonly retainedKeys = new Gauge({
+		name: 'wardswitch_view_retained_keys',
+		help: 'Keys on which this process goes on with what it knew against what the store holds',
+		registers: [this.registry],
+	});
+
 	/** Notes the end of a request. */
 	noteEnd(exchange: ForwardExchange, problem: Problem | undefined, now: number): void {
 		const {service, response, arrivedAt} = exchange;
--- a/stand-ins/forward/memory-store.ts
+++ b/stand-ins/forward/memory-store.ts
@@ -168,7 +168,7 @@
 					this.put(key, value, lease);
 				}
 
-				return ok(this.revision);
+				return ok({era: this.era, number: this.revision});
 			},
 			grantLeaseFor: async lifeMs => {
 				count();
--- a/stand-ins/forward/plain-source.ts
+++ b/stand-ins/forward/plain-source.ts
@@ -12,6 +12,13 @@
 
 /** Reads configuration and targets that are stored in the product's own words. */
 export const plainSource: FleetSource = {
+	getKind(key) {
+		if (key === 'configuration') {
+			return 'configuration';
+		}
+
+		return key.startsWith('targets/') ? 'target' : undefined;
+	},
 	readConfiguration(view) {
 		const stored = view.get('configuration');
 		return stored && RoutingConfiguration.parse(parse(stored.value));
