--- a/features/platform.feature
+++ b/features/platform.feature
@@ -35,6 +35,43 @@
     When a lease ends
     Then keeping it says so
 
+  Scenario Outline: The era of the store is read from its answers: <header>
+    Given a store with 5 keys
+    When its answers say that it is in era "<header>"
+    Then a list and a wait are of era <era>, and so is what is written
+
+    Examples:
+      | header | era |
+      | none   | 0   |
+      | 0      | 0   |
+      | 7      | 7   |
+      | 007    | 7   |
+
+  Scenario Outline: An era that cannot be read is an error that says so: <header>
+    Given a store with 5 keys
+    When its answers say that it is in era "<header>"
+    Then a list fails and names "store-era"
+
+    Examples:
+      | header               |
+      | -1                   |
+      | 1.5                  |
+      | soon                 |
+      | 3, 3                 |
+      | 99999999999999999999 |
+
+  Scenario: A list over two eras is not taken for one
+    Given a store with 5 keys
+    When the keys are listed while the store goes from era "3" to "4" after the first page
+    Then the list has failed and names "era 3 to 4"
+
+  # A wait that the store never answers kept a process in the former era for up to twelve seconds.
+  Scenario: A wait in a former era ends as soon as another call tells of a new one
+    Given a store with 5 keys
+    When its answers say that it is in era "3"
+    And a wait is never answered, and then another call tells of era "4"
+    Then the wait has ended in era 4, and its history is gone
+
   Scenario: The operator's configuration becomes the product's
     Given a store with the operator's configuration
     Then its routes, services, organisations and limits are read in the product's words
