Lay a crash to the request that had just begun to run there

Cause: any request that was lost with a target counted as much as the one that crashed it, and two crashes accused it. What crashes targets does so as it begins to run; a stream that has been answered for longer met the crash. Change: the end of a send says for how long the target had been answering. Two targets that crash within 0.1 s of that accuse a request, as before; where it had run for longer, five do. Peers are told which.

--- a/features/crash.feature
+++ b/features/crash.feature
@@ -47,8 +47,7 @@
       | 32      | 16      | 800     | each of their requests is another one | 4    |
       | 32      | 16      | 400     | each of their requests is another one | 4    |
 
-  # Seen: of some 850 callers 7 to 20 are not served, who all are if nothing is refused for crashes. How: a request that runs where a
-  # target crashes goes on elsewhere, and meets the next crash there. Cause: two crashes are enough to accuse it.
+  # A request that had run for long met two crashes of others, and was refused for 10 s.
   Scenario Outline: Targets crash by themselves each 400 ms, and no request is taken for the cause: seed <seed>
     Given 32 entries before 16 targets, and callers who need 3 tenths of them, seed <seed>
     And each of their requests is another one
@@ -60,6 +59,8 @@
       | 4    |
       | 9    |
       | 10   |
+      | 17   |
+      | 31   |
 
   # All that is asked for is known to be answered, so that even the loss of all targets accuses none of it.
   Scenario: All targets crash at once, again and again, and what was asked for before goes on being served
--- a/features/support/call-fleet.ts
+++ b/features/support/call-fleet.ts
@@ -321,10 +321,13 @@
 
 	private serve(target: FleetTarget, pair: Pair, {target: meant, exchange, delivery, signal, onProgress}: SendOptions, {sentAt, listener, resolve}: Receiver): void {
 		const sent = {target: meant, sentAt};
-		const state = {isLost: false};
+		const state: {isLost: boolean; answeredAt?: number} = {isLost: false};
 		const end = target.run(() => {
 			state.isLost = true;
-			resolve({kind: 'lost', reason: 'other side closed', isCut: true});
+			const answeringMs = state.answeredAt === undefined ? undefined : this.now - state.answeredAt;
+			resolve({
+				kind: 'lost', reason: 'other side closed', isCut: true, answeringMs,
+			});
 		});
 		this.after(firstEventMs, () => {
 			if (state.isLost) {
@@ -332,6 +335,7 @@
 			}
 
 			this.tell(pair, sent, target.marks, listener);
+			state.answeredAt = this.now;
 			delivery.start(200, []);
 			if (exchange.body === crashingBody) {
 				this.crashTarget(target);
--- a/src/balance/crash-suspects.ts
+++ b/src/balance/crash-suspects.ts
@@ -3,11 +3,17 @@
 
 /** One life of a target. */
 type Life = Pick<Target, 'id' | 'bornAt'>;
-type Loss = {readonly fingerprint: string; readonly life: Life; readonly at: number};
-type Suspect = {readonly lives: Set<string>; blockedUntil: number; changedAt: number; seenAt: number};
+type Lost = {readonly fingerprint: string; readonly life: Life; readonly hasJustBegun: boolean};
+type Loss = Lost & {readonly at: number};
+/** Lives that have crashed as they ran the request, and whether they had just begun to. */
+type Suspect = {readonly lives: Map<string, boolean>; blockedUntil: number; changedAt: number; seenAt: number};
 
-/** A request whose target crashed may have been one of several that ran there; the one that meets another crash is the cause. */
-const crashesToBlock = 2;
+/**
+ * A request whose target crashed may have been one of several that ran there. So many targets that crashed as they had just begun to run
+ * it accuse it, or so many at all: one that has run for longer may have met the crash of another.
+ */
+const beginsToBlock = 2;
+const crashesToBlock = 5;
 /**
  * How long a request that has crashed so many targets is refused, milliseconds; from the third one on, each crash doubles it. The
  * first is short, since two targets may also crash one after the other by themselves.
@@ -31,6 +37,8 @@
 const mostLives = 8;
 
 const nameLife = ({id, bornAt}: Life): string => bornAt === undefined ? id : `${id} ${bornAt}`;
+const countBegins = ({lives}: Pick<Suspect, 'lives'>): number => [...lives.values()].filter(Boolean).length;
+const isAccused = (suspect: Pick<Suspect, 'lives'>): boolean => countBegins(suspect) >= beginsToBlock || suspect.lives.size >= crashesToBlock;
 const dropOldest = (kept: Map<string, unknown> | Set<string>, most: number): void => {
 	const [oldest] = kept.keys();
 	if (kept.size > most) {
@@ -67,7 +75,7 @@
 		}
 
 		suspect.seenAt = now;
-		if (suspect.lives.size < crashesToBlock) {
+		if (!isAccused(suspect)) {
 			return 0;
 		}
 
@@ -92,17 +100,17 @@
 	}
 
 	/** Notes that a request's connection ended before its answer; what for, its target's next life may tell. */
-	noteLoss(fingerprint: string, life: Life, now: number): void {
+	noteLoss(lost: Lost, now: number): void {
 		this.losses = this.losses.filter(({at}) => now - at <= lossMemoryMs).slice(-mostLosses);
-		this.losses.push({fingerprint, life, at: now});
+		this.losses.push({...lost, at: now});
 	}
 
 	/** Notes that a target has crashed: what it ran was lost by that. Gives whether that accuses any request. */
 	noteCrash(target: string, now: number): boolean {
 		const lost = this.losses.filter(({life, at}) => life.id === target && now - at <= lossMemoryMs);
 		this.losses = this.losses.filter(loss => !lost.includes(loss));
-		for (const {fingerprint, life} of lost) {
-			this.accuse(fingerprint, [nameLife(life)], now);
+		for (const {fingerprint, life, hasJustBegun} of lost) {
+			this.accuse(fingerprint, [[nameLife(life), hasJustBegun]], now);
 		}
 
 		return lost.length > 0;
@@ -117,19 +125,22 @@
 		const told = [...this.suspects].filter(([, {changedAt, blockedUntil}]) => now - changedAt <= newsMs || (isWhole && blockedUntil > now)).slice(-mostTold);
 		const cleared = [...this.cleared].filter(([, at]) => now - at <= newsMs).slice(-mostTold).map(([fingerprint]) => fingerprint);
 		return {
-			...(told.length > 0 && {suspects: Object.fromEntries(told.map(([fingerprint, {lives}]) => [fingerprint, [...lives]]))}),
+			...(told.length > 0 && {
+				suspects: Object.fromEntries(told.map(([fingerprint, {lives}]) => [fingerprint, [...lives.keys()]])),
+				met: Object.fromEntries(told.map(([fingerprint, {lives}]) => [fingerprint, [...lives].filter(([, hasJustBegun]) => !hasJustBegun).map(([life]) => life)])),
+			}),
 			...(cleared.length > 0 && {cleared}),
 		};
 	}
 
 	/** Takes what a peer tells. What this entry knows to be answered it clears, and so tells the others. */
-	hear({suspects, cleared}: CrashWord, now: number): void {
+	hear({suspects, met, cleared}: CrashWord, now: number): void {
 		for (const fingerprint of cleared ?? []) {
 			this.noteAnswered(fingerprint, now);
 		}
 
 		for (const [fingerprint, lives] of Object.entries(suspects ?? {})) {
-			this.accuse(fingerprint, lives, now);
+			this.accuse(fingerprint, lives.map(life => [life, !met?.[fingerprint]?.includes(life)]), now);
 		}
 	}
 
@@ -148,18 +159,18 @@
 		}
 	}
 
-	private accuse(fingerprint: string, lives: readonly string[], now: number): void {
+	private accuse(fingerprint: string, lives: ReadonlyArray<readonly [string, boolean]>, now: number): void {
 		if (this.answered.has(fingerprint)) {
 			this.cleared.set(fingerprint, now);
 			return;
 		}
 
 		const suspect = this.suspects.get(fingerprint) ?? {
-			lives: new Set<string>(), blockedUntil: 0, changedAt: now, seenAt: now,
+			lives: new Map<string, boolean>(), blockedUntil: 0, changedAt: now, seenAt: now,
 		};
-		const isNews = lives.some(life => !suspect.lives.has(life));
-		for (const life of lives) {
-			suspect.lives.add(life);
+		const isNews = lives.some(([life]) => !suspect.lives.has(life));
+		for (const [life, hasJustBegun] of lives) {
+			suspect.lives.set(life, hasJustBegun);
 			dropOldest(suspect.lives, mostLives);
 		}
 
@@ -173,14 +184,14 @@
 	}
 
 	private block(fingerprint: string, suspect: Suspect, now: number): void {
-		const crashes = suspect.lives.size;
-		if (crashes < crashesToBlock) {
+		if (!isAccused(suspect)) {
 			return;
 		}
 
-		const blockMs = crashes === crashesToBlock ? firstBlockMs : Math.min(longestBlockMs, secondBlockMs * (2 ** (crashes - crashesToBlock - 1)));
+		const more = countBegins(suspect) - beginsToBlock;
+		const blockMs = more <= 0 ? firstBlockMs : Math.min(longestBlockMs, secondBlockMs * (2 ** (more - 1)));
 		suspect.blockedUntil = now + blockMs;
-		this.log(`request ${fingerprint} is refused for ${blockMs} ms: targets crashed as they ran it (${[...suspect.lives].join(', ')})`);
+		this.log(`request ${fingerprint} is refused for ${blockMs} ms: targets crashed as they ran it (${[...suspect.lives.keys()].join(', ')})`);
 	}
 
 	private clear(fingerprint: string, now: number): void {
--- a/src/balance/crash-word.ts
+++ b/src/balance/crash-word.ts
@@ -4,6 +4,8 @@
 const CrashWord = z.object({
 	/** By fingerprint, the lives of targets that have crashed as they ran the request. */
 	suspects: z.record(z.string(), z.array(z.string())).optional(),
+	/** Of these lives, those at which the request had run for longer when they crashed. */
+	met: z.record(z.string(), z.array(z.string())).optional(),
 	/** Fingerprints of requests that have been answered, and so are not what crashed a target. */
 	cleared: z.array(z.string()).optional(),
 });
--- a/src/forward/crash-watch.ts
+++ b/src/forward/crash-watch.ts
@@ -2,8 +2,16 @@
 import {type TargetHealth} from '../balance/target-health.js';
 import {type Target} from '../fleet/target.js';
 import {type ForwardExchange} from './forward-exchange.js';
+import {type SendOutcome} from './send-outcome.js';
 import {type TargetTransport} from './target-transport.js';
 
+/**
+ * A request that crashes its targets does so as it begins to run; what has been answered for longer met the crash, milliseconds.
+ */
+const beginMs = 100;
+
+type Lost = Extract<SendOutcome, {kind: 'lost'}>;
+
 type WatchOptions = {
 	/** Looks whether anybody listens at a target's address. */
 	readonly check: TargetTransport['check'];
@@ -39,13 +47,10 @@
 		this.suspects.noteAnswered(fingerprint, this.options.clock());
 	}
 
-	/**
-	 * Notes that a request was lost at a target.
-	 *
-	 * @param isCut - whether the other side ended the connection
-	 */
-	noteLost({fingerprint}: ForwardExchange, target: Target, isCut: boolean): void {
-		this.suspects.noteLoss(fingerprint, target, this.options.clock());
+	/** Notes that a request was lost at a target. */
+	noteLost({fingerprint}: ForwardExchange, target: Target, {isCut, answeringMs}: Lost): void {
+		const hasJustBegun = answeringMs === undefined || answeringMs <= beginMs;
+		this.suspects.noteLoss({fingerprint, life: target, hasJustBegun}, this.options.clock());
 		if (isCut && !this.checked.has(target.id)) {
 			void this.look(target);
 		}
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -138,7 +138,7 @@
 				progress.isUnrun = false;
 				this.noteFailure(target, outcome.reason, progress, exchange);
 				if (!isOver) {
-					this.options.crashes.noteLost(exchange, target, outcome.isCut ?? false);
+					this.options.crashes.noteLost(exchange, target, outcome);
 					this.options.book.health.note(target.id, true, now);
 				}
 
--- a/src/forward/send-outcome.ts
+++ b/src/forward/send-outcome.ts
@@ -18,6 +18,8 @@
 	readonly reason: string;
 	/** Whether the other side closed or reset the connection, as a target that crashes does. */
 	readonly isCut?: boolean;
+	/** For how long the target had been answering, milliseconds; absent where it had not begun. */
+	readonly answeringMs?: number;
 };
 
 /** How one send to one target ended. */
--- a/src/forward/target-sender.ts
+++ b/src/forward/target-sender.ts
@@ -41,6 +41,8 @@
 	private isSettled = false;
 	/** When the last part of a stream came, milliseconds. */
 	private eventAt: number | undefined;
+	/** When the target began to answer, milliseconds. */
+	private answeredAt: number | undefined;
 	private readonly sentAt: number;
 	private readonly connection: TargetConnection;
 	private resolve!: (outcome: SendOutcome) => void;
@@ -137,6 +139,7 @@
 			return;
 		}
 
+		this.answeredAt = this.sender.clock();
 		this.noteProgress(target);
 		const isSuccess = status < 300;
 		if (isSuccess && (!marks.isSigned || index.has('content-encoding'))) {
@@ -222,7 +225,10 @@
 		if (this.mode === 'reject') {
 			this.settle(this.makeRefusal(), false);
 		} else if (this.connection.hasOpened) {
-			this.settle({kind: 'lost', reason, isCut}, false);
+			const answeringMs = this.answeredAt === undefined ? undefined : this.sender.clock() - this.answeredAt;
+			this.settle({
+				kind: 'lost', reason, isCut, answeringMs,
+			}, false);
 		} else {
 			this.settle({kind: 'not-run', reason: `not sent: ${reason}`, wasSent: false}, false);
 		}
