Name what peers tell by the field's terms, split the view, and show it by metrics of all processes

Change: ViewItems (what counts), RetainedItems, RemovedItems and StoreContact beside StoreView (how the store is followed); digests that are merged instead of news that are heard, suspects that crashes are added to instead of accused; one set of gauges for entries and ranks' processes. Scenarios for late answers of a former era, for a store that goes back without an era, and for what log and metrics tell.

--- a/features/restored-store.feature
+++ b/features/restored-store.feature
@@ -9,6 +9,7 @@
     And the operator changes the configuration, a target registers and another leaves
     And the entries go on for 5000 ms
     Then nothing was taken back or came late
+    And log and metrics of every entry tell of the new era, and that its view goes on
 
     Examples:
       | lost | away |
@@ -36,6 +37,18 @@
     And the entries go on for 5000 ms
     Then nothing was taken back or came late
 
+  Scenario Outline: A store that goes back without saying so: <lost> changes lost
+    When the store does not tell its era
+    And the store comes back without its last <lost> changes after 300 ms
+    And the operator changes the configuration, a target registers and another leaves
+    And the entries go on for 5000 ms
+    Then nothing was taken back or came late
+
+    Examples:
+      | lost |
+      | 12   |
+      | 400  |
+
   # A change may be the only one that the copy lacks, and be written again after a newer one.
   Scenario: An older configuration that is written again after a newer one is not taken
     When the operator changes the configuration twice, and the store comes back without the second
--- a/features/steps/admission-steps.ts
+++ b/features/steps/admission-steps.ts
@@ -188,12 +188,12 @@
 
 When('a peer has {int} more at each of {int} others', function (this: SystemWorld, streams: number, count: number) {
 	const {board, list} = this.notes.get('entry') as {board: LoadBoard; list: readonly Target[]};
-	board.hear('peer', Object.fromEntries(list.slice(-count).map(({id}) => [id, streams])), 2000);
+	board.merge('peer', Object.fromEntries(list.slice(-count).map(({id}) => [id, streams])), 2000);
 });
 
 Given('a peer with {int} more at each target', function (this: SystemWorld, streams: number) {
 	const {board, list} = this.notes.get('entry') as {board: LoadBoard; list: readonly Target[]};
-	board.hear('peer', Object.fromEntries(list.map(({id}) => [id, streams])), 2000);
+	board.merge('peer', Object.fromEntries(list.map(({id}) => [id, streams])), 2000);
 });
 
 Then('asking for {string} is {string}', function (this: SystemWorld, what: string, answer: string) {
--- a/features/steps/restored-store-steps.ts
+++ b/features/steps/restored-store-steps.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {Registry} from 'prom-client';
+import {makeViewGauges} from '../../src/metrics/make-view-gauges.js';
 import {StoreCrowd} from '../support/store-crowd.js';
 import {stirStore} from '../support/stir-store.js';
 import {type SystemWorld} from '../support/system-world.js';
@@ -8,6 +10,8 @@
 const longScenarioMs = 120_000;
 /** Time until entries that start know each other and the store, milliseconds. */
 const settleMs = 1000;
+/** Longest wait for a change, and its call, milliseconds. */
+const longestWaitMs = 2100;
 /** Time between two starts, milliseconds. */
 const startMs = 50;
 
@@ -74,6 +78,10 @@
 	await getCrowd(this).pass(ms);
 });
 
+When('the store does not tell its era', function (this: SystemWorld) {
+	getCrowd(this).store.tellsEra = false;
+});
+
 When('the operator changes the configuration twice, and the store comes back without the second', async function (this: SystemWorld) {
 	const crowd = getCrowd(this);
 	crowd.configure();
@@ -173,6 +181,20 @@
 	assert.deepEqual(getCrowd(this).faults, []);
 });
 
+Then('log and metrics of every entry tell of the new era, and that its view goes on', async function (this: SystemWorld) {
+	const crowd = getCrowd(this);
+	for (const {id, state: {view}} of crowd.entries.values()) {
+		const registry = new Registry();
+		makeViewGauges(registry, () => view, () => crowd.now);
+		const text = await registry.metrics();
+		assert.match(text, /^wardswitch_store_era 1$/mv);
+		assert.match(text, new RegExp(`^wardswitch_view_revision ${crowd.store.lastRevision}$`, 'mv'));
+		assert.match(text, /^wardswitch_view_retained_keys 0$/mv);
+		assert.ok(view.getAge(crowd.now) <= longestWaitMs, `${view.getAge(crowd.now)} ms`);
+		assert.ok(crowd.lines.some(line => line.includes(` ${id}: store has come back from a copy: era 1 revision`)));
+	}
+});
+
 Then('no entry has dropped a target that is registered', function (this: SystemWorld) {
 	assert.deepEqual([...getCrowd(this).unused], []);
 });
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -184,7 +184,7 @@
 		},
 		book,
 		crashes: new CrashWatch({
-			check: async () => 'listens', health, isElected: () => true, onNews: String, clock, log: String,
+			check: async () => 'listens', health, isElected: () => true, onFound: String, clock, log: String,
 		}),
 		board,
 		gate: world.notes.get('gate') as ServiceGate,
--- a/features/steps/view-steps.ts
+++ b/features/steps/view-steps.ts
@@ -81,3 +81,105 @@
 	assert.equal(pauses.at(-1), longest);
 	assert.ok(pauses.every((pause, index) => index === 0 || pause >= pauses[index - 1]), String(pauses));
 });
+
+type Scene = {readonly view: StoreView; answer: (era: number) => void; readonly polled: Promise<unknown>};
+
+const lowRevision = 3;
+const item = (key: string, revision: number) => ({
+	key, value: key, revision, era: 2,
+});
+
+/* A view of era 1 whose next call, a list or a wait, is answered when the scenario says so. */
+const openView = async (isList: boolean): Promise<Scene> => {
+	let turn = 0;
+	let settle: (era: number) => void = String;
+	const late = new Promise<number>(resolve => {
+		settle = resolve;
+	});
+	let markPolled: (value: unknown) => void = String;
+	const polled = new Promise(resolve => {
+		markPolled = resolve;
+	});
+	const view = new StoreView({
+		feed: {
+			async list() {
+				turn++;
+				if (turn === 1) {
+					return ok({era: 1, asOf: 50, items: [{key: 'old', value: 'old', revision: 50}]});
+				}
+
+				markPolled(turn);
+				const era = await late;
+				return ok({era, asOf: 60, items: [{key: 'former', value: 'former', revision: 60}]});
+			},
+			async poll() {
+				if (isList && turn === 1) {
+					return ok({kind: 'forgotten', era: 1});
+				}
+
+				markPolled(turn);
+				const era = await late;
+				return ok({
+					kind: 'changes', era, asOf: 60, changes: [{key: 'former', value: 'former', revision: 60}],
+				});
+			},
+		},
+		prefix: '',
+		guard: unguarded,
+		waitMs,
+		longestPauseMs: 1000,
+		clock: () => 0,
+		random: () => 0,
+		async delay() {
+			if (view.asOf.era === 2) {
+				view.close();
+			}
+		},
+		log: String,
+		onChange: String,
+	});
+	void view.run();
+	return {view, answer: settle, polled};
+};
+
+const takePeerView = async (world: SystemWorld, isList: boolean, era: number): Promise<void> => {
+	const scene = await openView(isList);
+	await scene.polled;
+	scene.view.takeSnapshot({asOf: {era: 2, number: lowRevision}, ageMs: 0, items: [item('new', lowRevision)]});
+	scene.answer(era);
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	scene.view.close();
+	world.notes.set('view', scene.view);
+};
+
+Given('a view that knows a store of era 1', function (this: SystemWorld) {
+	this.notes.set('view', undefined);
+});
+
+When('a list of era 1 is on its way, a peer\'s view of era 2 comes in, and then the answer', async function (this: SystemWorld) {
+	await takePeerView(this, true, 1);
+});
+
+When('a wait\'s end of era 1 is on its way, a peer\'s view of era 2 comes in, and then the answer', async function (this: SystemWorld) {
+	await takePeerView(this, false, 1);
+});
+
+When('a wait of era 1 is on its way, a peer\'s view of era 2 comes in, and the wait ends with changes of era 2', async function (this: SystemWorld) {
+	await takePeerView(this, false, 2);
+});
+
+Then('the view is of era 2, as the peer\'s, and has dropped an answer', function (this: SystemWorld) {
+	const view = this.notes.get('view') as StoreView;
+	assert.deepEqual(view.asOf, {era: 2, number: lowRevision});
+	assert.equal(view.get('new')?.value, 'new');
+	assert.equal(view.get('former'), undefined);
+	assert.ok(view.dropped > 0);
+});
+
+Then('the view is of era 2, as the peer\'s', function (this: SystemWorld) {
+	const view = this.notes.get('view') as StoreView;
+	assert.deepEqual(view.asOf, {era: 2, number: lowRevision});
+	assert.equal(view.get('former'), undefined);
+});
--- a/features/support/call-fleet.ts
+++ b/features/support/call-fleet.ts
@@ -187,11 +187,11 @@
 	private report(index: number): void {
 		const {board} = this.paths[index];
 		const inFlight = board.getOwn();
-		const news = this.paths[index].getNews(false, this.now);
+		const news = this.paths[index].getDigest(false, this.now);
 		for (const [other, path] of this.paths.entries()) {
 			if (other !== index && this.isLinked(index, other)) {
-				path.board.hear(`entry-${index}`, inFlight, this.now);
-				path.hearNews(`entry-${index}`, news, other % zones === index % zones, this.now);
+				path.board.merge(`entry-${index}`, inFlight, this.now);
+				path.mergeDigest(`entry-${index}`, news, other % zones === index % zones, this.now);
 			}
 		}
 	}
@@ -262,7 +262,7 @@
 			getService: () => undefined,
 			onLoad: () => undefined,
 			onSend: () => undefined,
-			onNews: () => {
+			onFound: () => {
 				this.after(latencyMs, () => {
 					this.report(entry);
 				});
--- a/features/support/store-crowd.ts
+++ b/features/support/store-crowd.ts
@@ -419,7 +419,7 @@
 			getService: () => undefined,
 			onLoad: () => undefined,
 			onSend: () => undefined,
-			onNews: () => undefined,
+			onFound: () => undefined,
 			onRefusal: () => undefined,
 			onLeave(target, source) {
 				state.fleet.noteLeave(target, source, clock());
@@ -451,9 +451,9 @@
 			delay: async ms => new Promise(resolve => {
 				setTimeout(resolve, ms);
 			}),
-			getNews: (isWhole, now) => path.getNews(isWhole, now),
-			onNews(peer, news, isNear, now) {
-				path.hearNews(peer, news, isNear, now);
+			getDigest: (isWhole, now) => path.getDigest(isWhole, now),
+			onDigest(peer, digest, isNear, now) {
+				path.mergeDigest(peer, digest, isNear, now);
 			},
 			onMessage: () => undefined,
 			onTable: () => undefined,
--- a/features/view.feature
+++ b/features/view.feature
@@ -10,6 +10,21 @@
     When its calls go as "answered, lost, lost, lost, lost, lost, lost, answered"
     Then no pause after a lost call is longer than 50 ms
 
+  Scenario Outline: <answer> of a former era that comes late takes nothing back
+    Given a view that knows a store of era 1
+    When <answer> of era 1 is on its way, a peer's view of era 2 comes in, and then the answer
+    Then the view is of era 2, as the peer's, and has dropped an answer
+
+    Examples:
+      | answer        |
+      | a list        |
+      | a wait's end  |
+
+  Scenario: Changes after a revision of a former era do not count in the new one
+    Given a view that knows a store of era 1
+    When a wait of era 1 is on its way, a peer's view of era 2 comes in, and the wait ends with changes of era 2
+    Then the view is of era 2, as the peer's
+
   Scenario: Calls that are refused at once are spaced
     Given a view of a store that answers
     When its calls go as "answered, refused, refused, refused, refused, refused, refused, answered"
--- a/src/balance/crash-word.ts
+++ b/src/balance/crash-digest.ts
@@ -1,7 +1,7 @@
 import {z} from 'zod';
 
 /** What entries tell each other of requests that may crash their targets. */
-const CrashWord = z.object({
+const CrashDigest = z.object({
 	/** By fingerprint, the lives of targets that have crashed as they ran the request. */
 	suspects: z.record(z.string(), z.array(z.string())).optional(),
 	/** Of these lives, those at which the request had run for longer when they crashed. */
@@ -9,6 +9,6 @@
 	/** Fingerprints of requests that have been answered, and so are not what crashed a target. */
 	cleared: z.array(z.string()).optional(),
 });
-type CrashWord = z.infer<typeof CrashWord>;
+type CrashDigest = z.infer<typeof CrashDigest>;
 
-export {CrashWord};
+export {CrashDigest};
--- a/src/balance/crash-suspects.ts
+++ b/src/balance/crash-suspects.ts
@@ -1,5 +1,5 @@
 import {type Target} from '../fleet/target.js';
-import {type CrashWord} from './crash-word.js';
+import {type CrashDigest} from './crash-digest.js';
 
 /** One life of a target. */
 type Life = Pick<Target, 'id' | 'bornAt'>;
@@ -38,7 +38,7 @@
 
 const nameLife = ({id, bornAt}: Life): string => bornAt === undefined ? id : `${id} ${bornAt}`;
 const countBegins = ({lives}: Pick<Suspect, 'lives'>): number => [...lives.values()].filter(Boolean).length;
-const isAccused = (suspect: Pick<Suspect, 'lives'>): boolean => countBegins(suspect) >= beginsToBlock || suspect.lives.size >= crashesToBlock;
+const isSuspected = (suspect: Pick<Suspect, 'lives'>): boolean => countBegins(suspect) >= beginsToBlock || suspect.lives.size >= crashesToBlock;
 const dropOldest = (kept: Map<string, unknown> | Set<string>, most: number): void => {
 	const [oldest] = kept.keys();
 	if (kept.size > most) {
@@ -75,7 +75,7 @@
 		}
 
 		suspect.seenAt = now;
-		if (!isAccused(suspect)) {
+		if (!isSuspected(suspect)) {
 			return 0;
 		}
 
@@ -110,7 +110,7 @@
 		const lost = this.losses.filter(({life, at}) => life.id === target && now - at <= lossMemoryMs);
 		this.losses = this.losses.filter(loss => !lost.includes(loss));
 		for (const {fingerprint, life, hasJustBegun} of lost) {
-			this.accuse(fingerprint, [[nameLife(life), hasJustBegun]], now);
+			this.addCrashes(fingerprint, [[nameLife(life), hasJustBegun]], now);
 		}
 
 		return lost.length > 0;
@@ -121,7 +121,7 @@
 	 *
 	 * @param isWhole - whether the peer may have heard nothing yet
 	 */
-	getWord(isWhole: boolean, now: number): CrashWord {
+	getDigest(isWhole: boolean, now: number): CrashDigest {
 		const told = [...this.suspects].filter(([, {changedAt, blockedUntil}]) => now - changedAt <= newsMs || (isWhole && blockedUntil > now)).slice(-mostTold);
 		const cleared = [...this.cleared].filter(([, at]) => now - at <= newsMs).slice(-mostTold).map(([fingerprint]) => fingerprint);
 		return {
@@ -134,13 +134,13 @@
 	}
 
 	/** Takes what a peer tells. What this entry knows to be answered it clears, and so tells the others. */
-	hear({suspects, met, cleared}: CrashWord, now: number): void {
+	merge({suspects, met, cleared}: CrashDigest, now: number): void {
 		for (const fingerprint of cleared ?? []) {
 			this.noteAnswered(fingerprint, now);
 		}
 
 		for (const [fingerprint, lives] of Object.entries(suspects ?? {})) {
-			this.accuse(fingerprint, lives.map(life => [life, !met?.[fingerprint]?.includes(life)]), now);
+			this.addCrashes(fingerprint, lives.map(life => [life, !met?.[fingerprint]?.includes(life)]), now);
 		}
 	}
 
@@ -159,7 +159,7 @@
 		}
 	}
 
-	private accuse(fingerprint: string, lives: ReadonlyArray<readonly [string, boolean]>, now: number): void {
+	private addCrashes(fingerprint: string, lives: ReadonlyArray<readonly [string, boolean]>, now: number): void {
 		if (this.answered.has(fingerprint)) {
 			this.cleared.set(fingerprint, now);
 			return;
@@ -168,7 +168,7 @@
 		const suspect = this.suspects.get(fingerprint) ?? {
 			lives: new Map<string, boolean>(), blockedUntil: 0, changedAt: now, seenAt: now,
 		};
-		const isNews = lives.some(([life]) => !suspect.lives.has(life));
+		const isNew = lives.some(([life]) => !suspect.lives.has(life));
 		for (const [life, hasJustBegun] of lives) {
 			suspect.lives.set(life, hasJustBegun);
 			dropOldest(suspect.lives, mostLives);
@@ -176,7 +176,7 @@
 
 		this.suspects.set(fingerprint, suspect);
 		dropOldest(this.suspects, mostSuspects);
-		if (isNews) {
+		if (isNew) {
 			suspect.changedAt = now;
 			suspect.seenAt = now;
 			this.block(fingerprint, suspect, now);
@@ -184,7 +184,7 @@
 	}
 
 	private block(fingerprint: string, suspect: Suspect, now: number): void {
-		if (!isAccused(suspect)) {
+		if (!isSuspected(suspect)) {
 			return;
 		}
 
--- a/src/balance/load-board.ts
+++ b/src/balance/load-board.ts
@@ -49,7 +49,7 @@
 	}
 
 	/** Takes what a peer has in flight. */
-	hear(peer: string, inFlight: Readonly<Record<string, number>>, now: number): void {
+	merge(peer: string, inFlight: Readonly<Record<string, number>>, now: number): void {
 		this.peers.set(peer, {at: now, inFlight});
 	}
 
--- a/src/balance/target-limits.ts
+++ b/src/balance/target-limits.ts
@@ -1,5 +1,5 @@
 import {type Target} from '../fleet/target.js';
-import {type LimitWord} from './limit-word.js';
+import {type LimitDigest} from './limit-digest.js';
 
 /** One life of a target. */
 type Life = Pick<Target, 'id' | 'bornAt'>;
@@ -27,7 +27,7 @@
 
 /** Least time between two lines on changes of one target's limit, milliseconds: a rate may change with each answer. */
 const changeLineMs = 1000;
-/** That a limit has ended is remembered for so long, milliseconds: an older word of a peer, late on its way, is not believed then. */
+/** That a limit has ended is remembered for so long, milliseconds: an older digest of a peer, late on its way, is not believed then. */
 const endMemoryMs = 5000;
 /** A limit outlasts its target's registration by so long, milliseconds: one that lapsed while the store was away may come back. */
 const goneMemoryMs = 10_000;
@@ -61,7 +61,7 @@
 	}
 
 	/** Takes what a peer has read, if that is newer than what is known here. */
-	hear({id, bornAt, perSecond, agoMs}: LimitWord, now: number): void {
+	merge({id, bornAt, perSecond, agoMs}: LimitDigest, now: number): void {
 		const saidAt = now - agoMs;
 		const known = this.records.get(id);
 		if (known ? saidAt > known.saidAt : perSecond !== undefined) {
@@ -70,7 +70,7 @@
 	}
 
 	/** What peers are told: only what this entry has read itself. */
-	getWord(now: number): LimitWord[] {
+	getDigest(now: number): LimitDigest[] {
 		return [...this.records.values()].filter(({isOwn}) => isOwn).map(({life: {id, bornAt}, perSecond, saidAt}) => ({
 			id, ...(bornAt !== undefined && {bornAt}), ...(perSecond !== undefined && {perSecond}), agoMs: Math.max(0, Math.round(now - saidAt)),
 		}));
--- a/src/balance/target-refusals.ts
+++ b/src/balance/target-refusals.ts
@@ -11,7 +11,7 @@
 };
 
 /** What a peer says of targets that refuse it, and of those that lately serve it again. */
-type PeerWord = {readonly refusing: readonly string[]; readonly recovered: readonly string[]};
+type PeerDigest = {readonly refusing: readonly string[]; readonly recovered: readonly string[]};
 /** What a peer said last of targets that refuse it, and since when it has said so of each. */
 type Hearsay = {readonly at: number; readonly since: ReadonlyMap<string, number>};
 
@@ -20,7 +20,7 @@
 const longestPauseMs = 2000;
 /** What a peer said counts for so long, milliseconds: three of its longest times between two reports. */
 const hearsayMs = 1500;
-/** A peer's word that a target serves again is surely newer than a refusal of so long ago, milliseconds: a report's longest way. */
+/** A peer's digest that says that a target serves again is surely newer than a refusal of so long ago, milliseconds: a report's longest way. */
 const newsLagMs = 500;
 /** One refusal is common under load, and its request's own line tells it; this many in a row are told of their target. */
 const refusalsToTell = 2;
@@ -72,7 +72,7 @@
 	}
 
 	/** What peers are told: only what this entry has found itself. */
-	getWord(now: number): PeerWord {
+	getDigest(now: number): PeerDigest {
 		const refusing: string[] = [];
 		const recovered: string[] = [];
 		for (const [target, {refusals, recoveredAt}] of this.records) {
@@ -87,10 +87,10 @@
 	}
 
 	/**
-	 * Takes a peer's word. Targets that refuse it are doubtful here too, until they have served this entry or the peer; of those that
+	 * Takes over a peer's digest. Targets that refuse it are doubtful here too, until they have served this entry or the peer; of those that
 	 * serve it again, this entry's own refusals count no more. So it takes one entry to find out either.
 	 */
-	hear(peer: string, {refusing, recovered}: PeerWord, now: number): void {
+	merge(peer: string, {refusing, recovered}: PeerDigest, now: number): void {
 		const known = this.hearsay.get(peer)?.since;
 		if (refusing.length === 0) {
 			this.hearsay.delete(peer);
--- a/src/expert-balance/rank-process.ts
+++ b/src/expert-balance/rank-process.ts
@@ -77,6 +77,11 @@
 		return this.office?.election.term !== undefined;
 	}
 
+	/** This process's view of the office; undefined until the engine has told its group. */
+	get view(): StoreView | undefined {
+		return this.office?.view;
+	}
+
 	/** Takes a link that another process has opened. */
 	accept(connection: LinkConnection): void {
 		this.desk.accept(connection);
--- a/src/forward/connection-pool.ts
+++ b/src/forward/connection-pool.ts
@@ -14,7 +14,7 @@
 	/**
 	 * Takes an idle connection to a target, or a new one.
 	 *
-	 * @param longestIdleMs - how long it may have been idle; a target may have dropped it without a word
+	 * @param longestIdleMs - how long it may have been idle; a target may have dropped it unnoticed
 	 */
 	take(target: Target, longestIdleMs: number): TargetConnection {
 		const connections = this.idle.get(target.id) ?? [];
--- a/src/forward/crash-watch.ts
+++ b/src/forward/crash-watch.ts
@@ -19,7 +19,7 @@
 	/** Whether it is for this entry, among those that are heard, to see how something stands. */
 	readonly isElected: (key: string, now: number) => boolean;
 	/** Called when peers should hear at once what has been found. */
-	readonly onNews: () => void;
+	readonly onFound: () => void;
 	readonly clock: () => number;
 	readonly log: (message: string) => void;
 };
@@ -58,7 +58,7 @@
 
 	/** Notes that a target has started again under its id. */
 	noteRenewal(target: string): void {
-		this.accuse(target);
+		this.reportCrash(target);
 	}
 
 	private async look(target: Target): Promise<void> {
@@ -72,13 +72,13 @@
 
 		log(`target ${target.id} of ${target.service} has crashed: it has ended its connections, and nobody listens at its address`);
 		health.avoid(target.id, clock());
-		this.accuse(target.id);
+		this.reportCrash(target.id);
 	}
 
-	private accuse(target: string): void {
-		const {clock, onNews} = this.options;
+	private reportCrash(target: string): void {
+		const {clock, onFound} = this.options;
 		if (this.suspects.noteCrash(target, clock())) {
-			onNews();
+			onFound();
 		}
 	}
 }
--- a/src/forward/fleet-state.ts
+++ b/src/forward/fleet-state.ts
@@ -48,13 +48,13 @@
 
 	/** Notes that a life of a target leaves: by its registration, its own answer, or what a peer has heard; true when that was not known. */
 	noteLeave(target: Pick<Target, 'id' | 'bornAt'>, source: string, now: number): boolean {
-		const isNews = this.options.directory.noteLeave(target, now);
-		if (isNews) {
+		const isNew = this.options.directory.noteLeave(target, now);
+		if (isNew) {
 			this.options.log(`target ${target.id} is leaving: ${source}`);
 			this.options.onLeave(target.id);
 		}
 
-		return isNews;
+		return isNew;
 	}
 
 	/** Drops targets whose registration did not come back after an outage. */
--- a/src/forward/limit-permits.ts
+++ b/src/forward/limit-permits.ts
@@ -77,7 +77,7 @@
 	answer({number, limit}: Wanted): MessageOf<'permit'> {
 		const {limits, address, clock} = this.options;
 		const now = clock();
-		limits.hear(limit, now);
+		limits.merge(limit, now);
 		const perSecond = limits.get(limit.id);
 		if (perSecond === undefined) {
 			return {
--- a/src/forward/make-forward-path.ts
+++ b/src/forward/make-forward-path.ts
@@ -5,7 +5,7 @@
 import {type ForwardEntrySettings} from '../config/forward-entry-settings.js';
 import {type Service} from '../fleet/service.js';
 import {getUnit} from '../fleet/get-unit.js';
-import {type EntryNews} from '../mesh/entry-news.js';
+import {type EntryDigest} from '../mesh/entry-digest.js';
 import {rankByRendezvous} from '../routing/rank-by-rendezvous.js';
 import {CrashWatch} from './crash-watch.js';
 import {ForwardDispatcher} from './forward-dispatcher.js';
@@ -28,7 +28,7 @@
 	/** Called when this entry's own requests in flight change. */
 	readonly onLoad: () => void;
 	/** Called when peers should hear at once what has been found. */
-	readonly onNews: () => void;
+	readonly onFound: () => void;
 	readonly onSend: (service: string, isRepeat: boolean) => void;
 };
 
@@ -37,9 +37,9 @@
 	readonly book: TargetBook;
 	readonly dispatcher: ForwardDispatcher;
 	/** What peers are told; all of it where the peer may have heard nothing yet. */
-	getNews(isWhole: boolean, now: number): EntryNews;
+	getDigest(isWhole: boolean, now: number): EntryDigest;
 	/** Takes what a peer tells. */
-	hearNews(peer: string, news: EntryNews, isNear: boolean, now: number): void;
+	mergeDigest(peer: string, digest: EntryDigest, isNear: boolean, now: number): void;
 	/** Looks for what has gone silent. */
 	tick(): void;
 	/** Drops what is kept for a target that takes no more requests. */
@@ -53,7 +53,7 @@
 
 /** Puts together what takes a request from the filters to a target: choice, gate, budget, connections, watch. */
 export function makeForwardPath(options: PathOptions): ForwardPath {
-	const {availabilityZone, repeats, openTransport, clock, random, countRegistered, getService, onLoad, onNews, onSend, log, address, listPeers} = options;
+	const {availabilityZone, repeats, openTransport, clock, random, countRegistered, getService, onLoad, onFound, onSend, log, address, listPeers} = options;
 	const board = new LoadBoard(onLoad);
 	const electEntry = (key: string, now: number): string => rankByRendezvous(key, [address, ...listPeers(now)])[0];
 	const book = new TargetBook({...options, electEntry, countInFlight: target => board.count(target, clock())});
@@ -94,7 +94,7 @@
 		check: async target => transport.check(target),
 		health,
 		isElected: (key, now) => electEntry(key, now) === address,
-		onNews,
+		onFound,
 		clock,
 		log,
 	});
@@ -119,10 +119,10 @@
 		board,
 		book,
 		dispatcher,
-		getNews: (isWhole, now) => ({...book.getNews(now), ...crashes.suspects.getWord(isWhole, now)}),
-		hearNews(peer, news, isNear, now) {
-			book.hearNews(peer, news, isNear, now);
-			crashes.suspects.hear(news, now);
+		getDigest: (isWhole, now) => ({...book.getDigest(now), ...crashes.suspects.getDigest(isWhole, now)}),
+		mergeDigest(peer, digest, isNear, now) {
+			book.mergeDigest(peer, digest, isNear, now);
+			crashes.suspects.merge(digest, now);
 		},
 		tick() {
 			const now = clock();
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -7,6 +7,7 @@
 import {getLogger} from '../log/get-logger.js';
 import {makeIncarnation} from '../membership/make-incarnation.js';
 import {ForwardMetrics} from '../metrics/forward-metrics.js';
+import {makeViewGauges} from '../metrics/make-view-gauges.js';
 import {startAdminServer} from '../metrics/start-admin-server.js';
 import {describeEnd} from './describe-end.js';
 import {makeForwardFilter} from './filters/make-forward-filter.js';
@@ -67,7 +68,7 @@
 				mesh.reportSoon();
 			}
 		},
-		onNews() {
+		onFound() {
 			mesh.reportNow();
 		},
 		onSend(service, isRepeat) {
@@ -95,9 +96,9 @@
 				...settings.link, address: host, port: Number(port), timeoutMs: linkTimeoutMs, meter: metrics.meterLink,
 			});
 		},
-		getNews: (isWhole, now) => path.getNews(isWhole, now),
-		onNews(peer, news, isNear, now) {
-			path.hearNews(peer, news, isNear, now);
+		getDigest: (isWhole, now) => path.getDigest(isWhole, now),
+		onDigest(peer, digest, isNear, now) {
+			path.mergeDigest(peer, digest, isNear, now);
 		},
 		onMessage(message, send) {
 			if (message.type === 'permit-wanted') {
@@ -132,6 +133,7 @@
 		},
 	});
 	const {view, fleet, mesh} = knowledge;
+	makeViewGauges(metrics.registry, () => view, clock);
 	const getTable = () => knowledge.getTable(clock());
 	const server = new ForwardServer({
 		address,
@@ -203,11 +205,6 @@
 		const now = clock();
 		knowledge.tick(now);
 		path.tick();
-		metrics.storeEra.set(view.asOf.era);
-		metrics.viewRevision.set(view.asOf.number);
-		metrics.viewAge.set(Math.min(Number.MAX_SAFE_INTEGER, view.getAge(now)) / 1000);
-		metrics.droppedAnswers.set(view.dropped);
-		metrics.retainedKeys.set(view.retainedKeys);
 		metrics.resting.set(book.rests.size);
 		metrics.limited.set(book.limits.size);
 	}, tickMs);
--- a/src/forward/target-book.ts
+++ b/src/forward/target-book.ts
@@ -5,7 +5,7 @@
 import {type TargetStanding} from '../balance/target-standing.js';
 import {TargetDirectory} from '../fleet/target-directory.js';
 import {type Target} from '../fleet/target.js';
-import {type EntryNews} from '../mesh/entry-news.js';
+import {type EntryDigest} from '../mesh/entry-digest.js';
 import {type AnswerMarks} from './answer-marks.js';
 import {LimitPermits} from './limit-permits.js';
 import {type ShutTarget} from './shut-target.js';
@@ -102,10 +102,10 @@
 	}
 
 	/** What peers are told. */
-	getNews(now: number): EntryNews {
-		const {refusing, recovered} = this.refusals.getWord(now);
+	getDigest(now: number): EntryDigest {
+		const {refusing, recovered} = this.refusals.getDigest(now);
 		const leaves = this.directory.listLeaves(now);
-		const limits = this.limits.getWord(now);
+		const limits = this.limits.getDigest(now);
 		return {
 			...(refusing.length > 0 && {refusing: [...refusing]}),
 			...(recovered.length > 0 && {recovered: [...recovered]}),
@@ -119,18 +119,18 @@
 	 *
 	 * @param isNear - whether the peer is in the same zone: a target may refuse the callers of some zones only
 	 */
-	hearNews(peer: string, {refusing, recovered, leaves, limits}: EntryNews, isNear: boolean, now: number): void {
+	mergeDigest(peer: string, {refusing, recovered, leaves, limits}: EntryDigest, isNear: boolean, now: number): void {
 		if (isNear) {
-			this.refusals.hear(peer, {refusing: refusing ?? [], recovered: recovered ?? []}, now);
+			this.refusals.merge(peer, {refusing: refusing ?? [], recovered: recovered ?? []}, now);
 		}
 
 		for (const target of leaves ?? []) {
 			this.options.onLeave(target, `${peer} has heard so`);
 		}
 
-		for (const word of limits ?? []) {
-			if (!this.isOtherLife(word)) {
-				this.limits.hear(word, now);
+		for (const limit of limits ?? []) {
+			if (!this.isOtherLife(limit)) {
+				this.limits.merge(limit, now);
 			}
 		}
 	}
--- a/src/link/link-message.ts
+++ b/src/link/link-message.ts
@@ -1,11 +1,11 @@
 import {z} from 'zod';
-import {LimitWord} from '../balance/limit-word.js';
+import {LimitDigest} from '../balance/limit-digest.js';
 import {ExpertCounts} from '../expert-balance/expert-counts.js';
 import {RankOrder} from '../expert-balance/rank-order.js';
 import {RankOutcome} from '../expert-balance/rank-outcome.js';
 import {RankPlacement} from '../expert-balance/rank-placement.js';
 import {RankReport} from '../expert-balance/rank-report.js';
-import {EntryNews} from '../mesh/entry-news.js';
+import {EntryDigest} from '../mesh/entry-digest.js';
 import {Revision} from '../key-value/revision.js';
 import {ViewSnapshot} from '../view/view-snapshot.js';
 
@@ -179,12 +179,12 @@
 		configurationVersion: z.int().min(0),
 		/** Requests that the sender has in flight, by target. */
 		inFlight: z.record(z.string(), z.int().min(0)),
-		...EntryNews.shape,
+		...EntryDigest.shape,
 		/** Addresses of the entries that the sender knows, so that a starting one finds all without the store. */
 		peers: z.array(z.string()).optional(),
 	}),
 	/* A request for a target that names a limit asks the entry that keeps its permits. */
-	z.object({type: z.literal('permit-wanted'), number: z.int().min(0), limit: LimitWord}),
+	z.object({type: z.literal('permit-wanted'), number: z.int().min(0), limit: LimitDigest}),
 	z.object({
 		type: z.literal('permit'),
 		number: z.int().min(0),
--- a/src/mesh/entry-mesh.ts
+++ b/src/mesh/entry-mesh.ts
@@ -6,7 +6,7 @@
 import {type StoreView} from '../view/store-view.js';
 import {isLater} from '../key-value/is-later.js';
 import {type Revision} from '../key-value/revision.js';
-import {type EntryNews} from './entry-news.js';
+import {type EntryDigest} from './entry-digest.js';
 
 type MeshOptions = {
 	readonly id: string;
@@ -20,9 +20,9 @@
 	readonly getConfigurationVersion: () => number;
 	readonly board: LoadBoard;
 	/** What peers are told of targets and requests; all of it where the peer may have heard nothing yet. */
-	readonly getNews: (isWhole: boolean, now: number) => EntryNews;
+	readonly getDigest: (isWhole: boolean, now: number) => EntryDigest;
 	/** Told of what a peer tells, at each of its reports, and whether it is in the same zone. */
-	readonly onNews: (peer: string, news: EntryNews, isNear: boolean, now: number) => void;
+	readonly onDigest: (peer: string, digest: EntryDigest, isNear: boolean, now: number) => void;
 	/** Told of messages that are not about the peers themselves; `send` answers on the same link. */
 	readonly onMessage: (message: LinkMessage, send: (message: LinkMessage) => boolean) => void;
 	readonly clock: () => number;
@@ -193,10 +193,10 @@
 	}
 
 	private receiveLoad(message: MessageOf<'entry-load'>, send: (message: LinkMessage) => boolean): void {
-		const {board, view, clock, availabilityZone, onNews} = this.options;
+		const {board, view, clock, availabilityZone, onDigest} = this.options;
 		const now = clock();
-		board.hear(message.id, message.inFlight, now);
-		onNews(message.id, message, message.availabilityZone === availabilityZone, now);
+		board.merge(message.id, message.inFlight, now);
+		onDigest(message.id, message, message.availabilityZone === availabilityZone, now);
 		this.meet([message.address, ...message.peers ?? []]);
 		const peer = this.peers.get(message.address);
 		if (peer) {
@@ -228,9 +228,9 @@
 
 	private report(now: number): void {
 		const namesPeers = now - this.peersToldAt >= peersMs;
-		const {board, view, getConfigurationVersion, getNews} = this.options;
-		const news = getNews(false, now);
-		// How old a word on a limit is grows with time, and is no change.
+		const {board, view, getConfigurationVersion, getDigest} = this.options;
+		const news = getDigest(false, now);
+		// How old a digest's limit is grows with time, and is no change.
 		const summary = JSON.stringify([board.getOwn(), view.asOf, getConfigurationVersion(), {...news, limits: news.limits?.map(({agoMs, ...limit}) => limit)}]);
 		if (summary === this.lastReport && now - this.reportedAt < quietMs) {
 			return;
@@ -251,7 +251,7 @@
 	}
 
 	private makeReport(namesPeers: boolean): MessageOf<'entry-load'> {
-		const {id, address, availabilityZone, board, view, getConfigurationVersion, clock, getNews} = this.options;
+		const {id, address, availabilityZone, board, view, getConfigurationVersion, clock, getDigest} = this.options;
 		const now = clock();
 		return {
 			type: 'entry-load',
@@ -262,7 +262,7 @@
 			configurationVersion: getConfigurationVersion(),
 			viewAgeMs: Math.min(Number.MAX_SAFE_INTEGER, Math.max(0, Math.round(view.getAge(now)))),
 			inFlight: board.getOwn(),
-			...getNews(namesPeers, now),
+			...getDigest(namesPeers, now),
 			...(namesPeers && {peers: [...this.peers.keys()]}),
 		};
 	}
--- a/src/metrics/forward-metrics.ts
+++ b/src/metrics/forward-metrics.ts
@@ -57,36 +57,6 @@
 		registers: [this.registry],
 	});
 
-	readonly storeEra = new Gauge({
-		name: 'wardswitch_store_era',
-		help: 'Era of the store that this process goes by; it rises each time the store comes back from an older copy',
-		registers: [this.registry],
-	});
-
-	readonly viewRevision = new Gauge({
-		name: 'wardswitch_view_revision',
-		help: 'Revision of the store that this process goes by',
-		registers: [this.registry],
-	});
-
-	readonly viewAge = new Gauge({
-		name: 'wardswitch_view_age_seconds',
-		help: 'Time since this process last heard all that the store holds, seconds',
-		registers: [this.registry],
-	});
-
-	readonly droppedAnswers = new Gauge({
-		name: 'wardswitch_view_dropped_answers',
-		help: 'Answers of the store that were not taken over because this process knew more, since its start',
-		registers: [this.registry],
-	});
-
-	readonly retainedKeys = new Gauge({
-		name: 'wardswitch_view_retained_keys',
-		help: 'Keys on which this process goes on with what it knew against what the store holds',
-		registers: [this.registry],
-	});
-
 	/** Notes the end of a request. */
 	noteEnd(exchange: ForwardExchange, problem: Problem | undefined, now: number): void {
 		const {service, response, arrivedAt} = exchange;
--- /dev/null
+++ b/src/view/removed-items.ts
@@ -0,0 +1,64 @@
+import {type ItemGuard} from './item-guard.js';
+import {type StoredItem} from './stored-item.js';
+import {type ViewSnapshot} from './view-snapshot.js';
+
+type Removed = {readonly item: StoredItem; readonly at: number};
+
+/** What was removed is remembered for so long, milliseconds: a copy from which the store comes back may hold it again. */
+const memoryMs = 60_000;
+
+/** Items that were removed lately, as they were last known. */
+export class RemovedItems {
+	private readonly entries = new Map<string, Removed>();
+
+	constructor(private readonly guard: ItemGuard) {}
+
+	get(key: string): Removed | undefined {
+		return this.entries.get(key);
+	}
+
+	/** Notes that an item has been removed. */
+	note(item: StoredItem, now: number): void {
+		this.entries.set(item.key, {item, at: now});
+	}
+
+	/** Whether an item stands for what is known to have been removed. */
+	hasEnded(item: StoredItem): boolean {
+		const ended = this.entries.get(item.key)?.item;
+		return ended !== undefined && this.guard.isSame(ended, item);
+	}
+
+	/** All of them. */
+	values(): Iterable<Removed> {
+		return this.entries.values();
+	}
+
+	/** Those that would not be believed if a copy of the store held them again, as a peer may take them over. */
+	list(now: number): NonNullable<ViewSnapshot['removed']> {
+		return [...this.entries.values()].filter(({item}) => this.guard.isSame(item, item)).map(({item, at}) => ({item, agoMs: now - at}));
+	}
+
+	/**
+	 * Takes over what a peer knows to have been removed.
+	 *
+	 * @param isStored - whether the store holds a key, as far as this process knows
+	 * @returns what was not known
+	 */
+	merge(offered: ViewSnapshot['removed'], isStored: (key: string) => boolean, now: number): readonly Removed[] {
+		const unknown = (offered ?? []).filter(({item: {key}}) => !this.entries.has(key) && !isStored(key)).map(({item, agoMs}) => ({item, at: now - agoMs}));
+		for (const removed of unknown) {
+			this.entries.set(removed.item.key, removed);
+		}
+
+		return unknown;
+	}
+
+	/** Forgets what is old. */
+	prune(now: number): void {
+		for (const [key, {at}] of this.entries) {
+			if (now - at > memoryMs) {
+				this.entries.delete(key);
+			}
+		}
+	}
+}
--- a/src/view/retained-items.ts
+++ b/src/view/retained-items.ts
@@ -1,6 +1,7 @@
 import {type RemovedKey} from '../key-value/removed-key.js';
 import {type StoredValue} from '../key-value/stored-value.js';
 import {type ItemGuard} from './item-guard.js';
+import {type RemovedItems} from './removed-items.js';
 import {type StoredItem} from './stored-item.js';
 import {type ViewSnapshot} from './view-snapshot.js';
 
@@ -17,7 +18,7 @@
 	/** What counted before, what the store holds now, and what was removed lately. */
 	readonly before: Items;
 	readonly stored: Items;
-	readonly removed: ReadonlyMap<string, {readonly item: StoredItem}>;
+	readonly removed: RemovedItems;
 };
 
 /** Those who have written what a copy of the store lacks write it again within this time, milliseconds. */
--- a/src/view/store-view.ts
+++ b/src/view/store-view.ts
@@ -4,8 +4,10 @@
 import {type Revision} from '../key-value/revision.js';
 import {type StoredValue} from '../key-value/stored-value.js';
 import {type ItemGuard} from './item-guard.js';
-import {RetainedItems} from './retained-items.js';
+import {describeRetained} from './describe-retained.js';
+import {StoreContact} from './store-contact.js';
 import {type StoredItem} from './stored-item.js';
+import {ViewItems} from './view-items.js';
 import {type ViewSnapshot} from './view-snapshot.js';
 
 type ViewOptions = {
@@ -41,17 +43,8 @@
 const firstPauseMs = 50;
 /** Wait of a call for changes while the store does not answer, milliseconds: its return shows as soon. */
 const lostWaitMs = 300;
-/** A store that gave no answer for so long was away, milliseconds. */
-const outageMs = 800;
-/** For so long after the store is back, what is missing may still come back, milliseconds. */
-const returnMs = 2500;
-/** What was removed is remembered for so long, milliseconds: a copy from which the store comes back may hold it again. */
-const removalMemoryMs = 60_000;
-/** Most keys that one log line names. */
-const namedKeys = 5;
-
 const describe = ({era, number}: Revision): string => `era ${era} revision ${number}`;
-const toMap = (items: readonly StoredValue[], era: number): Map<string, StoredItem> => new Map(items.map(item => [item.key, {...item, era}]));
+const toItems = (items: readonly StoredValue[], era: number): StoredItem[] => items.map(item => ({...item, era}));
 
 /**
  * What this process knows of the store's keys under one prefix. Kept by waiting calls; while the store cannot be reached, by what peers
@@ -59,24 +52,20 @@
  * the copy lacks or has older counts on until it is written again.
  */
 export class StoreView {
-	private stored = new Map<string, StoredItem>();
-	private readonly retained: RetainedItems;
-	private readonly removed = new Map<string, {readonly item: StoredItem; readonly at: number}>();
-	/** What counts: what is stored but for what is retained. */
-	private current: ReadonlyMap<string, StoredItem> = this.stored;
+	private readonly items: ViewItems;
+	private readonly contact: StoreContact;
 	private revision: Revision = {era: 0, number: 0};
 	private pauseMs = firstPauseMs;
 	private needsList = true;
 	private isClosed = false;
-	private failedSince: number | undefined;
-	private returnedAt = Number.NEGATIVE_INFINITY;
 	/** When the store is known to have had nothing newer, by own calls or a peer's, milliseconds. */
 	private currentAt = Number.NEGATIVE_INFINITY;
 	private droppedAnswers = 0;
 	private endWait: (() => void) | undefined;
 
 	constructor(private readonly options: ViewOptions) {
-		this.retained = new RetainedItems(options.guard);
+		this.items = new ViewItems(options.guard, options.log);
+		this.contact = new StoreContact(options.log);
 	}
 
 	/** Revision of the store that the view is known to include. */
@@ -91,7 +80,7 @@
 
 	/** Keys on which the view goes on with what it knew against what the store holds. */
 	get retainedKeys(): number {
-		return this.retained.size;
+		return this.items.retainedKeys;
 	}
 
 	/** Whether anything is known yet. */
@@ -101,7 +90,7 @@
 
 	/** Whether the last own call to the store failed. */
 	get isCutOff(): boolean {
-		return this.failedSince !== undefined;
+		return this.contact.isLost;
 	}
 
 	/** Milliseconds since the view was last known to be current. */
@@ -111,23 +100,21 @@
 
 	/** Whether the store has come back so recently that lapsed keys may still return. */
 	isReturning(now: number): boolean {
-		return now - this.returnedAt < returnMs;
+		return this.contact.isReturning(now);
 	}
 
 	get(key: string): StoredItem | undefined {
-		return this.current.get(key);
+		return this.items.get(key);
 	}
 
 	/** What the store itself holds under a key, which conditions of writes are about. */
 	getStored(key: string): StoredItem | undefined {
-		return this.stored.get(key);
+		return this.items.getStored(key);
 	}
 
 	/** Items whose keys start with `prefix`, the one written last at the end. */
 	list(prefix: string): StoredItem[] {
-		return [...this.current.values()]
-			.filter(({key}) => key.startsWith(prefix))
-			.toSorted((one, other) => one.era - other.era || one.revision - other.revision);
+		return this.items.list(prefix);
 	}
 
 	/** Follows the store until `close`. */
@@ -154,22 +141,8 @@
 
 	/** Ends what was kept for long enough although the store does not hold it. */
 	tick(now: number): void {
-		const {hasChanged, dropped} = this.retained.expire(now);
-		for (const item of dropped) {
-			if (!this.stored.has(item.key)) {
-				this.options.log(`${item.key} is gone: nobody has written it again`);
-				this.removed.set(item.key, {item, at: now});
-			}
-		}
-
-		for (const [key, {at}] of this.removed) {
-			if (now - at > removalMemoryMs) {
-				this.removed.delete(key);
-			}
-		}
-
-		if (hasChanged) {
-			this.noteChange(now);
+		if (this.items.expire(now)) {
+			this.options.onChange(now);
 		}
 	}
 
@@ -183,34 +156,25 @@
 
 	/** The view as a peer may take it over. */
 	getSnapshot(now: number): ViewSnapshot {
-		const retained = this.retained.list(this.stored, now);
-		const ended = [...this.removed.values()].filter(({item}) => this.options.guard.isSame(item, item));
-		return {
-			asOf: this.revision,
-			ageMs: this.getAge(now),
-			items: [...this.stored.values()],
-			...(retained.length > 0 && {retained}),
-			...(ended.length > 0 && {removed: ended.map(({item, at}) => ({item, agoMs: now - at}))}),
-		};
+		return {asOf: this.revision, ageMs: this.getAge(now), ...this.items.getSnapshot(now)};
 	}
 
 	/** Takes over what a peer's view knows more than this one: all of it if it is newer, or single items that are. */
 	takeSnapshot(snapshot: ViewSnapshot): boolean {
 		const now = this.options.clock();
-		const hasEnded = this.learnRemovals(snapshot, now);
+		const hasEnded = this.items.mergeRemoved(snapshot, now);
 		const isNewer = isLater(snapshot.asOf, this.revision);
 		if (isNewer) {
-			this.replace(toMap(snapshot.items, snapshot.asOf.era), snapshot.asOf, now);
+			this.replace(toItems(snapshot.items, snapshot.asOf.era), snapshot.asOf, now);
 			this.needsList = false;
 			this.currentAt = Math.max(this.currentAt, now - snapshot.ageMs);
 		}
 
-		const retained = (snapshot.retained ?? []).filter(({item}) => item === undefined || !this.isEnded(item));
-		const hasAdopted = snapshot.asOf.era === this.revision.era && this.retained.adopt(retained, this.stored, now);
-		const hasKept = this.keepNewer(snapshot);
-		const hasChanged = isNewer || hasAdopted || hasKept || hasEnded;
+		const hasAdopted = snapshot.asOf.era === this.revision.era && this.items.adoptRetained(snapshot, now);
+		const hasKept = this.items.keepNewer(snapshot);
+		const hasChanged = hasEnded || isNewer || hasAdopted || hasKept;
 		if (hasChanged) {
-			this.noteChange(now);
+			this.options.onChange(now);
 		}
 
 		return hasChanged;
@@ -233,11 +197,11 @@
 		const answer = await feed.list(prefix);
 		const now = clock();
 		if (answer.isErr()) {
-			this.noteFailure(now, answer.error.message);
+			this.noteFailure(answer.error.message, now);
 			return 'failed';
 		}
 
-		this.noteAnswer(now);
+		this.contact.noteAnswer(now);
 		this.needsList = false;
 		const {era, asOf, items} = answer.value;
 		const listed = {era, number: asOf};
@@ -248,9 +212,9 @@
 			return 'idle';
 		}
 
-		this.replace(toMap(items, era), listed, now);
+		this.replace(toItems(items, era), listed, now);
 		this.currentAt = now;
-		this.noteChange(now);
+		this.options.onChange(now);
 		return 'moved';
 	}
 
@@ -269,11 +233,11 @@
 		}
 
 		if (answer.isErr()) {
-			this.noteFailure(now, answer.error.message);
+			this.noteFailure(answer.error.message, now);
 			return 'failed';
 		}
 
-		this.noteAnswer(now);
+		this.contact.noteAnswer(now);
 		const {kind, era} = answer.value;
 		if (era < this.revision.era) {
 			this.drop({era, number: asked.number});
@@ -295,133 +259,33 @@
 		return 'moved';
 	}
 
-	private replace(stored: Map<string, StoredItem>, asOf: Revision, now: number): void {
-		const before = this.current;
-		const former = this.stored;
-		this.stored = stored;
-		if (this.isKnown && (asOf.era !== this.revision.era || asOf.number < this.revision.number)) {
-			this.retained.restore({before, stored, removed: this.removed}, now);
-			this.describeRestoration(asOf);
-		} else {
-			this.compare(before, former, now);
+	private replace(items: readonly StoredItem[], asOf: Revision, now: number): void {
+		const isRestored = this.isKnown && (asOf.era !== this.revision.era || asOf.number < this.revision.number);
+		this.items.replace(items, isRestored, now);
+		if (isRestored) {
+			const kept = describeRetained(this.items.getSnapshot(now).retained ?? []);
+			this.options.log(`store has come back from a copy: ${describe(asOf)}, this view was of ${describe(this.revision)}${kept}`);
 		}
 
 		this.revision = asOf;
 	}
 
-	/* Within an era what differs was written or removed since. */
-	private compare(before: ReadonlyMap<string, StoredItem>, former: ReadonlyMap<string, StoredItem>, now: number): void {
-		for (const [key, item] of this.stored) {
-			if (item.revision !== former.get(key)?.revision) {
-				this.retained.take(item, before.get(key));
-			}
-		}
-
-		for (const [key, item] of former) {
-			if (!this.stored.has(key)) {
-				this.removed.set(key, {item, at: now});
-				this.retained.take({key, revision: item.revision, isRemoved: true}, item);
-			}
-		}
-	}
-
 	private apply(changes: ReadonlyArray<StoredValue | RemovedKey>, asOf: number, now: number): void {
 		const {era, number} = this.revision;
-		const newer = changes.filter(({revision}) => revision > number);
-		for (const change of newer) {
-			this.applyOne(change, now);
-		}
-
+		const newer = changes.filter(({revision}) => revision > number).map(change => 'isRemoved' in change ? change : {...change, era});
+		this.items.apply(newer, now);
 		this.revision = {era, number: Math.max(number, asOf)};
 		if (newer.length > 0) {
-			this.noteChange(now);
-		}
-	}
-
-	private applyOne(offered: StoredValue | RemovedKey, now: number): void {
-		const change = 'isRemoved' in offered ? offered : {...offered, era: this.revision.era};
-		const {key} = change;
-		const known = this.retained.get(key) ? this.retained.get(key)!.item : this.stored.get(key);
-		this.retained.take(change, known);
-		if (this.retained.get(key)) {
-			this.options.log(`${key} as written at revision ${change.revision} is older than what is known, and does not count`);
-		}
-
-		if ('isRemoved' in change) {
-			const item = known ?? this.stored.get(key);
-			this.stored.delete(key);
-			if (item) {
-				this.removed.set(key, {item, at: now});
-			}
-		} else {
-			this.stored.set(key, change);
-		}
-	}
-
-	/* Items that a peer knows to be newer than those here, whatever era its view is of. */
-	private keepNewer({items, retained}: ViewSnapshot): boolean {
-		const offered = [...items, ...(retained ?? []).flatMap(({item}) => item ?? [])];
-		const newer = offered.filter(item => this.options.guard.isOlder(item, this.retained.get(item.key)?.item ?? this.stored.get(item.key)) === true);
-		for (const item of newer) {
-			this.options.log(`a peer knows a newer ${item.key}`);
-			this.retained.keep(item);
-		}
-
-		return newer.length > 0;
-	}
-
-	/* Whether an item stands for what is known to have been removed. */
-	private isEnded(item: StoredItem): boolean {
-		const ended = this.removed.get(item.key)?.item;
-		return ended !== undefined && this.options.guard.isSame(ended, item);
-	}
-
-	/* Gives whether something that was kept has ended by it. */
-	private learnRemovals({removed}: ViewSnapshot, now: number): boolean {
-		const unknown = (removed ?? []).filter(({item: {key}}) => !this.removed.has(key) && !this.stored.has(key));
-		for (const {item, agoMs} of unknown) {
-			this.removed.set(item.key, {item, at: now - agoMs});
+			this.options.onChange(now);
 		}
-
-		return this.retained.end(unknown);
 	}
 
-	private noteChange(now: number): void {
-		this.current = this.retained.size > 0 ? this.retained.merge(this.stored) : this.stored;
-		this.options.onChange(now);
+	private noteFailure(message: string, now: number): void {
+		this.contact.noteFailure(`${message}; going on with ${describe(this.revision)}`, now);
 	}
 
 	private drop(answer: Revision): void {
 		this.droppedAnswers++;
 		this.options.log(`answer of ${describe(answer)} does not count: this view is of ${describe(this.revision)}`);
 	}
-
-	private describeRestoration(asOf: Revision): void {
-		const retained = this.retained.list(this.stored, 0);
-		const named = retained.slice(0, namedKeys).map(({key, item}) => item ? key : `${key} as removed`);
-		const more = retained.length > namedKeys ? ` and ${retained.length - namedKeys} more` : '';
-		const kept = retained.length > 0 ? `; kept against it until written again: ${named.join(', ')}${more}` : '';
-		this.options.log(`store has come back from a copy: ${describe(asOf)}, this view was of ${describe(this.revision)}${kept}`);
-	}
-
-	private noteFailure(now: number, message: string): void {
-		if (this.failedSince === undefined) {
-			this.options.log(`store does not answer: ${message}; going on with ${describe(this.revision)}`);
-		}
-
-		this.failedSince ??= now;
-	}
-
-	private noteAnswer(now: number): void {
-		if (this.failedSince === undefined) {
-			return;
-		}
-
-		const awayMs = now - this.failedSince;
-		this.failedSince = undefined;
-		this.options.log(`store answers again after ${Math.round(awayMs)} ms`);
-		if (awayMs > outageMs) {
-			this.returnedAt = now;
-		}
-	}
 }
--- a/stand-ins/forward/memory-store.ts
+++ b/stand-ins/forward/memory-store.ts
@@ -13,6 +13,8 @@
 
 /** A key-value service in memory, with changes and faults for each of the processes that use it. */
 export class MemoryStore {
+	/** Whether its answers tell that it has come back from a copy. */
+	tellsEra = true;
 	/** Calls that each process has made. */
 	readonly calls = new Map<string, number>();
 	/** When calls that write have come in, milliseconds. */
@@ -88,7 +90,7 @@
 		this.granted = granted;
 		this.history = this.history.filter(change => change.revision <= revision);
 		this.forgottenTo = Math.min(this.forgottenTo, revision);
-		this.era++;
+		this.era += this.tellsEra ? 1 : 0;
 		if (!isSilent) {
 			this.wake();
 		}
