End what a copy lacks after one grace period, and pass on removals that a copy hides

Change: after a restoration the return of the store is over when what was kept against it is. A removal that a peer knows is learned unless the key was written after it.

--- a/features/restored-store.feature
+++ b/features/restored-store.feature
@@ -47,6 +47,12 @@
     Examples:
       | lost |
       | 12   |
+      | 22   |
+      | 61   |
+      | 66   |
+      | 97   |
+      | 266  |
+      | 544  |
       | 400  |
 
   # A change may be the only one that the copy lacks, and be written again after a newer one.
@@ -133,3 +139,10 @@
       | 10   |
       | 11   |
       | 12   |
+      | 22   |
+      | 61   |
+      | 66   |
+      | 97   |
+      | 266  |
+      | 544  |
+      | 873  |
--- a/features/support/store-crowd.ts
+++ b/features/support/store-crowd.ts
@@ -316,7 +316,9 @@
 				this.report(`entry ${entry.id} sends to ${id} again, which has left`);
 			}
 
-			if (isUsed && this.now - Math.max(leftAt, this.calmAt, entry.startedAt) > drainMs && !this.isApart(entry)) {
+			// What was said while the store was in trouble may be known to no entry: it is over when nobody writes it again.
+			const boundMs = leftAt < this.calmAt ? settleMs : drainMs;
+			if (isUsed && this.now - Math.max(leftAt, this.calmAt, entry.startedAt) > boundMs && !this.isApart(entry)) {
 				this.report(`entry ${entry.id} sends to ${id}, which left ${this.now - leftAt} ms before`);
 			}
 
--- a/src/view/removed-items.ts
+++ b/src/view/removed-items.ts
@@ -41,11 +41,13 @@
 	/**
 	 * Takes over what a peer knows to have been removed.
 	 *
-	 * @param isStored - whether the store holds a key, as far as this process knows
+	 * @param stored - what the store holds, as far as this process knows: what was written after a removal is not removed
 	 * @returns what was not known
 	 */
-	merge(offered: ViewSnapshot['removed'], isStored: (key: string) => boolean, now: number): readonly Removed[] {
-		const unknown = (offered ?? []).filter(({item: {key}}) => !this.entries.has(key) && !isStored(key)).map(({item, agoMs}) => ({item, at: now - agoMs}));
+	merge(offered: ViewSnapshot['removed'], stored: ReadonlyMap<string, StoredItem>, now: number): readonly Removed[] {
+		const unknown = (offered ?? [])
+			.filter(({item: {key, revision}}) => !this.entries.has(key) && (stored.get(key)?.revision ?? 0) <= revision)
+			.map(({item, agoMs}) => ({item, at: now - agoMs}));
 		for (const removed of unknown) {
 			this.entries.set(removed.item.key, removed);
 		}
--- a/src/view/retained-items.ts
+++ b/src/view/retained-items.ts
@@ -1,6 +1,7 @@
 import {type RemovedKey} from '../key-value/removed-key.js';
 import {type StoredValue} from '../key-value/stored-value.js';
 import {type ItemGuard} from './item-guard.js';
+import {rewriteMs} from './rewrite-ms.js';
 import {type RemovedItems} from './removed-items.js';
 import {type StoredItem} from './stored-item.js';
 import {type ViewSnapshot} from './view-snapshot.js';
@@ -21,8 +22,6 @@
 	readonly removed: RemovedItems;
 };
 
-/** Those who have written what a copy of the store lacks write it again within this time, milliseconds. */
-const rewriteMs = 2000;
 /** A registration that nobody renews has lapsed after this time, milliseconds; one that a copy holds again is not believed before. */
 const lapseMs = 10_000;
 
--- a/src/view/store-contact.ts
+++ b/src/view/store-contact.ts
@@ -1,3 +1,5 @@
+import {rewriteMs} from './rewrite-ms.js';
+
 /** A store that gave no answer for so long was away, milliseconds. */
 const outageMs = 800;
 /** For so long after the store is back, what is missing may still come back, milliseconds. */
@@ -6,7 +8,7 @@
 /** Whether the store answers a process's calls, and since when. */
 export class StoreContact {
 	private failedSince: number | undefined;
-	private returnedAt = Number.NEGATIVE_INFINITY;
+	private returningUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly log: (message: string) => void) {}
 
@@ -17,7 +19,7 @@
 
 	/** Whether the store has come back so recently that lapsed keys may still return. */
 	isReturning(now: number): boolean {
-		return now - this.returnedAt < returnMs;
+		return now < this.returningUntil;
 	}
 
 	/** Notes a call that failed. */
@@ -39,7 +41,12 @@
 		this.failedSince = undefined;
 		this.log(`store answers again after ${Math.round(awayMs)} ms`);
 		if (awayMs > outageMs) {
-			this.returnedAt = now;
+			this.returningUntil = now + returnMs;
 		}
 	}
+
+	/** Notes that the store has come back from a copy: what that lacks is kept for so long, and then is gone. */
+	noteRestoration(now: number): void {
+		this.returningUntil = now + rewriteMs;
+	}
 }
--- a/src/view/store-view.ts
+++ b/src/view/store-view.ts
@@ -263,6 +263,7 @@
 		const isRestored = this.isKnown && (asOf.era !== this.revision.era || asOf.number < this.revision.number);
 		this.items.replace(items, isRestored, now);
 		if (isRestored) {
+			this.contact.noteRestoration(now);
 			const kept = describeRetained(this.items.getSnapshot(now).retained ?? []);
 			this.options.log(`store has come back from a copy: ${describe(asOf)}, this view was of ${describe(this.revision)}${kept}`);
 		}
--- a/src/view/view-items.ts
+++ b/src/view/view-items.ts
@@ -90,7 +90,7 @@
 
 	/** Learns what a peer knows to have been removed; gives whether that ends anything that was kept. */
 	mergeRemoved({removed}: SnapshotItems, now: number): boolean {
-		const unknown = this.removed.merge(removed, key => this.stored.has(key), now);
+		const unknown = this.removed.merge(removed, this.stored, now);
 		const hasEnded = this.retained.end(unknown);
 		this.refresh();
 		return hasEnded;
