Ask again for a configuration that cannot be used after 5 s only, and split the scenarios' crowd

Cause: an entry that cannot use a configuration which a peer has in force, as one of an earlier version may not, asked for the peer's whole view at each of its reports, three times a second. Change: the same version is asked for again after 5 s. The crowd of entries before a store is split into what opens an entry and how it reaches the store.

--- /dev/null
+++ b/features/support/open-store-entry.ts
@@ -0,0 +1,84 @@
+import {makeEntryState} from '../../src/forward/make-entry-state.js';
+import {makeForwardPath} from '../../src/forward/make-forward-path.js';
+import {type ChangeFeed} from '../../src/key-value/change-feed.js';
+import {type Registry} from '../../src/key-value/registry.js';
+import {type LinkConnection} from '../../src/link/link-connection.js';
+import {plainSource} from '../../stand-ins/forward/plain-source.js';
+import {type StoreEntry} from './store-entry.js';
+
+type Surroundings = {
+	readonly id: string;
+	readonly address: string;
+	readonly availabilityZone: string;
+	/** The store as this entry reaches it. */
+	readonly store: ChangeFeed & Registry;
+	readonly connect: (peer: string) => Promise<LinkConnection>;
+	readonly clock: () => number;
+	readonly random: () => number;
+	readonly log: (line: string) => void;
+};
+
+/** Puts an entry together as a process does, but for callers and sockets. */
+export function openStoreEntry({id, address, availabilityZone, store, connect, clock, random, log}: Surroundings): StoreEntry {
+	const path = makeForwardPath({
+		availabilityZone,
+		repeats: {ratio: 0.2, slack: 90, windowMs: 10_000},
+		clock,
+		random,
+		countRegistered: () => state.countRegistered(),
+		getService: () => undefined,
+		onLoad: () => undefined,
+		onSend: () => undefined,
+		onFound: () => undefined,
+		onRefusal: () => undefined,
+		onLeave(target, source) {
+			state.fleet.noteLeave(target, source, clock());
+		},
+		log,
+		address,
+		listPeers: now => state.mesh.listHeard(now),
+		ask: () => false,
+		openTransport: () => ({
+			send: async () => ({kind: 'not-run', reason: 'not sent', wasSent: false}),
+			check: async () => 'listens',
+			drop: () => undefined,
+			close: () => undefined,
+		}),
+	});
+	const state = makeEntryState({
+		id,
+		incarnation: String(clock()),
+		address,
+		availabilityZone,
+		feed: store,
+		registry: store,
+		source: plainSource,
+		directory: path.book.directory,
+		board: path.board,
+		connect,
+		clock,
+		random,
+		delay: async ms => new Promise(resolve => {
+			setTimeout(resolve, ms);
+		}),
+		getDigest: (isWhole, now) => path.getDigest(isWhole, now),
+		onDigest(peer, digest, isNear, now) {
+			path.mergeDigest(peer, digest, isNear, now);
+		},
+		onMessage: () => undefined,
+		onTable: () => undefined,
+		onLeave(target) {
+			path.forget(target);
+		},
+		onRenew(target) {
+			path.renew(target);
+		},
+		onFormed(unit) {
+			path.reopen(unit);
+		},
+		log: {view: log, fleet: log, entry: log},
+	});
+	return {
+		id, address, startedAt: clock(), path, state, servedVersions: new Set(), version: 0, dropped: new Set(), usedAfterLeave: new Set(), used: new Set(),
+	};
+}
--- a/features/support/store-crowd.ts
+++ b/features/support/store-crowd.ts
@@ -1,33 +1,13 @@
 import {mock} from 'node:test';
 import {setImmediate as yieldTurn} from 'node:timers/promises';
-import {err} from 'neverthrow';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {type Target} from '../../src/fleet/target.js';
-import {makeEntryState} from '../../src/forward/make-entry-state.js';
-import {makeForwardPath} from '../../src/forward/make-forward-path.js';
-import {type ChangeFeed} from '../../src/key-value/change-feed.js';
-import {PlatformError} from '../../src/key-value/platform-error.js';
-import {type Registry} from '../../src/key-value/registry.js';
 import {MemoryStore} from '../../stand-ins/forward/memory-store.js';
-import {plainSource} from '../../stand-ins/forward/plain-source.js';
 import {NarrowNetwork} from './narrow-network.js';
-
-type Entry = {
-	readonly id: string;
-	readonly address: string;
-	readonly startedAt: number;
-	readonly path: ReturnType<typeof makeForwardPath>;
-	readonly state: ReturnType<typeof makeEntryState>;
-	/** Versions that have served callers here, the last at the end. */
-	readonly servedVersions: Set<number>;
-	version: number;
-	/** Targets that were seen not to be used any more since they have left, and those that have left and were used. */
-	readonly dropped: Set<string>;
-	readonly usedAfterLeave: Set<string>;
-	/** Targets that were used at the last look. */
-	used: ReadonlySet<string>;
-};
+import {openStoreEntry} from './open-store-entry.js';
+import {reachStore} from './reach-store.js';
+import {type StoreEntry} from './store-entry.js';
 
 /** What an operator or a target has written: the document wanted now, and since when. */
 type Writing = {readonly value: unknown; readonly at: number};
@@ -58,7 +38,7 @@
 export class StoreCrowd {
 	now = 0;
 	readonly store = new MemoryStore(() => this.now);
-	readonly entries = new Map<string, Entry>();
+	readonly entries = new Map<string, StoreEntry>();
 	/** What must never be seen, with the time. */
 	readonly faults: string[] = [];
 	readonly lines: string[] = [];
@@ -106,7 +86,25 @@
 	start(id: string): void {
 		const address = `10.0.0.${id}:1`;
 		const seeds = [...this.entries.values()].slice(0, 3).map(entry => entry.address);
-		const entry = this.open(id, address);
+		const store = reachStore(this.store.open(id), {
+			onCall: () => {
+				this.countCall(id);
+			},
+			getMs: () => this.storeMs,
+			isLost: () => this.random() < this.lostShare,
+		});
+		const entry = openStoreEntry({
+			id,
+			address,
+			availabilityZone: `zone-${this.entries.size % zones}`,
+			store,
+			connect: async peer => this.network.connect(address, peer),
+			clock: () => this.now,
+			random: this.random,
+			log: line => {
+				this.lines.push(`${this.now} ${id}: ${line}`);
+			},
+		});
 		this.entries.set(id, entry);
 		this.network.listen(address, connection => {
 			connection.onMessage(message => {
@@ -265,7 +263,7 @@
 	}
 
 	/* An entry without a configuration in force serves nobody. */
-	private isUsed({path, version}: Entry, id: string): boolean {
+	private isUsed({path, version}: StoreEntry, id: string): boolean {
 		return version > 0 && path.book.directory.list('desk').some(target => target.id === id);
 	}
 
@@ -282,7 +280,7 @@
 		}
 	}
 
-	private look(entry: Entry): void {
+	private look(entry: StoreEntry): void {
 		if (this.now % tickMs === 0) {
 			entry.state.tick(this.now);
 			entry.path.tick();
@@ -292,7 +290,7 @@
 		this.checkTargets(entry);
 	}
 
-	private checkConfiguration(entry: Entry): void {
+	private checkConfiguration(entry: StoreEntry): void {
 		const version = entry.state.getTable(this.now)?.version ?? 0;
 		if (version < entry.version) {
 			this.report(`entry ${entry.id} went from configuration ${entry.version} to ${version}`);
@@ -309,7 +307,7 @@
 		}
 	}
 
-	private checkTargets(entry: Entry): void {
+	private checkTargets(entry: StoreEntry): void {
 		for (const [id, leftAt] of this.left) {
 			const isUsed = this.isUsed(entry, id);
 			if (isUsed && entry.dropped.has(id)) {
@@ -341,7 +339,7 @@
 		this.noteUse(entry);
 	}
 
-	private noteUse(entry: Entry): void {
+	private noteUse(entry: StoreEntry): void {
 		const used = new Set(entry.path.book.directory.list('desk').map(({id}) => id));
 		for (const id of entry.used) {
 			if (this.isWatchingUse && !used.has(id) && this.writings.has(getKey(id)) && !this.left.has(id)) {
@@ -353,7 +351,7 @@
 	}
 
 	/* Whether an entry reaches neither the others nor the store. */
-	private isApart({id, address}: Entry): boolean {
+	private isApart({id, address}: StoreEntry): boolean {
 		return this.cutOff.has(address) && this.withoutStore.has(id);
 	}
 
@@ -379,99 +377,4 @@
 			},
 		};
 	}
-
-	/* The store as an entry reaches it: its calls take time, and some answers are lost. */
-	private reach(id: string): ChangeFeed & Registry {
-		const store = this.store.open(id);
-		const delay = async (ms: number): Promise<void> => new Promise(resolve => {
-			setTimeout(resolve, ms);
-		});
-		const isLost = (): boolean => this.random() < this.lostShare;
-		const wrap = <Words extends readonly unknown[], Answer>(call: (...words: Words) => Promise<Answer>) => async (...words: Words): Promise<Answer> => {
-			this.countCall(id);
-			await delay(this.storeMs / 2);
-			const answer = await call(...words);
-			await delay(this.storeMs / 2);
-			return answer;
-		};
-
-		const lose = <Words extends readonly unknown[], Answer>(call: (...words: Words) => Promise<Answer>) => wrap(async (...words: Words): Promise<Answer> => {
-			const answer = await call(...words);
-			return isLost() ? err(new PlatformError('the answer is lost', 'unknown')) as Answer : answer;
-		});
-		return {
-			list: lose(store.list), poll: lose(store.poll), get: lose(store.get), commit: lose(store.commit), grantLeaseFor: lose(store.grantLeaseFor), keepLease: lose(store.keepLease),
-		};
-	}
-
-	private open(id: string, address: string): Entry {
-		const availabilityZone = `zone-${this.entries.size % zones}`;
-		const store = this.reach(id);
-		const clock = (): number => this.now;
-		const log = (line: string): void => {
-			this.lines.push(`${this.now} ${id}: ${line}`);
-		};
-
-		const path = makeForwardPath({
-			availabilityZone,
-			repeats: {ratio: 0.2, slack: 90, windowMs: 10_000},
-			clock,
-			random: this.random,
-			countRegistered: () => state.countRegistered(),
-			getService: () => undefined,
-			onLoad: () => undefined,
-			onSend: () => undefined,
-			onFound: () => undefined,
-			onRefusal: () => undefined,
-			onLeave(target, source) {
-				state.fleet.noteLeave(target, source, clock());
-			},
-			log,
-			address,
-			listPeers: now => state.mesh.listHeard(now),
-			ask: () => false,
-			openTransport: () => ({
-				send: async () => ({kind: 'not-run', reason: 'not sent', wasSent: false}),
-				check: async () => 'listens',
-				drop: () => undefined,
-				close: () => undefined,
-			}),
-		});
-		const state = makeEntryState({
-			id,
-			incarnation: String(this.now),
-			address,
-			availabilityZone,
-			feed: store,
-			registry: store,
-			source: plainSource,
-			directory: path.book.directory,
-			board: path.board,
-			connect: async peer => this.network.connect(address, peer),
-			clock,
-			random: this.random,
-			delay: async ms => new Promise(resolve => {
-				setTimeout(resolve, ms);
-			}),
-			getDigest: (isWhole, now) => path.getDigest(isWhole, now),
-			onDigest(peer, digest, isNear, now) {
-				path.mergeDigest(peer, digest, isNear, now);
-			},
-			onMessage: () => undefined,
-			onTable: () => undefined,
-			onLeave(target) {
-				path.forget(target);
-			},
-			onRenew(target) {
-				path.renew(target);
-			},
-			onFormed(unit) {
-				path.reopen(unit);
-			},
-			log: {view: log, fleet: log, entry: log},
-		});
-		return {
-			id, address, startedAt: this.now, path, state, servedVersions: new Set(), version: 0, dropped: new Set(), usedAfterLeave: new Set(), used: new Set(),
-		};
-	}
 }
--- a/src/mesh/entry-mesh.ts
+++ b/src/mesh/entry-mesh.ts
@@ -56,6 +56,8 @@
 const maximumDelayMs = 800;
 /** Time between two questions for a peer's view, milliseconds. */
 const wantedMs = 300;
+/** The same for a configuration that was asked for before. */
+const askAgainMs = 5000;
 /** Before all that a view may be of. */
 const anyRevision: Revision = {era: 0, number: 0};
 
@@ -72,6 +74,8 @@
 	private timer: NodeJS.Timeout | undefined;
 	private wantedAt = Number.NEGATIVE_INFINITY;
 	private hasPeerView = false;
+	/** Version of a peer's configuration that was asked for last, and when, milliseconds. */
+	private asked = {configurationVersion: 0, at: Number.NEGATIVE_INFINITY};
 
 	constructor(private readonly options: MeshOptions) {}
 
@@ -222,8 +226,19 @@
 		}
 
 		// A store that has come back from a copy may have less than a peer knows, which an entry that has just started cannot tell.
-		const hasLess = viewRevision.number > 0 && (!this.hasPeerView || configurationVersion > getConfigurationVersion());
-		return hasLess ? anyRevision : undefined;
+		const isFirst = viewRevision.number > 0 && !this.hasPeerView;
+		const hasLess = configurationVersion > getConfigurationVersion() && this.mayAsk(configurationVersion, now);
+		return isFirst || hasLess ? anyRevision : undefined;
+	}
+
+	/* A configuration that this entry cannot use is not asked for at each report of a peer that can. */
+	private mayAsk(configurationVersion: number, now: number): boolean {
+		if (configurationVersion <= this.asked.configurationVersion && now - this.asked.at < askAgainMs) {
+			return false;
+		}
+
+		this.asked = {configurationVersion, at: now};
+		return true;
 	}
 
 	private report(now: number): void {
