Write a registration again whose renewal was under way as the store went back

What would be seen: an entry missing from the store, and from its part of shared budgets, for up to 200 s after a drill. Cause: the end of a renewal that was under way when the new era was noticed set the time of the next one, over that of the writing again. Change: nothing is decided while a call is under way; the next look decides by what is known then.

--- a/features/view.feature
+++ b/features/view.feature
@@ -44,6 +44,12 @@
     When its registration has gone
     Then peers are told for 5000 ms more that it leaves
 
+  # What became of a renewal that was under way hid that the key was gone, for as long as until the next renewal.
+  Scenario: A registration whose renewal is under way as the store goes back is written again
+    Given a registration that is renewed by a call under way
+    When the store goes back without it, and the call is answered
+    Then it is written again within 2100 ms
+
   Scenario: Calls that are refused at once are spaced
     Given a view of a store that answers
     When its calls go as "answered, refused, refused, refused, refused, refused, refused, answered"
--- a/src/mesh/registration.ts
+++ b/src/mesh/registration.ts
@@ -37,8 +37,12 @@
 	 * @param known - how the key stands in the store, by the process's view; undefined while nothing is known
 	 */
 	async tick(now: number, known?: Standing): Promise<void> {
+		if (this.isBusy) {
+			return;
+		}
+
 		this.checkEra(now, known);
-		if (this.isBusy || now < this.nextAt) {
+		if (now < this.nextAt) {
 			return;
 		}
 
