Show in logs and metrics how the retry budget is used and which links are silent

Cause: neither logs nor metrics told a process that begins with a full retry budget from one that counts itself as the only entry, nor a view that waits from one whose connection is dead; a link that timed out left no line. Change: one line a second for each service whose budget is exhausted (used, allowed, requests, entries, time since the start), a counter of refused retries, lines for links that are lost or cut, gauges for silent links and for the age of the call in progress, silent links in the request's line. No decision is changed.

--- a/features/support/fleet-simulation.ts
+++ b/features/support/fleet-simulation.ts
@@ -261,6 +261,7 @@
 			countRegistered: () => this.options.entries,
 			getService: () => undefined,
 			onLoadChange: () => undefined,
+			onRetryRefusal: () => undefined,
 			onSend: () => undefined,
 			onCrashFound: () => {
 				this.after(latencyMs, () => {
--- a/features/support/make-simulated-entry.ts
+++ b/features/support/make-simulated-entry.ts
@@ -28,6 +28,7 @@
 		countRegistered: () => state.countRegistered(),
 		getService: () => undefined,
 		onLoadChange: () => undefined,
+		onRetryRefusal: () => undefined,
 		onSend: () => undefined,
 		onCrashFound: () => undefined,
 		onRefusal: () => undefined,
--- a/src/balance/shared-retry-budget.ts
+++ b/src/balance/shared-retry-budget.ts
@@ -10,10 +10,17 @@
 	readonly windowMs: number;
 	/** Number of entries that share the slack. */
 	readonly countEntries: (now: number) => number;
+	/** When this process started, milliseconds. */
+	readonly startedAt: number;
+	/** Called with each retry that the budget does not allow. */
+	readonly onRefusal: (service: string) => void;
+	readonly log: (message: string) => void;
 };
 
 /** Buckets into which the sliding window is divided. */
 const bucketsPerWindow = 20;
+/** Minimum interval between two log lines on the exhausted budget of one service, milliseconds. */
+const logIntervalMs = 1000;
 /** Share of the budget that is used. The remainder covers entries that have not discovered each other yet. */
 const budgetShare = 0.8;
 
@@ -23,6 +30,8 @@
  */
 export class SharedRetryBudget {
 	private readonly buckets = new Map<string, Bucket[]>();
+	/** When a line on a service's exhausted budget was last written, milliseconds. */
+	private readonly loggedAt = new Map<string, number>();
 	private maximumEntries = 1;
 
 	constructor(private readonly options: BudgetOptions) {}
@@ -45,6 +54,7 @@
 
 		const allowed = budgetShare * ((requests * this.options.ratio) + (this.options.slack / this.maximumEntries));
 		if (retries + 1 > allowed) {
+			this.noteRefusal(service, `${retries} of ${allowed.toFixed(1)} retries for ${requests} requests`, now);
 			return false;
 		}
 
@@ -52,6 +62,15 @@
 		return true;
 	}
 
+	private noteRefusal(service: string, usage: string, now: number): void {
+		const {onRefusal, startedAt, windowMs, log} = this.options;
+		onRefusal(service);
+		if (now - (this.loggedAt.get(service) ?? Number.NEGATIVE_INFINITY) >= logIntervalMs) {
+			this.loggedAt.set(service, now);
+			log(`retry budget of ${service} is exhausted: ${usage} in ${windowMs} ms, shared by ${this.maximumEntries} entries, running for ${Math.round(now - startedAt)} ms`);
+		}
+	}
+
 	private getBucket(service: string, now: number): Bucket {
 		const {windowMs} = this.options;
 		const lengthMs = windowMs / bucketsPerWindow;
--- a/src/forward/make-forward-pipeline.ts
+++ b/src/forward/make-forward-pipeline.ts
@@ -29,6 +29,8 @@
 	readonly onLoadChange: () => void;
 	/** Called when a crash has been found that peers must be notified of at once. */
 	readonly onCrashFound: () => void;
+	/** Called with each retry that the retry budget does not allow. */
+	readonly onRetryRefusal: (service: string) => void;
 	/** Called for each attempt. */
 	readonly onSend: (service: string, isRetry: boolean) => void;
 };
@@ -54,7 +56,7 @@
 
 /** Creates the components that send a request to a target: choice of target, admission, retry budget, transport, stall and crash detection. */
 export function makeForwardPipeline(options: PipelineOptions): ForwardPipeline {
-	const {availabilityZone, repeats, openTransport, clock, random, countRegistered, getService, onLoadChange, onCrashFound, onSend, log, address, listPeers} = options;
+	const {availabilityZone, repeats, openTransport, clock, random, countRegistered, getService, onLoadChange, onCrashFound, onRetryRefusal, onSend, log, address, listPeers} = options;
 	const inFlightCounts = new InFlightCounts(onLoadChange);
 	const electEntry = (key: string, now: number): string => rankByRendezvous(key, [address, ...listPeers(now)])[0];
 	const tracker = new TargetTracker({...options, electEntry, countInFlight: target => inFlightCounts.count(target, clock())});
@@ -106,7 +108,13 @@
 		inFlightCounts,
 		serviceBreaker,
 		probes: new ProbeBudget(),
-		retryBudget: new SharedRetryBudget({...repeats, countEntries: now => Math.max(inFlightCounts.countLivePeers(now) + 1, countRegistered())}),
+		retryBudget: new SharedRetryBudget({
+			...repeats,
+			countEntries: now => Math.max(inFlightCounts.countLivePeers(now) + 1, countRegistered()),
+			startedAt: clock(),
+			onRefusal: onRetryRefusal,
+			log,
+		}),
 		stalls,
 		admission,
 		availabilityZone,
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -76,6 +76,9 @@
 		onCrashFound() {
 			mesh.reportNow();
 		},
+		onRetryRefusal(service) {
+			metrics.refusedRetries.inc({service});
+		},
 		onSend(service, isRetry) {
 			metrics.sends.inc({service, repeat: String(isRetry)});
 		},
@@ -154,7 +157,9 @@
 		onEnd(exchange, problem) {
 			const now = clock();
 			metrics.recordEnd(exchange, problem, now);
-			requestLog.info(describeRequest(exchange, problem, {era: view.asOf.era, viewAgeMs: view.getAge(now), now}));
+			requestLog.info(describeRequest(exchange, problem, {
+				era: view.asOf.era, viewAgeMs: view.getAge(now), silentLinks: mesh.countSilentLinks(now), now,
+			}));
 		},
 		log(message) {
 			requestLog.error(message);
@@ -212,6 +217,7 @@
 		pipeline.tick();
 		metrics.cooldownTargets.set(tracker.cooldowns.size);
 		metrics.rateLimitedTargets.set(tracker.limits.size);
+		metrics.silentLinks.set(mesh.countSilentLinks(now));
 	}, tickMs);
 	entryLog.info(`started in ${availabilityZone}, listening for callers on ${address}:${server.port}`);
 
--- a/src/mesh/entry-mesh.ts
+++ b/src/mesh/entry-mesh.ts
@@ -52,6 +52,8 @@
  * entry that starts while the store is down learns of all peers at once. With 32 entries the list is larger than the rest of a report.
  */
 const peerListMs = 10_000;
+/** A link on which nothing was received for this time is silent: even peers in other zones report more often, milliseconds. */
+const silenceMs = 1000;
 /** A link on which nothing was received for this time is cut and reopened, milliseconds. */
 const linkTimeoutMs = 1500;
 /** Maximum backoff between attempts to open a link, milliseconds. */
@@ -94,8 +96,9 @@
 	tick(): void {
 		const now = this.options.clock();
 		this.report(now);
-		for (const peer of this.peers.values()) {
+		for (const [address, peer] of this.peers) {
 			if (peer.link.current && now - peer.lastSeenAt > linkTimeoutMs) {
+				this.options.log(`link to ${address} is cut: nothing received for ${Math.round(now - peer.lastSeenAt)} ms`);
 				peer.lastSeenAt = now;
 				peer.link.disconnect();
 			}
@@ -122,6 +125,11 @@
 		return [...this.peers].filter(([, {link, lastSeenAt}]) => link.current !== undefined && now - lastSeenAt <= linkTimeoutMs).map(([address]) => address);
 	}
 
+	/** Number of open links on which nothing has arrived for longer than reports may take. */
+	countSilentLinks(now: number): number {
+		return [...this.peers.values()].filter(({link, lastSeenAt}) => link.current !== undefined && now - lastSeenAt > silenceMs).length;
+	}
+
 	/** Whether a peer has sent its view since the start. */
 	get hasReceivedView(): boolean {
 		return this.hasPeerSnapshot;
@@ -173,7 +181,8 @@
 	}
 
 	private open(address: string): void {
-		const {connect, hello, clock, random} = this.options;
+		const {connect, hello, clock, random, log} = this.options;
+		let isOpen = false;
 		const peer: Peer = {
 			lastSeenAt: clock(),
 			availabilityZone: undefined,
@@ -181,10 +190,16 @@
 				connect: async () => connect(address),
 				random,
 				maximumDelayMs: maximumBackoffMs,
-				onLost() {
+				onLost(message) {
+					if (isOpen) {
+						isOpen = false;
+						log(`link to ${address} is lost: ${message}`);
+					}
+
 					peer.lastSeenAt = clock();
 				},
 				onOpen: connection => {
+					isOpen = true;
 					peer.lastSeenAt = clock();
 					connection.onMessage(message => {
 						peer.lastSeenAt = clock();
--- a/src/metrics/forward-metrics.ts
+++ b/src/metrics/forward-metrics.ts
@@ -24,6 +24,20 @@
 		registers: [this.registry],
 	});
 
+	readonly refusedRetries = new Counter({
+		name: 'wardswitch_refused_retries_total',
+		help: 'Retries that the retry budget did not allow, by service',
+		labelNames: ['service'] as const,
+		registers: [this.registry],
+	});
+
+	/** Open links to other entries on which no report arrives. */
+	readonly silentLinks = new Gauge({
+		name: 'wardswitch_silent_links',
+		help: 'Open links to other entries on which nothing has arrived for longer than reports may take',
+		registers: [this.registry],
+	});
+
 	readonly refusals = new Counter({
 		name: 'wardswitch_refusals_total',
 		help: 'Requests that targets turned away, by service and whether they asked for rest',
--- a/src/metrics/register-view-gauges.ts
+++ b/src/metrics/register-view-gauges.ts
@@ -29,6 +29,7 @@
 		'Time since this process last heard all that the store holds, seconds',
 		view => Math.min(Number.MAX_SAFE_INTEGER, view.getAge(readClock())) / 1000,
 	);
+	addGauge('wardswitch_view_call_seconds', 'Time for which the current call to the store has been waiting for its answer, seconds', view => view.getCallMs(readClock()) / 1000);
 	addGauge('wardswitch_view_dropped_answers', 'Answers of the store from before what this process knew, since its start', view => view.droppedAnswers);
 	addGauge('wardswitch_view_retained_keys', 'Keys on which this process goes on with what it knew against what the store holds', view => view.retainedKeys);
 }
--- a/src/view/store-view.ts
+++ b/src/view/store-view.ts
@@ -61,6 +61,8 @@
 	/** When the view was last known to be up to date, by own calls or a peer's, milliseconds. */
 	private upToDateAt = Number.NEGATIVE_INFINITY;
 	private staleAnswers = 0;
+	/** When the current call to the store was made, milliseconds; undefined between two calls. */
+	private calledAt: number | undefined;
 	private abortWait: (() => void) | undefined;
 
 	constructor(private readonly options: ViewOptions) {
@@ -98,6 +100,11 @@
 		return now - this.upToDateAt;
 	}
 
+	/** Time for which the current call to the store has been waiting for its answer, milliseconds; 0 between two calls. */
+	getCallMs(now: number): number {
+		return now - (this.calledAt ?? now);
+	}
+
 	/** Whether the store recovered so recently that expired keys may still be written again. */
 	isRecovering(now: number): boolean {
 		return this.availability.isRecovering(now);
@@ -122,7 +129,9 @@
 		while (!this.isClosed) {
 			const startedAt = this.options.clock();
 			const before = this.revision;
+			this.calledAt = startedAt;
 			const result = await this.callStore();
+			this.calledAt = undefined;
 			if (result === 'updated') {
 				this.backoffMs = initialBackoffMs;
 			}
