Reproduce retries beyond the budget of all entries when entries restart

What callers saw: with failing targets and entries that restart, more retries reached the targets than the budget of all entries allows.

--- /dev/null
+++ b/features/retry-budget.feature
@@ -0,0 +1,32 @@
+Feature: All entries together keep within the retry budget, whichever of them restart
+
+  # Guards against a budget that lives in the memory of one process: each process that started had its full budget again, and one that did
+  # not know its peers yet took the budget of all. Six entries that were killed twice within 5 s sent 246 retries in 10 s; 142 were allowed.
+  Scenario Outline: Targets break off every request while entries restart: <restarts>, seed <seed>
+    Given 6 entries and 8 targets, and 40 requests per second of 3 attempts each, seed <seed>
+    When all targets break off every request from second 1 to 14, and entries restart "<restarts>"
+    Then the retries stay within the budget in every window
+
+    Examples:
+      | restarts                            | seed |
+      | never                               | 1    |
+      | all at once, twice                  | 1    |
+      | all at once, three times            | 2    |
+      | one after the other                 | 3    |
+      | one after the other, twice          | 1    |
+      | one after the other, twice          | 4    |
+      | half of them, four times            | 5    |
+      | all at once, then one after another | 6    |
+      | at random                           | 7    |
+      | at random                           | 8    |
+
+  # A budget that is not used leaves requests unserved that a retry would have served.
+  Scenario Outline: The budget is used while no entry restarts, seed <seed>
+    Given 6 entries and 8 targets, and 40 requests per second of 3 attempts each, seed <seed>
+    When all targets break off every request from second 1 to 14, and entries restart "never"
+    Then at least 80 hundredths of the retries that the budget allows are sent in some window
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
--- a/features/support/fleet-simulation.ts
+++ b/features/support/fleet-simulation.ts
@@ -28,7 +28,7 @@
 /** Identifies an entry and a target incarnation together. */
 type EntryAndIncarnation = string;
 /** A request that reached a target; time in milliseconds. */
-type Arrival = {readonly pair: EntryAndIncarnation; readonly target: SimulatedTarget; readonly at: number; readonly isCrashing: boolean};
+type Arrival = {readonly pair: EntryAndIncarnation; readonly target: SimulatedTarget; readonly at: number; readonly isCrashing: boolean; readonly isRetry: boolean};
 /** A cooldown that a target asked an entry for, from the time of its answer, milliseconds. */
 type Cooldown = {readonly pair: EntryAndIncarnation; readonly from: number; readonly until: number};
 /** An answer in which an entry read that a target is leaving, milliseconds. */
@@ -86,9 +86,17 @@
 	readonly cooldowns: Cooldown[] = [];
 	readonly notices: Notice[] = [];
 	readonly calls: Call[] = [];
+	/** Times at which an entry took a request from a caller, milliseconds; a caller's own retry is a request as well. */
+	readonly requestTimes: number[] = [];
 	readonly refusals: Refusal[] = [];
 	/** Log lines of the entries, and the trails of their requests. */
 	readonly lines: string[] = [];
+	/** Entries that do not run. */
+	private readonly downEntries = new Set<number>();
+	/** The callers that wait for an answer, by entry: called when the entry is killed. */
+	private readonly waiting = new Map<number, Set<() => void>>();
+	/** Requests that have reached a target. */
+	private readonly arrivedRequests = new WeakSet<ForwardExchange>();
 	private readonly random: () => number;
 	private scheduled: Array<{readonly at: number; readonly run: () => void}> = [];
 	private nextCallAt = 0;
@@ -128,6 +136,24 @@
 		}
 	}
 
+	/** Kills an entry: its memory is lost, and its callers send their requests again. */
+	killEntry(entry: number): void {
+		this.downEntries.add(entry);
+		this.paths[entry].close();
+		const waiting = [...this.waiting.get(entry) ?? []];
+		this.waiting.delete(entry);
+		for (const onKilled of waiting) {
+			onKilled();
+		}
+	}
+
+	/** Starts an entry that was killed, without memory of its former life. */
+	startEntry(entry: number): void {
+		this.downEntries.delete(entry);
+		this.paths[entry] = this.openPath(entry);
+		this.paths[entry].tracker.directory.replace(this.targets.map(({target}) => target), this.now, false);
+	}
+
 	/** Sends the request that crashes targets, to a random entry unless one is given. */
 	sendCrashingRequest(entry = this.draw(this.options.entries)): void {
 		const call: Call = {
@@ -145,6 +171,11 @@
 		});
 	}
 
+	/** Schedules an action after `ms` milliseconds. */
+	after(ms: number, run: () => void): void {
+		this.scheduled.push({at: this.now + ms, run});
+	}
+
 	/** Returns a random integer below `count`. */
 	draw(count: number): number {
 		return Math.floor(this.random() * count);
@@ -152,8 +183,8 @@
 
 	private step(): void {
 		if (this.now % tickMs === 0) {
-			for (const path of this.paths) {
-				path.tick();
+			for (const index of this.listRunningEntries()) {
+				this.paths[index].tick();
 			}
 		}
 
@@ -179,16 +210,21 @@
 	}
 
 	private exchangeReports(): void {
-		for (const index of this.paths.keys()) {
+		for (const index of this.listRunningEntries()) {
 			this.report(index);
 		}
 	}
 
+	private listRunningEntries(): number[] {
+		return [...this.paths.keys()].filter(index => !this.downEntries.has(index));
+	}
+
 	private report(index: number): void {
 		const {inFlightCounts} = this.paths[index];
 		const inFlight = inFlightCounts.getOwnCounts();
 		const digest = this.paths[index].getDigest(false, this.now);
-		for (const [other, path] of this.paths.entries()) {
+		for (const other of this.listRunningEntries()) {
+			const path = this.paths[other];
 			if (other !== index && this.isLinked(index, other)) {
 				path.inFlightCounts.merge(`entry-${index}`, inFlight, this.now);
 				path.mergeDigest(`entry-${index}`, digest, other % zones === index % zones, this.now);
@@ -213,8 +249,13 @@
 	}
 
 	/* Sends a caller's request to a random entry, and retries once after a refusal. */
-	private async ask(call: Call, entry = this.draw(this.options.entries)): Promise<void> {
+	private async ask(call: Call, entry = this.drawEntry()): Promise<void> {
 		call.tries++;
+		if (entry === undefined) {
+			return;
+		}
+
+		this.requestTimes.push(this.now);
 		const incoming = new IncomingMessage(new Socket());
 		const exchange = new ForwardExchange({
 			incoming,
@@ -226,7 +267,12 @@
 		exchange.route = makeRoute(this.options.maximumAttempts ?? 2);
 		exchange.deadline = call.askedAt + deadlineMs;
 		exchange.body = call.body;
-		const result = await this.paths[entry].dispatcher.run(exchange);
+		const result = await this.runAtEntry(entry, exchange);
+		if (result === undefined) {
+			this.askAgain(call, 0);
+			return;
+		}
+
 		this.lines.push(exchange.decisions.join('; '));
 		if (result.isOk()) {
 			call.isServed = true;
@@ -237,6 +283,10 @@
 			entry, at: this.now, afterMs: this.now - exchange.arrivedAt, returnAt: this.now + (result.error.options.retryAfterMs ?? 0),
 		});
 		const afterMs = Math.min(result.error.options.retryAfterMs ?? 0, (exchange.deadline - this.now) * obeyedShare);
+		this.askAgain(call, afterMs);
+	}
+
+	private askAgain(call: Call, afterMs: number): void {
 		if (call.tries === 1) {
 			this.after(afterMs, () => {
 				void this.ask(call);
@@ -244,12 +294,30 @@
 		}
 	}
 
-	private isLinked(one: number, other: number): boolean {
-		return this.cutOff.has(one) === this.cutOff.has(other);
+	/* Draws a running entry; undefined when there is none. */
+	private drawEntry(): number | undefined {
+		const running = this.listRunningEntries();
+		return running.length === this.options.entries ? this.draw(running.length) : running[this.draw(Math.max(1, running.length))];
 	}
 
-	private after(ms: number, run: () => void): void {
-		this.scheduled.push({at: this.now + ms, run});
+	/* Serves a request at an entry; undefined when the entry is killed meanwhile. */
+	private async runAtEntry(entry: number, exchange: ForwardExchange): Promise<Awaited<ReturnType<Path['dispatcher']['run']>> | undefined> {
+		const waiting = this.waiting.get(entry) ?? new Set<() => void>();
+		this.waiting.set(entry, waiting);
+		let handleKill = (): void => undefined;
+		const killed = new Promise<undefined>(resolve => {
+			handleKill = () => {
+				resolve(undefined);
+			};
+		});
+		waiting.add(handleKill);
+		const result = await Promise.race([this.paths[entry].dispatcher.run(exchange), killed]);
+		waiting.delete(handleKill);
+		return result;
+	}
+
+	private isLinked(one: number, other: number): boolean {
+		return this.cutOff.has(one) === this.cutOff.has(other);
 	}
 
 	private openPath(entry: number): Path {
@@ -276,10 +344,10 @@
 				this.lines.push(line);
 			},
 			address: `entry-${entry}`,
-			listPeers: () => [...this.paths.keys()].filter(other => other !== entry && this.isLinked(entry, other)).map(other => `entry-${other}`),
+			listPeers: () => this.listRunningEntries().filter(other => other !== entry && this.isLinked(entry, other)).map(other => `entry-${other}`),
 			sendToPeer: (peer, question) => this.askPermit(entry, peer, question),
 			openTransport: listener => ({
-				send: async options => this.send(entry, options, listener),
+				send: async options => path === this.paths[entry] && !this.downEntries.has(entry) ? this.send(entry, options, listener) : this.makeDeadSend(),
 				check: async meant => this.targets.find(({target}) => target.id === meant.id)!.isDown ? 'refuses' : 'listens',
 				drop: () => undefined,
 				close: () => undefined,
@@ -288,6 +356,13 @@
 		return path;
 	}
 
+	/* A process that was killed sends nothing more. */
+	private async makeDeadSend(): Promise<SendOutcome> {
+		return new Promise<SendOutcome>(() => {
+			// Never resolved.
+		});
+	}
+
 	private async send(entry: number, options: SendOptions, listener: TransportListener): Promise<SendOutcome> {
 		const sentAt = this.now;
 		return new Promise(resolve => {
@@ -300,8 +375,9 @@
 				}
 
 				this.arrivals.push({
-					pair, target, at: this.now, isCrashing: options.exchange.body === crashingBody,
+					pair, target, at: this.now, isCrashing: options.exchange.body === crashingBody, isRetry: this.arrivedRequests.has(options.exchange),
 				});
+				this.arrivedRequests.add(options.exchange);
 				const refused = target.refuse(this.random());
 				if (!refused) {
 					this.serve(target, pair, options, {sentAt, listener, resolve});
@@ -321,6 +397,13 @@
 	}
 
 	private serve(target: SimulatedTarget, pair: EntryAndIncarnation, {target: meant, exchange, delivery, signal, onProgress}: SendOptions, {sentAt, listener, resolve}: Receiver): void {
+		if (target.isBreakingOff) {
+			this.after(latencyMs, () => {
+				resolve({kind: 'lost', reason: 'other side closed', isConnectionClosed: true});
+			});
+			return;
+		}
+
 		const sent = {target: meant, sentAt};
 		const state: {isLost: boolean; answeredAt?: number} = {isLost: false};
 		const end = target.run(() => {
--- a/features/support/simulated-target.ts
+++ b/features/support/simulated-target.ts
@@ -26,6 +26,8 @@
 	limit: number | undefined;
 	/** Whether it has crashed and not restarted yet: connections to its address are refused. */
 	isDown = false;
+	/** Whether it closes the connection of each request without an answer. */
+	isBreakingOff = false;
 	/** Whether it announces in each answer that it is leaving. */
 	isLeaving = false;
 
