Keep the retry budget of all entries whichever of them restart

What callers saw: with failing targets and entries that restart within one window, up to twice the allowed retries reached the targets. Cause: the budget lived in the memory of one process. A process that started had its part of the slack again, and the credit of the requests that its callers sent again, although the process before it had used both within the same window. Ruled out: retries that arrive late (in memory nothing is delayed). A fleet that starts for the first time uses the slack at once: no entry was registered when its processes first read the store. The number of entries that share the slack is kept for an hour and told to peers, so that an entry that starts during a cut divides by all. Slices stay equal: an entry whose targets alone fail cannot use what others leave.

--- a/features/retry-budget.feature
+++ b/features/retry-budget.feature
@@ -17,6 +17,7 @@
       | one after the other, twice          | 4    |
       | half of them, four times            | 5    |
       | all at once, then one after another | 6    |
+      | four one after the other, while two are cut off | 9 |
       | at random                           | 7    |
       | at random                           | 8    |
 
@@ -30,3 +31,17 @@
       | seed |
       | 1    |
       | 2    |
+
+  # Without it, entries that start for the first time could not use the slack for a whole window.
+  Scenario Outline: A process knows from registrations in the store whether it may use the slack at once: <event>
+    Given 6 entries and 4 targets that follow a store
+    When entries have started for the first time, and "<event>"
+    Then "<new>" know that no process before them has used the budget
+
+    Examples:
+      | event                                                      | new         |
+      | nothing happens                                            | 1 2 3 4 5 6 |
+      | entry 1 restarts                                           | 2 3 4 5 6   |
+      | all entries restart                                        |             |
+      | entry 7 joins after 20 s                                   | 1 2 3 4 5 6 |
+      | the store loses the registrations, and all entries restart |             |
--- a/features/steps/retry-budget-steps.ts
+++ b/features/steps/retry-budget-steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {FleetSimulation} from '../support/fleet-simulation.js';
+import {type StoreSimulation} from '../support/store-simulation.js';
 import {type SystemWorld} from '../support/system-world.js';
 
 type Window = {readonly endsAt: number; readonly retries: number; readonly allowed: number};
@@ -13,6 +14,7 @@
 /** Time from a kill until the process runs again, milliseconds. */
 const restartMs = 400;
 
+const getSimulation = (world: SystemWorld): StoreSimulation => world.notes.get('simulation') as StoreSimulation;
 const getFleet = (world: SystemWorld): FleetSimulation => world.notes.get('fleet') as FleetSimulation;
 
 const restart = (fleet: FleetSimulation, atMs: number, restarted: readonly number[]): void => {
@@ -63,6 +65,13 @@
 		restart(fleet, 2000, all);
 		restartInTurn(fleet, 3000);
 	},
+	'four one after the other, while two are cut off'(fleet) {
+		fleet.cutOff = new Set([0, 1]);
+		fleet.registeredEntries = entries - fleet.cutOff.size;
+		for (const entry of all.slice(fleet.cutOff.size)) {
+			restart(fleet, entry * restartMs, [entry]);
+		}
+	},
 	'at random'(fleet) {
 		const times = [0, 0, 0, 0, 0, 0];
 		for (let count = 0; count < 20; count++) {
@@ -111,3 +120,50 @@
 	const used = Math.max(...listWindows(getFleet(this)).map(({retries, allowed}) => retries / allowed));
 	assert.ok(used >= hundredths / 100, `${(used * 100).toFixed(1)} of 100`);
 });
+
+const startAgain = async (simulation: StoreSimulation, ids: readonly string[]): Promise<void> => {
+	for (const id of ids) {
+		simulation.kill(id);
+	}
+
+	await simulation.advance(restartMs);
+	for (const id of ids) {
+		simulation.start(id);
+	}
+};
+
+/** What happens to entries that have started for the first time, by the words of the rows. */
+const starts: Readonly<Record<string, (simulation: StoreSimulation) => Promise<void>>> = {
+	async 'nothing happens'(simulation) {
+		await simulation.advance(restartMs);
+	},
+	async 'entry 1 restarts'(simulation) {
+		await startAgain(simulation, ['1']);
+	},
+	async 'all entries restart'(simulation) {
+		await startAgain(simulation, [...simulation.entries.keys()]);
+	},
+	async 'entry 7 joins after 20 s'(simulation) {
+		await simulation.advance(20_000);
+		simulation.start('7');
+	},
+	async 'the store loses the registrations, and all entries restart'(simulation) {
+		await simulation.restoreFromBackup({outageMs: 0, rewriteDelayMs: 0});
+		for (const id of simulation.entries.keys()) {
+			simulation.store.remove(`wardswitch/entries/${id}`);
+		}
+
+		await startAgain(simulation, [...simulation.entries.keys()]);
+	},
+};
+
+When('entries have started for the first time, and {string}', async function (this: SystemWorld, event: string) {
+	const simulation = getSimulation(this);
+	await starts[event](simulation);
+	await simulation.advance(2000);
+});
+
+Then('{string} know that no process before them has used the budget', function (this: SystemWorld, expected: string) {
+	const known = [...getSimulation(this).entries.values()].filter(({state}) => state.isNewFleet()).map(({id}) => id);
+	assert.equal(known.toSorted().join(' '), expected);
+});
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -190,7 +190,7 @@
 		serviceBreaker: world.notes.get('serviceBreaker') as ServiceBreaker,
 		probes: new ProbeBudget(),
 		retryBudget: new SharedRetryBudget({
-			ratio: 0.2, slack: 90, windowMs: 10_000, countEntries: () => 1, startedAt: 0, onRefusal: String, log: String,
+			ratio: 0.2, slack: 90, windowMs: 10_000, countEntries: () => 1, startedAt: 0, isNewFleet: () => false, onRefusal: String, log: String,
 		}),
 		stalls: new StallDetector({
 			inFlightCounts,
--- a/features/support/fleet-simulation.ts
+++ b/features/support/fleet-simulation.ts
@@ -82,6 +82,8 @@
 	/** Entries whose links to the others are cut; empty when all are linked. */
 	cutOff: ReadonlySet<number> = new Set();
 	readonly paths: Path[] = [];
+	/** Entries registered in the store, as all entries know it. */
+	registeredEntries: number;
 	readonly arrivals: Arrival[] = [];
 	readonly cooldowns: Cooldown[] = [];
 	readonly notices: Notice[] = [];
@@ -102,6 +104,7 @@
 	private nextCallAt = 0;
 
 	constructor(private readonly options: FleetOptions) {
+		this.registeredEntries = options.entries;
 		const generator = xoroshiro128plus(options.seed);
 		this.random = () => uniformFloat64(generator);
 		for (let index = 0; index < options.targets; index++) {
@@ -151,7 +154,11 @@
 	startEntry(entry: number): void {
 		this.downEntries.delete(entry);
 		this.paths[entry] = this.openPath(entry);
-		this.paths[entry].tracker.directory.replace(this.targets.map(({target}) => target), this.now, false);
+		const path = this.paths[entry];
+		path.tracker.directory.replace(this.targets.map(({target}) => target), this.now, false);
+		for (const other of this.listRunningEntries().filter(index => index !== entry && this.isLinked(index, entry))) {
+			path.mergeDigest(`entry-${other}`, this.paths[other].getDigest(true, this.now), other % zones === entry % zones, this.now);
+		}
 	}
 
 	/** Sends the request that crashes targets, to a random entry unless one is given. */
@@ -321,12 +328,14 @@
 	}
 
 	private openPath(entry: number): Path {
+		const isFirstLife = this.paths[entry] === undefined;
 		const path: Path = makeForwardPipeline({
 			availabilityZone: `zone-${entry % zones}`,
 			repeats: {ratio: 0.2, slack: 90, windowMs: 10_000},
 			clock: () => this.now,
 			random: this.random,
-			countRegistered: () => this.options.entries,
+			countRegistered: () => this.registeredEntries,
+			isNewFleet: () => isFirstLife,
 			getService: () => undefined,
 			onLoadChange: () => undefined,
 			onRetryRefusal: () => undefined,
--- a/features/support/make-simulated-entry.ts
+++ b/features/support/make-simulated-entry.ts
@@ -26,6 +26,7 @@
 		clock,
 		random,
 		countRegistered: () => state.countRegistered(),
+		isNewFleet: () => state.isNewFleet(),
 		getService: () => undefined,
 		onLoadChange: () => undefined,
 		onRetryRefusal: () => undefined,
--- a/src/forward/make-entry-state.ts
+++ b/src/forward/make-entry-state.ts
@@ -7,6 +7,7 @@
 import {type LinkConnection} from '../link/link-connection.js';
 import {type LinkMessage} from '../link/link-message.js';
 import {EntryMesh} from '../mesh/entry-mesh.js';
+import {FleetStart} from '../mesh/fleet-start.js';
 import {Registration} from '../mesh/registration.js';
 import {StoreView} from '../view/store-view.js';
 import {type FleetSource} from './fleet-source.js';
@@ -42,6 +43,8 @@
 	getTable(now: number): RouteTable | undefined;
 	/** Number of entries registered in the store. */
 	countRegistered(): number;
+	/** Whether all entries have started for the first time. */
+	isNewFleet(): boolean;
 	/** Starts to follow the store and to connect to the entries at these addresses. */
 	start(seeds: readonly string[]): void;
 	/** Runs the periodic checks of peers, registrations and expired targets. */
@@ -69,6 +72,7 @@
 		maximumBackoffMs,
 		log: log.view,
 		onChange(now) {
+			noteFirstRead();
 			fleet.refresh(now);
 			connectToRegistered();
 		},
@@ -77,9 +81,28 @@
 	const hello = (): LinkMessage => ({
 		type: 'hello', protocol: linkProtocolVersion, id, role: 'entry', availabilityZone, incarnation, tableVersion: 0,
 	});
+	const fleetStart = new FleetStart(clock());
 	const mesh = new EntryMesh({
-		...options, hello, view, getConfigurationVersion: () => fleet.table?.version ?? 0, log: log.view,
+		...options,
+		hello,
+		view,
+		getConfigurationVersion: () => fleet.table?.version ?? 0,
+		getDigest: (isFull, now) => ({...options.getDigest(isFull, now), ...(fleetStart.isReported(now) && {isNewFleet: true})}),
+		onDigest(peer, digest, isSameZone, now) {
+			fleetStart.notePeer(peer, digest.isNewFleet ?? false);
+			options.onDigest(peer, digest, isSameZone, now);
+		},
+		log: log.view,
 	});
+	const listRegistered = (): string[] => view.list(entriesPrefix).map(({key: registered}) => registered.slice(entriesPrefix.length));
+
+	/* A peer's view does not show what the store held before this process registered. */
+	const noteFirstRead = (): void => {
+		if (view.isLoaded && !mesh.hasReceivedView) {
+			fleetStart.noteFirstRead({era: view.asOf.era, registered: listRegistered()});
+		}
+	};
+
 	const connectToRegistered = (): void => {
 		mesh.addPeers(view.list(entriesPrefix).map(({value}) => value));
 	};
@@ -103,6 +126,7 @@
 		mesh,
 		getTable: now => fleet.table && hasWaitedForPeers(now) ? fleet.table : undefined,
 		countRegistered: () => view.list(entriesPrefix).length,
+		isNewFleet: () => fleetStart.isNew,
 		start(seeds) {
 			mesh.addPeers(seeds);
 			void view.run();
@@ -111,7 +135,10 @@
 			mesh.tick();
 			view.tick(now);
 			fleet.tick(now);
-			void registration.tick(now, view.isLoaded ? {era: view.asOf.era, item: view.getStored(key)} : undefined);
+			// Registers only after the first read of the store, which would otherwise show this process as one that ended.
+			if (view.isLoaded) {
+				void registration.tick(now, {era: view.asOf.era, item: view.getStored(key)});
+			}
 		},
 		close() {
 			view.close();
--- a/src/forward/make-forward-pipeline.ts
+++ b/src/forward/make-forward-pipeline.ts
@@ -1,3 +1,4 @@
+import {EntryCount} from '../balance/entry-count.js';
 import {InFlightCounts} from '../balance/in-flight-counts.js';
 import {ProbeBudget} from '../balance/probe-budget.js';
 import {SharedRetryBudget} from '../balance/shared-retry-budget.js';
@@ -25,6 +26,8 @@
 	readonly openTransport: (listener: TransportListener) => TargetTransport;
 	/** Returns the configuration of a service; undefined while it is not known. */
 	readonly getService: (name: string) => Service | undefined;
+	/** Whether all entries have started for the first time. */
+	readonly isNewFleet: () => boolean;
 	/** Called when the number of this entry's requests in flight changes. */
 	readonly onLoadChange: () => void;
 	/** Called when a crash has been found that peers must be notified of at once. */
@@ -56,7 +59,7 @@
 
 /** Creates the components that send a request to a target: choice of target, admission, retry budget, transport, stall and crash detection. */
 export function makeForwardPipeline(options: PipelineOptions): ForwardPipeline {
-	const {availabilityZone, repeats, openTransport, clock, random, countRegistered, getService, onLoadChange, onCrashFound, onRetryRefusal, onSend, log, address, listPeers} = options;
+	const {availabilityZone, repeats, openTransport, clock, random, countRegistered, isNewFleet, getService, onLoadChange, onCrashFound, onRetryRefusal, onSend, log, address, listPeers} = options;
 	const inFlightCounts = new InFlightCounts(onLoadChange);
 	const electEntry = (key: string, now: number): string => rankByRendezvous(key, [address, ...listPeers(now)])[0];
 	const tracker = new TargetTracker({...options, electEntry, countInFlight: target => inFlightCounts.count(target, clock())});
@@ -101,6 +104,7 @@
 		clock,
 		log,
 	});
+	const entryCount = new EntryCount(now => Math.max(inFlightCounts.countLivePeers(now) + 1, countRegistered()));
 	const dispatcher = new ForwardDispatcher({
 		send: async sendOptions => transport.send(sendOptions),
 		tracker,
@@ -110,8 +114,9 @@
 		probes: new ProbeBudget(),
 		retryBudget: new SharedRetryBudget({
 			...repeats,
-			countEntries: now => Math.max(inFlightCounts.countLivePeers(now) + 1, countRegistered()),
+			countEntries: now => entryCount.get(now),
 			startedAt: clock(),
+			isNewFleet,
 			onRefusal: onRetryRefusal,
 			log,
 		}),
@@ -128,10 +133,15 @@
 		inFlightCounts,
 		tracker,
 		dispatcher,
-		getDigest: (isFull, now) => ({...tracker.getDigest(now), ...crashes.suspects.getDigest(isFull, now)}),
+		getDigest: (isFull, now) => ({
+			...tracker.getDigest(now), ...crashes.suspects.getDigest(isFull, now), ...(isFull && {entries: entryCount.getDigest(now)}),
+		}),
 		mergeDigest(peer, digest, isSameZone, now) {
 			tracker.mergeDigest(peer, digest, isSameZone, now);
 			crashes.suspects.merge(digest, now);
+			if (digest.entries) {
+				entryCount.merge(digest.entries, now);
+			}
 		},
 		tick() {
 			const now = clock();
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -61,6 +61,7 @@
 		sendToPeer: (peer, message) => mesh.send(peer, message),
 		openTransport: listener => makeHttpTransport({dialect, clock}, listener),
 		countRegistered: () => entryState.countRegistered(),
+		isNewFleet: () => entryState.isNewFleet(),
 		getService: name => fleet.table?.findService(name),
 		onLoadChange() {
 			mesh.reportSoon();
--- a/src/mesh/entry-digest.ts
+++ b/src/mesh/entry-digest.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {EntryCountDigest} from '../balance/entry-count-digest.js';
 import {CrashDigest} from '../balance/crash-digest.js';
 import {LimitDigest} from '../balance/limit-digest.js';
 import {Target} from '../fleet/target.js';
@@ -13,6 +14,10 @@
 	leaves: z.array(Target.pick({id: true, bornAt: true})).optional(),
 	/** Rate limits that targets have announced to the sender; absent when there are none. */
 	limits: z.array(LimitDigest).optional(),
+	/** Number of entries; absent in reports that are sent often. */
+	entries: EntryCountDigest.optional(),
+	/** Whether all entries have started for the first time, as far as the sender knows; absent if not. */
+	isNewFleet: z.literal(true).optional(),
 	...CrashDigest.shape,
 });
 type EntryDigest = z.infer<typeof EntryDigest>;
