Start the retry budget over links with one retry instead of a full bucket

Cause: the same class as the fault of the fleet's budget: what is promised as a share of the requests was full again at each start. Change: the bucket of a process that starts holds one retry, not ten. Figures: ten processes in a row with five requests each: 50 retries before, at most 10 after (the scenario failed before the change).

--- a/features/retry-budget.feature
+++ b/features/retry-budget.feature
@@ -45,3 +45,8 @@
       | all entries restart                                        |             |
       | entry 7 joins after 20 s                                   | 1 2 3 4 5 6 |
       | the store loses the registrations, and all entries restart |             |
+
+  # Guards against a bucket that is full at each start: a process that restarts every second could retry every request.
+  Scenario: Requests over links: processes that restart do not begin with a full budget
+    When 10 processes start one after the other, and each retries what the budget allows for 5 requests over links
+    Then they have sent no more than 10 retries
--- a/features/steps/retry-budget-steps.ts
+++ b/features/steps/retry-budget-steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {RetryBudget} from '../../src/requests/retry-budget.js';
 import {FleetSimulation} from '../support/fleet-simulation.js';
 import {type StoreSimulation} from '../support/store-simulation.js';
 import {type SystemWorld} from '../support/system-world.js';
@@ -11,6 +12,8 @@
 const slack = 90;
 const windowMs = 10_000;
 const entries = 6;
+/** Retries per request over links. */
+const linkRatio = 0.1;
 /** Time from a kill until the process runs again, milliseconds. */
 const restartMs = 400;
 
@@ -167,3 +170,21 @@
 	const known = [...getSimulation(this).entries.values()].filter(({state}) => state.isNewFleet()).map(({id}) => id);
 	assert.equal(known.toSorted().join(' '), expected);
 });
+
+When('{int} processes start one after the other, and each retries what the budget allows for {int} requests over links', function (this: SystemWorld, processes: number, requests: number) {
+	let retries = 0;
+	for (let started = 0; started < processes; started++) {
+		const budget = new RetryBudget(linkRatio);
+		for (let sent = 0; sent < requests; sent++) {
+			budget.deposit();
+			retries += budget.tryWithdraw() ? 1 : 0;
+		}
+	}
+
+	this.notes.set('retries', retries);
+});
+
+Then('they have sent no more than {int} retries', function (this: SystemWorld, most: number) {
+	const retries = this.notes.get('retries') as number;
+	assert.ok(retries <= most, String(retries));
+});
--- a/src/requests/retry-budget.ts
+++ b/src/requests/retry-budget.ts
@@ -1,9 +1,11 @@
-/** Retries that the bucket holds at most, and at the start. */
+/** Maximum number of retries that the bucket holds. */
 const maximumRetries = 10;
+/** Retries in the bucket of a process that starts: a full bucket at each start would renew the budget with every restart. */
+const initialRetries = 1;
 
 /** A token bucket that limits retries to a share of the requests, so that failing targets do not multiply the load. */
 export class RetryBudget {
-	private retries = maximumRetries;
+	private retries = initialRetries;
 
 	/** @param ratio - retries that each request adds */
 	constructor(private readonly ratio: number) {}
