Notice silent connections within about a second, and ask the store on new ones

What callers saw: requests handled by an older configuration than the one accepted more than 2 s before, after connections had gone silent. Cause: a silent connection was noticed by the end of its own call alone. All entries begin their waits at the same time after a change, so none could tell the others, and a view that waits looks as fresh as one that is deaf. The wait began anew on any connection of the pool. Class: absence of an error taken for evidence of an answer. Change: reports of other entries arrive at least every 0.85 s on each link, so a link without one for 1 s says that connections may be silent; so does a wait that is overdue by 0.3 s, or a pause of the process. The view then drops the pool's connections and calls again on a new one, at most every 1.2 s. Waits vary by a quarter, so that one entry is the first, and it reports what it learns to all zones at once. A call of the client that timed out retires the pool. Mean wait 1.2 s instead of 2 s (9.6 s instead of 12 s at ranks). Ruled out: a shorter wait alone: the row with older pooled connections and those with refused calls need the rest.

--- a/features/steps/item-comparator-steps.ts
+++ b/features/steps/item-comparator-steps.ts
@@ -29,6 +29,7 @@
 const openView = (items?: StoredValue[]): StoreView => {
 	const view: StoreView = new StoreView({
 		feed: {
+			reconnect: () => undefined,
 			list: async () => items ? ok({era: 1, asOf: 2, items}) : noAnswer,
 			poll: async () => noAnswer,
 		},
--- a/features/steps/view-steps.ts
+++ b/features/steps/view-steps.ts
@@ -20,6 +20,7 @@
 	let now = 0;
 	const view: StoreView = new StoreView({
 		feed: {
+			reconnect: () => undefined,
 			list: async () => ok({era: 0, asOf: 1, items: []}),
 			async poll(_prefix, after, wait) {
 				waits.push(wait);
@@ -102,6 +103,7 @@
 	});
 	const view = new StoreView({
 		feed: {
+			reconnect: () => undefined,
 			async list() {
 				turn++;
 				if (turn === 1) {
--- a/features/support/inject-random-faults.ts
+++ b/features/support/inject-random-faults.ts
@@ -13,6 +13,8 @@
 const slowMs = 240;
 const normalMs = 4;
 const lostShare = 0.4;
+/** A change is in force at the latest 3 s after a silence, and 2 s after it was accepted, milliseconds. */
+const silenceAllowanceMs = 1000;
 
 /* Makes a fault that ends after a random time; deadlines are suspended meanwhile. */
 const makeTemporaryFault = (begin: (simulation: StoreSimulation, draw: Draw) => () => void): Disturbance => (simulation, draw) => {
@@ -85,8 +87,27 @@
 	}),
 ];
 
+/* Faults of connections and calls; a change may come up to 3 s after them. */
+const silences: readonly Disturbance[] = [
+	{links: true, store: true},
+	{links: true, store: true, share: 0.5},
+	{links: false, store: true},
+	{links: true, store: false},
+].map(affected => simulation => {
+	simulation.silenceConnections({...affected, allowanceMs: silenceAllowanceMs});
+});
+const refusals: Disturbance = (simulation, draw) => {
+	simulation.refusals.set(pick(simulation, draw), 1 + draw(3));
+};
+
+type MixtureOptions = {
+	/** Whether connections go silent and calls are refused as well. */
+	readonly includesSilence?: boolean;
+};
+
 /** Runs a random mixture of restores, changes and faults, drawn by a seed, until the time `ms`; then lets the entries settle without faults. */
-export async function injectRandomFaults(simulation: StoreSimulation, seed: number, ms: number): Promise<void> {
+export async function injectRandomFaults(simulation: StoreSimulation, seed: number, ms: number, {includesSilence = false}: MixtureOptions = {}): Promise<void> {
+	const drawn = includesSilence ? [...disturbances, ...silences, refusals] : disturbances;
 	const generator = xoroshiro128plus(seed);
 	const draw: Draw = count => Math.floor(uniformFloat64(generator) * count);
 	for (let turn = 0; simulation.now < ms; turn++) {
@@ -95,7 +116,7 @@
 		if (isRestore) {
 			await simulation.restoreFromBackup({outageMs: draw(2) * draw(maximumFaultMs), rewriteDelayMs: draw(maximumRewriteDelayMs), isSilent: draw(3) === 0});
 		} else {
-			disturbances[draw(disturbances.length)](simulation, draw, turn);
+			drawn[draw(drawn.length)](simulation, draw, turn);
 		}
 	}
 
--- a/features/support/make-unreliable-store.ts
+++ b/features/support/make-unreliable-store.ts
@@ -51,7 +51,7 @@
 		const timeout = delay(getTimeoutMs(...parameters));
 		const answer = await Promise.race([run(connection, async () => call(...parameters)), timeout]);
 		if (answer === undefined) {
-			connections.discard(connection);
+			connections.renew();
 			return err(new PlatformError('the call timed out', 'unknown'));
 		}
 
@@ -63,6 +63,9 @@
 	return {
 		list: wrap(store.list, getCallTimeoutMs),
 		poll: wrap(store.poll, (_prefix, _after, waitMs) => waitMs + waitMarginMs),
+		reconnect() {
+			connections.renew();
+		},
 		get: wrap(store.get, getCallTimeoutMs),
 		commit: wrap(store.commit, getCallTimeoutMs),
 		grantLeaseFor: wrap(store.grantLeaseFor, getCallTimeoutMs),
--- a/features/support/mesh-simulation.ts
+++ b/features/support/mesh-simulation.ts
@@ -155,6 +155,7 @@
 			inFlightCounts,
 			getDigest: () => ({}),
 			onDigest: () => undefined,
+			onSilence: () => undefined,
 			onMessage: () => undefined,
 			clock,
 			random: this.random,
--- a/features/support/simulated-connections.ts
+++ b/features/support/simulated-connections.ts
@@ -28,12 +28,7 @@
 		}
 	}
 
-	/** Closes a connection whose call was not answered. */
-	discard(connection: Connection): void {
-		this.open.delete(connection);
-	}
-
-	/** Closes the idle connections; those in use are not kept after their calls. */
+	/** Closes the idle connections, as after a call without an answer; those in use are not kept after their calls. */
 	renew(): void {
 		this.idle = [];
 		this.open.clear();
--- a/features/support/store-simulation.ts
+++ b/features/support/store-simulation.ts
@@ -68,6 +68,8 @@
 	private readonly leftAtById = new Map<string, number>();
 	/** Time from which deadlines apply again after the last fault, milliseconds; infinite during a fault. */
 	private deadlinesApplyFrom = 0;
+	/** Time until which deadlines do not apply because of a silence, milliseconds. */
+	private allowedUntil = 0;
 	private nextPort = 1000;
 	private activeFaults = 0;
 	private isTrackingUse = false;
@@ -204,7 +206,7 @@
 			this.network.silence(isAffected);
 		}
 
-		this.deadlinesApplyFrom = Math.max(this.deadlinesApplyFrom, this.now + allowanceMs);
+		this.allowedUntil = Math.max(this.allowedUntil, this.now + allowanceMs);
 	}
 
 	/** Adds idle connections to the store at each entry. */
@@ -333,6 +335,10 @@
 		this.checkTargets(entry);
 	}
 
+	private get deadlinesStart(): number {
+		return Math.max(this.deadlinesApplyFrom, this.allowedUntil);
+	}
+
 	private checkConfiguration(entry: SimulatedEntry): void {
 		const version = entry.state.getTable(this.now)?.version ?? 0;
 		if (version < entry.version) {
@@ -344,7 +350,7 @@
 			entry.servedVersions.add(version);
 		}
 
-		const since = Math.max(this.configuredAt, this.deadlinesApplyFrom, entry.startedAt);
+		const since = Math.max(this.configuredAt, this.deadlinesStart, entry.startedAt);
 		if (version < this.version && this.now - since > configurationDeadlineMs && !this.isIsolated(entry)) {
 			this.reportViolation(`entry ${entry.id} has configuration ${version}, ${this.version} was accepted ${this.now - since} ms before`);
 		}
@@ -358,8 +364,8 @@
 			}
 
 			// No entry may know a departure written during a fault of the store; it takes effect when the registration is not written again.
-			const deadlineMs = leftAt < this.deadlinesApplyFrom ? settleDeadlineMs : drainDeadlineMs;
-			if (isUsed && this.now - Math.max(leftAt, this.deadlinesApplyFrom, entry.startedAt) > deadlineMs && !this.isIsolated(entry)) {
+			const deadlineMs = leftAt < this.deadlinesStart ? settleDeadlineMs : drainDeadlineMs;
+			if (isUsed && this.now - Math.max(leftAt, this.deadlinesStart, entry.startedAt) > deadlineMs && !this.isIsolated(entry)) {
 				this.reportViolation(`entry ${entry.id} uses ${id}, which left ${this.now - leftAt} ms before`);
 			}
 
@@ -372,7 +378,7 @@
 
 		for (const [key, {at}] of this.expectedDocuments) {
 			const id = key.slice(getKey('').length);
-			const since = Math.max(at, this.deadlinesApplyFrom, entry.startedAt);
+			const since = Math.max(at, this.deadlinesStart, entry.startedAt);
 			const isExpected = key.startsWith(getKey('')) && !this.leftAtById.has(id) && this.now - since > settleDeadlineMs && !this.isIsolated(entry);
 			if (isExpected && !this.isUsed(entry, id)) {
 				this.reportViolation(`entry ${entry.id} does not use ${id}, which has been registered for ${this.now - at} ms`);
--- a/src/expert-balance/rank-process.ts
+++ b/src/expert-balance/rank-process.ts
@@ -45,7 +45,7 @@
 /** Minimum time between two reports of this rank, milliseconds. */
 const minimumDelayMs = 10;
 /** Maximum wait of one long poll for changes of the planner key, milliseconds; the loss of a planner shows on its link much sooner. */
-const viewWaitMs = 12_000;
+const viewWaitMs = 9600;
 /** Maximum backoff after a failed call to the store, milliseconds: the election is not acted on while the store is unavailable. */
 const longestPauseMs = 2000;
 /** After the group has been held for this time at the step of the hold, another planner may take over, milliseconds. */
@@ -204,6 +204,7 @@
 		const now = this.options.clock();
 		this.updateGroup();
 		if (this.groupElection) {
+			this.groupElection.view.checkCall(now);
 			this.tickElection(this.groupElection, now);
 		}
 
--- a/src/forward/make-entry-state.ts
+++ b/src/forward/make-entry-state.ts
@@ -54,8 +54,8 @@
 
 /** Prefix of the keys under which entries register. */
 const entriesPrefix = 'wardswitch/entries/';
-/** Longest wait of a call that watches the store, milliseconds: after a partition, a process must be up to date within 3 s (the platform's bound). */
-const viewWaitMs = 2000;
+/** Mean wait of a call that watches the store, milliseconds: after a partition, a process must be up to date within 3 s (the platform's bound). */
+const viewWaitMs = 1200;
 /** Longest backoff between calls to the store, milliseconds: even 1.5 times this plus the call is within that bound. Not shorter, since each refused call has a cost. */
 const maximumBackoffMs = 1000;
 /** How long a starting entry waits for a peer's view before it serves with the store's alone, milliseconds: the store may be older. */
@@ -71,6 +71,9 @@
 		waitMs: viewWaitMs,
 		maximumBackoffMs,
 		log: log.view,
+		onLateChange() {
+			mesh.reportNow();
+		},
 		onChange(now) {
 			noteFirstRead();
 			fleet.refresh(now);
@@ -92,6 +95,9 @@
 			fleetStart.notePeer(peer, digest.isNewFleet ?? false);
 			options.onDigest(peer, digest, isSameZone, now);
 		},
+		onSilence(reason) {
+			view.noteSilence(reason);
+		},
 		log: log.view,
 	});
 	const listRegistered = (): string[] => view.list(entriesPrefix).map(({key: registered}) => registered.slice(entriesPrefix.length));
--- a/src/key-value/change-feed.ts
+++ b/src/key-value/change-feed.ts
@@ -21,4 +21,6 @@
 	list(prefix: string): Promise<Result<Listing, PlatformError>>;
 	/** Waits up to `waitMs` milliseconds for changes after the revision `after`. */
 	poll(prefix: string, after: number, waitMs: number): Promise<Result<Changes, PlatformError>>;
+	/** Makes all later calls on new connections: the open ones may be silent. Waits in progress end with an error. */
+	reconnect(): void;
 };
--- a/src/mesh/entry-mesh.ts
+++ b/src/mesh/entry-mesh.ts
@@ -24,6 +24,8 @@
 	readonly getDigest: (isFull: boolean, now: number) => EntryDigest;
 	/** Called with the digest in each report of a peer; `isSameZone`: the peer is in this entry's availability zone. */
 	readonly onDigest: (peer: string, digest: EntryDigest, isSameZone: boolean, now: number) => void;
+	/** Called when a link has become silent: other connections opened before may be silent as well. */
+	readonly onSilence: (reason: string) => void;
 	/** Called with messages that do not concern the mesh itself; `send` answers on the same link. */
 	readonly onMessage: (message: LinkMessage, send: (message: LinkMessage) => boolean) => void;
 	readonly clock: () => number;
@@ -32,7 +34,7 @@
 };
 
 /** A peer; its availability zone is unknown until its first report. Times in milliseconds. */
-type Peer = {readonly link: PersistentLink; lastSeenAt: number; availabilityZone: string | undefined};
+type Peer = {readonly link: PersistentLink; lastSeenAt: number; isSilent: boolean; availabilityZone: string | undefined};
 
 /**
  * Minimum interval between two reports of requests in flight, milliseconds: for each peer, so that a burst costs the same regardless
@@ -44,7 +46,7 @@
  * Minimum interval between two reports to peers in other zones, milliseconds. Counts of other zones only matter when the own zone
  * is full, which lasts for a second or two; with 32 entries in three zones, two thirds of all reports go to other zones.
  */
-const remoteZoneReportMs = 700;
+const remoteZoneReportMs = 750;
 /** Maximum interval between two reports, milliseconds; it serves as a heartbeat. */
 const heartbeatMs = 500;
 /**
@@ -97,6 +99,7 @@
 		const now = this.options.clock();
 		this.report(now);
 		for (const [address, peer] of this.peers) {
+			this.checkSilence(address, peer, now);
 			if (peer.link.current && now - peer.lastSeenAt > linkTimeoutMs) {
 				this.options.log(`link to ${address} is cut: nothing received for ${Math.round(now - peer.lastSeenAt)} ms`);
 				peer.lastSeenAt = now;
@@ -127,7 +130,7 @@
 
 	/** Number of open links on which nothing has arrived for longer than reports may take. */
 	countSilentLinks(now: number): number {
-		return [...this.peers.values()].filter(({link, lastSeenAt}) => link.current !== undefined && now - lastSeenAt > silenceMs).length;
+		return [...this.peers.values()].filter(peer => this.isSilent(peer, now)).length;
 	}
 
 	/** Whether a peer has sent its view since the start. */
@@ -180,11 +183,24 @@
 		}
 	}
 
+	private isSilent({link, lastSeenAt}: Peer, now: number): boolean {
+		return link.current !== undefined && now - lastSeenAt > silenceMs;
+	}
+
+	private checkSilence(address: string, peer: Peer, now: number): void {
+		const wasSilent = peer.isSilent;
+		peer.isSilent = this.isSilent(peer, now);
+		if (peer.isSilent && !wasSilent) {
+			this.options.onSilence(`nothing received on the link to ${address} for ${Math.round(now - peer.lastSeenAt)} ms`);
+		}
+	}
+
 	private open(address: string): void {
 		const {connect, hello, clock, random, log} = this.options;
 		let isOpen = false;
 		const peer: Peer = {
 			lastSeenAt: clock(),
+			isSilent: false,
 			availabilityZone: undefined,
 			link: new PersistentLink({
 				connect: async () => connect(address),
@@ -264,19 +280,20 @@
 		const digest = getDigest(false, now);
 		// The age of a limit grows with time; it does not count as a change.
 		const summary = JSON.stringify([inFlightCounts.getOwnCounts(), view.asOf, getConfigurationVersion(), {...digest, limits: digest.limits?.map(({agoMs, ...limit}) => limit)}]);
-		if (summary === this.lastSummary && now - this.reportedAt < heartbeatMs) {
+		const isOwnZoneDue = summary !== this.lastSummary || now - this.reportedAt >= heartbeatMs;
+		const isRemoteZoneDue = now - this.remoteZoneReportedAt >= remoteZoneReportMs;
+		if (!isOwnZoneDue && !isRemoteZoneDue) {
 			return;
 		}
 
 		this.lastSummary = summary;
-		this.reportedAt = now;
+		this.reportedAt = isOwnZoneDue ? now : this.reportedAt;
 		this.peerListSentAt = includesPeers ? now : this.peerListSentAt;
 		const report = this.makeReport(includesPeers);
-		const isRemoteZoneDue = now - this.remoteZoneReportedAt >= remoteZoneReportMs;
 		this.remoteZoneReportedAt = isRemoteZoneDue ? now : this.remoteZoneReportedAt;
 		for (const {link, availabilityZone} of this.peers.values()) {
 			const isSameZone = availabilityZone === undefined || availabilityZone === this.options.availabilityZone;
-			if (isSameZone || isRemoteZoneDue) {
+			if (isSameZone ? isOwnZoneDue : isRemoteZoneDue) {
 				link.current?.send(report);
 			}
 		}
--- a/src/view/store-view.ts
+++ b/src/view/store-view.ts
@@ -15,7 +15,10 @@
 	readonly prefix: string;
 	/** Decides which of two items is more recent, whether they come from the store or a peer. */
 	readonly comparator: ItemComparator;
-	/** Longest wait of one call for changes, milliseconds. A process that reconnects after a partition notices within it. */
+	/**
+	 * Mean wait of one call for changes, milliseconds. It varies by a quarter in either direction, so that the calls of all processes do not
+	 * end at the same time: the first one that ends on a silent connection learns what the others miss.
+	 */
 	readonly waitMs: number;
 	/**
 	 * Maximum backoff between failed calls, milliseconds, with a jitter of half of it in either direction. It runs from the start of
@@ -29,10 +32,14 @@
 	readonly log: (message: string) => void;
 	/** Called after a change, with the present time, milliseconds. */
 	readonly onChange: (now: number) => void;
+	/** Called after changes that a silent connection had held back, which peers may still lack. */
+	readonly onLateChange?: () => void;
 };
 
-/** Result of a call: it failed, confirmed the view as up to date (with or without changes), or was of no use to it. */
-type CallResult = 'failed' | 'updated' | 'unused';
+/** Result of a call: it failed, confirmed the view as up to date (with or without changes), was of no use to it, or was given up. */
+type CallResult = 'failed' | 'updated' | 'unused' | 'abandoned';
+/** Why a call is ended before its answer. */
+type Abort = Extract<CallResult, 'unused' | 'abandoned'>;
 
 /**
  * Pause after an answer with changes, milliseconds, so that a burst of changes arrives in few answers: each answer is one call by every
@@ -41,8 +48,16 @@
 const batchingMs = 300;
 /** Initial backoff after a failed or unused call, milliseconds; it doubles with each further one. */
 const initialBackoffMs = 50;
-/** Wait of a call for changes while the store does not answer, milliseconds, so that its recovery is noticed as soon. */
+/** Wait of a call for changes while the store may not answer, milliseconds, so that its recovery is noticed as soon. */
 const unavailableWaitMs = 300;
+/** Spread of the wait, as a share of it. */
+const waitSpread = 0.25;
+/** A call for changes that is unanswered for this time beyond its wait may be on a silent connection, milliseconds; a slow store takes 240. */
+const overdueMs = 300;
+/** A process whose periodic checks did not run for this time was paused, and its connections may be silent, milliseconds. */
+const pauseMs = 1000;
+/** Minimum interval between two calls that are made again because connections may be silent, milliseconds: longer than such a call may take. */
+const reconnectIntervalMs = 1200;
 const describe = ({era, number}: Revision): string => `era ${era} revision ${number}`;
 const toItems = (items: readonly StoredValue[], era: number): StoredItem[] => items.map(item => ({...item, era}));
 
@@ -61,9 +76,17 @@
 	/** When the view was last known to be up to date, by own calls or a peer's, milliseconds. */
 	private upToDateAt = Number.NEGATIVE_INFINITY;
 	private staleAnswers = 0;
+	private abortCall: ((result: Abort) => void) | undefined;
+	/** When the current call for changes is overdue, milliseconds; undefined if there is none, or its timeout alone ends it. */
+	private overdueAt: number | undefined;
+	private checkedAt: number | undefined;
+	private reconnectedAt = Number.NEGATIVE_INFINITY;
+	/** Why connections may be silent, until the store is called on a new one. */
+	private suspicion: string | undefined;
+	/** Whether the next call for changes is to find out soon whether the store answers. */
+	private isConfirming = false;
 	/** When the current call to the store was made, milliseconds; undefined between two calls. */
 	private calledAt: number | undefined;
-	private abortWait: (() => void) | undefined;
 
 	constructor(private readonly options: ViewOptions) {
 		this.items = new ViewItems(options.comparator, options.log);
@@ -138,7 +161,7 @@
 
 			if (isLater(this.revision, before)) {
 				await this.options.delay(batchingMs);
-			} else if (result !== 'updated') {
+			} else if (result === 'failed' || result === 'unused') {
 				await this.backOff(result, this.options.clock() - startedAt);
 			}
 		}
@@ -148,18 +171,39 @@
 		this.isClosed = true;
 	}
 
-	/** Drops retained items whose time is over; `now` in milliseconds. */
+	/** Drops retained items whose time is over, and checks the current call; `now` in milliseconds. */
 	tick(now: number): void {
+		this.checkCall(now);
 		if (this.items.expire(now)) {
 			this.options.onChange(now);
 		}
 	}
 
+	/** Calls the store again on a new connection if the current call is overdue, the process was paused, or silence was noted; `now` in milliseconds. */
+	checkCall(now: number): void {
+		const sinceMs = now - (this.checkedAt ?? now);
+		this.checkedAt = now;
+		if (sinceMs > pauseMs) {
+			this.noteSilence(`this process was paused for ${Math.round(sinceMs)} ms`);
+		} else if (this.overdueAt !== undefined && now > this.overdueAt) {
+			this.noteSilence(`a call is unanswered after ${Math.round(this.getCallMs(now))} ms`);
+		}
+
+		if (this.suspicion !== undefined && now - this.reconnectedAt >= reconnectIntervalMs) {
+			this.reconnect(this.suspicion, now);
+		}
+	}
+
+	/** Notes that open connections may be silent: the store is called again on a new one, with the next check. */
+	noteSilence(reason: string): void {
+		this.suspicion ??= reason;
+	}
+
 	/** Records an era of the store reported by a peer. A new one aborts the current long poll, which the restored store may never answer. */
 	noteEra(era: number): void {
 		if (this.isLoaded && era > this.revision.era && !this.needsFullRead) {
 			this.needsFullRead = true;
-			this.abortWait?.();
+			this.abortCall?.('unused');
 		}
 	}
 
@@ -194,6 +238,27 @@
 		return this.needsFullRead ? this.readAll() : this.readChanges();
 	}
 
+	private reconnect(reason: string, now: number): void {
+		this.suspicion = undefined;
+		this.reconnectedAt = now;
+		this.options.feed.reconnect();
+		if (this.isStoreUnavailable) {
+			return;
+		}
+
+		this.options.log(`calling the store on a new connection: ${reason}`);
+		this.isConfirming = true;
+		this.abortCall?.('abandoned');
+	}
+
+	/* Waits for an answer, unless the call is ended before. */
+	private async waitUnlessAborted<Answer>(answer: Promise<Answer>): Promise<Answer | Abort> {
+		const aborted = new Promise<Abort>(resolve => {
+			this.abortCall = resolve;
+		});
+		return Promise.race([answer, aborted]);
+	}
+
 	private async backOff(result: CallResult, tookMs: number): Promise<void> {
 		const backoffMs = this.backoffMs * (0.5 + this.options.random());
 		await this.options.delay(Math.max(initialBackoffMs * (result === 'unused' ? this.options.random() : 1), backoffMs - tookMs));
@@ -203,7 +268,11 @@
 	private async readAll(): Promise<CallResult> {
 		const {feed, prefix, clock} = this.options;
 		const requested = this.revision;
-		const answer = await feed.list(prefix);
+		const answer = await this.waitUnlessAborted(feed.list(prefix));
+		if (answer === 'unused' || answer === 'abandoned') {
+			return answer;
+		}
+
 		const now = clock();
 		if (answer.isErr()) {
 			this.noteFailure(answer.error.message, now);
@@ -228,19 +297,18 @@
 	}
 
 	private async readChanges(): Promise<CallResult> {
-		const {feed, prefix, waitMs, clock} = this.options;
+		const {feed, prefix, clock} = this.options;
 		const requested = this.revision;
-		const aborted = new Promise<undefined>(resolve => {
-			this.abortWait = () => {
-				resolve(undefined);
-			};
-		});
-		const answer = await Promise.race([feed.poll(prefix, requested.number, this.isStoreUnavailable ? Math.min(unavailableWaitMs, waitMs) : waitMs), aborted]);
-		const now = clock();
-		if (answer === undefined) {
-			return 'unused';
+		const wasSilent = this.isConfirming;
+		const waitMs = this.takeWaitMs();
+		const answer = await this.waitUnlessAborted(feed.poll(prefix, requested.number, waitMs));
+		this.overdueAt = undefined;
+		if (answer === 'unused' || answer === 'abandoned') {
+			return answer;
 		}
 
+		const now = clock();
+
 		if (answer.isErr()) {
 			this.noteFailure(answer.error.message, now);
 			return 'failed';
@@ -263,11 +331,28 @@
 		if (requested.era === era) {
 			this.apply(answer.value.changes, answer.value.asOf, now);
 			this.upToDateAt = now;
+			if (wasSilent && isLater(this.revision, requested)) {
+				this.options.onLateChange?.();
+			}
 		}
 
 		return 'updated';
 	}
 
+	/* Returns the wait of the next call for changes, and from when on that call is overdue. */
+	private takeWaitMs(): number {
+		const {waitMs, random, clock} = this.options;
+		const isShort = this.isStoreUnavailable || this.isConfirming;
+		this.isConfirming = false;
+		if (isShort) {
+			return Math.min(unavailableWaitMs, waitMs);
+		}
+
+		const spreadMs = waitMs * (1 + (waitSpread * ((2 * random()) - 1)));
+		this.overdueAt = clock() + spreadMs + overdueMs;
+		return spreadMs;
+	}
+
 	private replace(items: readonly StoredItem[], asOf: Revision, now: number): void {
 		const isRestored = this.isLoaded && (asOf.era !== this.revision.era || asOf.number < this.revision.number);
 		this.items.replace(items, isRestored, now);
--- a/stand-ins/forward/memory-store.ts
+++ b/stand-ins/forward/memory-store.ts
@@ -166,6 +166,9 @@
 						kind: 'changes' as const, era: this.era, asOf: this.revision, changes: this.history.filter(change => change.revision > after && change.key.startsWith(prefix)),
 					});
 			},
+			reconnect() {
+				// There are no connections.
+			},
 			get: async key => isFaulty() ? fail() : ok(this.items.get(key)),
 			commit: async ({conditions, puts}) => {
 				count();
