--- a/features/platform.feature
+++ b/features/platform.feature
@@ -72,6 +72,11 @@
     And a wait is never answered, and then another call reports era "4"
     Then the wait has ended in era 4, and its history is gone
 
+  # Guards against a process that ends because a timer is given a fraction of a millisecond.
+  Scenario: A wait may have any length
+    Given a store with 5 keys
+    Then a wait of 73.4889 ms after revision 5 returns no change
+
   # Guards against a pool of old connections that a caller tries one after the other, each until its call times out.
   Scenario: After a call without an answer, later calls use new connections
     Given a store with 5 keys
