Reopen a link on which the peer receives nothing

What callers saw: nothing certain; a link that stays silent hides an entry's requests in flight, limits, cooldowns and leaving targets from a peer. Cause: reports go out on the own link and come in on the peer's. An entry cut its link when nothing came in, which says nothing of that link; where one of the two was silent, the peer's reports kept the silent one open for good, and the peer reopened a sound one every 1.5 s. Class: evidence on one connection taken for another. Change: a report names the peers from which its sender receives none although it can reach them; an entry that finds itself named reopens its link. Ruled out: the silence of both directions, which was healed before. Costs nothing while all hear each other.

--- a/features/silent-connections.feature
+++ b/features/silent-connections.feature
@@ -22,6 +22,18 @@
       | the store's  | 1200 |
       | half of all  | 320  |
 
+  # Guards against a link that stays silent for good: reports come in on the peer's link, so they say nothing of one's own, and the peer hears
+  # nothing from then on. Each such entry counts for nothing there: requests in flight, limits, cooldowns, leaving targets.
+  Scenario Outline: Entries hear all others again after <which> connections have gone silent
+    When "<which>" connections go silent 320 ms after a change, and "nothing else happens"
+    And the entries run for 8000 ms
+    Then every entry hears every other one
+
+    Examples:
+      | which       |
+      | all         |
+      | half of all |
+
   # Guards against silence that is noticed with no time left: a second fault then delays the change beyond three seconds after the silence.
   Scenario Outline: Connections go silent, and <besides>
     When "all" connections go silent <age> ms after a change, and "<besides>"
--- a/features/steps/silent-connections-steps.ts
+++ b/features/steps/silent-connections-steps.ts
@@ -1,4 +1,5 @@
-import {When} from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import {Then, When} from '@cucumber/cucumber';
 import {type StoreSimulation} from '../support/store-simulation.js';
 import {type SystemWorld} from '../support/system-world.js';
 
@@ -97,3 +98,9 @@
 	faults[besides](simulation);
 	await simulation.advance(changeDelayMs);
 });
+
+Then('every entry hears every other one', function (this: SystemWorld) {
+	const {entries, now} = getSimulation(this);
+	const heard = [...entries.values()].map(({path}) => path.inFlightCounts.countLivePeers(now));
+	assert.deepEqual(heard, heard.map(() => entries.size - 1));
+});
--- a/src/link/link-message.ts
+++ b/src/link/link-message.ts
@@ -185,6 +185,8 @@
 		...EntryDigest.shape,
 		/** Addresses of the entries that the sender knows, so that a starting entry can find all of them without the store. */
 		peers: z.array(z.string()).optional(),
+		/** Addresses of entries from which the sender receives no reports, although it can reach them; absent when there are none. */
+		unheard: z.array(z.string()).optional(),
 	}),
 	/* Before a request is sent to a target that has announced a limit, the entry that manages the limit's permits is asked for one. */
 	z.object({type: z.literal('permit-wanted'), number: z.int().min(0), limit: LimitDigest}),
--- a/src/mesh/entry-mesh.ts
+++ b/src/mesh/entry-mesh.ts
@@ -33,8 +33,19 @@
 	readonly log: (message: string) => void;
 };
 
-/** A peer; its availability zone is unknown until its first report. Times in milliseconds. */
-type Peer = {readonly link: PersistentLink; lastSeenAt: number; isSilent: boolean; availabilityZone: string | undefined};
+/** A peer. Times in milliseconds. */
+type Peer = {
+	/** Link that this entry has opened: its reports go out on it, those of the peer come in on the peer's own. */
+	readonly link: PersistentLink;
+	openedAt: number;
+	/** When something was last received, or the link opened or cut. */
+	lastSeenAt: number;
+	/** When the peer's last report was received. */
+	reportedAt: number;
+	isSilent: boolean;
+	/** Unknown until the first report. */
+	availabilityZone: string | undefined;
+};
 
 /**
  * Minimum interval between two reports of requests in flight, milliseconds: for each peer, so that a burst costs the same regardless
@@ -183,6 +194,21 @@
 		}
 	}
 
+	/* Whether the own link to a peer is silent shows only in the reports of that peer, which receives nothing on it. */
+	private reopenIfUnheard({address, unheard}: MessageOf<'entry-load'>, peer: Peer, now: number): void {
+		if (unheard?.includes(this.options.address) && peer.link.current && now - peer.openedAt > linkTimeoutMs) {
+			this.options.log(`link to ${address} is cut: the peer receives nothing on it`);
+			peer.link.disconnect();
+		}
+	}
+
+	/* Addresses of the peers that can be reached, but from which no report arrives. */
+	private listUnheard(now: number): string[] {
+		return [...this.peers]
+			.filter(([, {link, reportedAt}]) => link.current !== undefined && now - reportedAt > silenceMs)
+			.map(([address]) => address);
+	}
+
 	private isSilent({link, lastSeenAt}: Peer, now: number): boolean {
 		return link.current !== undefined && now - lastSeenAt > silenceMs;
 	}
@@ -199,7 +225,9 @@
 		const {connect, hello, clock, random, log} = this.options;
 		let isOpen = false;
 		const peer: Peer = {
+			openedAt: clock(),
 			lastSeenAt: clock(),
+			reportedAt: clock(),
 			isSilent: false,
 			availabilityZone: undefined,
 			link: new PersistentLink({
@@ -216,6 +244,7 @@
 				},
 				onOpen: connection => {
 					isOpen = true;
+					peer.openedAt = clock();
 					peer.lastSeenAt = clock();
 					connection.onMessage(message => {
 						peer.lastSeenAt = clock();
@@ -238,7 +267,9 @@
 		const peer = this.peers.get(message.address);
 		if (peer) {
 			peer.lastSeenAt = now;
+			peer.reportedAt = now;
 			peer.availabilityZone = message.availabilityZone;
+			this.reopenIfUnheard(message, peer, now);
 		}
 
 		view.noteEra(message.viewRevision.era);
@@ -302,6 +333,7 @@
 	private makeReport(includesPeers: boolean): MessageOf<'entry-load'> {
 		const {id, address, availabilityZone, inFlightCounts, view, getConfigurationVersion, clock, getDigest} = this.options;
 		const now = clock();
+		const unheard = this.listUnheard(now);
 		return {
 			type: 'entry-load',
 			id,
@@ -313,6 +345,7 @@
 			inFlight: inFlightCounts.getOwnCounts(),
 			...getDigest(includesPeers, now),
 			...(includesPeers && {peers: [...this.peers.keys()]}),
+			...(unheard.length > 0 && {unheard}),
 		};
 	}
 }
