Keep what a restored store lacks while nobody can write it again

What callers saw: nothing yet; targets that are registered would not be used by an entry for ten seconds. Cause: after a restore, values that the store lacks are kept for 2 s and then taken for removed. The time ran on while the store was away, so nobody could write them; a second restore within seconds brought them back, and they were ignored as removed. A read after failed calls also waited for the backoff of those calls, up to 1.5 s, before the keys were read. Class: a time that others have for an action, counted while they cannot act. Change: what is kept is not given up while the store does not answer, and is kept for 2 s from its next answer; a call that was answered after failed ones is followed by the next one at the initial backoff.

--- a/features/restored-store.feature
+++ b/features/restored-store.feature
@@ -163,3 +163,18 @@
       | 544  |
       | 873  |
       | 196  |
+
+  # Guards against registrations that are taken for removed because nobody could write them again: the store was away when their time ended.
+  Scenario Outline: Restores and silent connections mixed with other faults: seed <seed>
+    When restores, changes, restarts, partitions, slow and lost answers, refused calls and silent connections are mixed by seed <seed> for 40000 ms
+    Then nothing went back to an older state and every change was in force in time
+    And no entry has made more than 60 calls in a second
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 76   |
+      | 382  |
+      | 500  |
--- a/features/steps/restored-store-steps.ts
+++ b/features/steps/restored-store-steps.ts
@@ -200,6 +200,12 @@
 	await injectRandomFaults(getSimulation(this), seed, ms);
 });
 
+const silentMixture = 'restores, changes, restarts, partitions, slow and lost answers, refused calls and silent connections are mixed by seed {int} for {int} ms';
+
+When(silentMixture, {timeout: longScenarioMs}, async function (this: SystemWorld, seed: number, ms: number) {
+	await injectRandomFaults(getSimulation(this), seed, ms, {includesSilence: true});
+});
+
 Then('nothing went back to an older state and every change was in force in time', function (this: SystemWorld) {
 	assert.deepEqual(getSimulation(this).violations, []);
 });
--- a/src/view/retained-items.ts
+++ b/src/view/retained-items.ts
@@ -92,6 +92,15 @@
 		}
 	}
 
+	/** Extends the overrides that end before `until`, milliseconds. */
+	extend(until: number): void {
+		for (const [key, retained] of this.entries) {
+			if (retained.until < until) {
+				this.entries.set(key, {...retained, until});
+			}
+		}
+	}
+
 	/** Drops expired overrides; `dropped` are their items. */
 	expire(now: number): {readonly hasChanged: boolean; readonly dropped: readonly StoredItem[]} {
 		const due = [...this.entries].filter(([, {until}]) => until <= now);
--- a/src/view/store-availability.ts
+++ b/src/view/store-availability.ts
@@ -31,10 +31,10 @@
 		this.failedSince ??= now;
 	}
 
-	/** Records an answered call. */
-	noteAnswer(now: number): void {
+	/** Records an answered call; returns whether calls had failed before it. */
+	noteAnswer(now: number): boolean {
 		if (this.failedSince === undefined) {
-			return;
+			return false;
 		}
 
 		const outageMs = now - this.failedSince;
@@ -43,6 +43,8 @@
 		if (outageMs > minimumOutageMs) {
 			this.recoveringUntil = now + recoveryMs;
 		}
+
+		return true;
 	}
 
 	/** Records that the store was restored from a backup: keys that it lacks may be written again within the rewrite window. */
--- a/src/view/store-view.ts
+++ b/src/view/store-view.ts
@@ -5,6 +5,7 @@
 import {type StoredValue} from '../key-value/stored-value.js';
 import {type ItemComparator} from './item-comparator.js';
 import {describeRetained} from './describe-retained.js';
+import {rewriteWindowMs} from './rewrite-window-ms.js';
 import {StoreAvailability} from './store-availability.js';
 import {type StoredItem} from './stored-item.js';
 import {ViewItems} from './view-items.js';
@@ -71,6 +72,7 @@
 	private readonly availability: StoreAvailability;
 	private revision: Revision = {era: 0, number: 0};
 	private backoffMs = initialBackoffMs;
+	private lastResult: CallResult | undefined;
 	private needsFullRead = true;
 	private isClosed = false;
 	/** When the view was last known to be up to date, by own calls or a peer's, milliseconds. */
@@ -164,6 +166,8 @@
 			} else if (result === 'failed' || result === 'unused') {
 				await this.backOff(result, this.options.clock() - startedAt);
 			}
+
+			this.lastResult = result;
 		}
 	}
 
@@ -174,7 +178,8 @@
 	/** Drops retained items whose time is over, and checks the current call; `now` in milliseconds. */
 	tick(now: number): void {
 		this.checkCall(now);
-		if (this.items.expire(now)) {
+		// Nothing can be written again while the store does not answer.
+		if (!this.isStoreUnavailable && this.items.expire(now)) {
 			this.options.onChange(now);
 		}
 	}
@@ -260,6 +265,11 @@
 	}
 
 	private async backOff(result: CallResult, tookMs: number): Promise<void> {
+		// The first answer after failed calls shows that the store is reachable, so the next call need not wait.
+		if (result === 'unused' && this.lastResult === 'failed') {
+			this.backoffMs = initialBackoffMs;
+		}
+
 		const backoffMs = this.backoffMs * (0.5 + this.options.random());
 		await this.options.delay(Math.max(initialBackoffMs * (result === 'unused' ? this.options.random() : 1), backoffMs - tookMs));
 		this.backoffMs = Math.min(this.options.maximumBackoffMs, this.backoffMs * 2);
@@ -279,7 +289,7 @@
 			return 'failed';
 		}
 
-		this.availability.noteAnswer(now);
+		this.noteAnswer(now);
 		this.needsFullRead = false;
 		const {era, asOf, items} = answer.value;
 		const listed = {era, number: asOf};
@@ -314,7 +324,7 @@
 			return 'failed';
 		}
 
-		this.availability.noteAnswer(now);
+		this.noteAnswer(now);
 		const {kind, era} = answer.value;
 		if (era < this.revision.era) {
 			this.noteStaleAnswer({era, number: requested.number});
@@ -375,6 +385,12 @@
 		}
 	}
 
+	private noteAnswer(now: number): void {
+		if (this.availability.noteAnswer(now)) {
+			this.items.extendRetention(now + rewriteWindowMs);
+		}
+	}
+
 	private noteFailure(message: string, now: number): void {
 		this.availability.noteFailure(`${message}; continuing with ${describe(this.revision)}`, now);
 	}
--- a/src/view/view-items.ts
+++ b/src/view/view-items.ts
@@ -68,6 +68,11 @@
 		this.updateCurrent();
 	}
 
+	/** Keeps overrides until `until` at least, milliseconds. */
+	extendRetention(until: number): void {
+		this.retained.extend(until);
+	}
+
 	/** Drops expired overrides; returns whether there were any. */
 	expire(now: number): boolean {
 		const {hasChanged, dropped} = this.retained.expire(now);
