Prove that a paused process and signs of silence call the store once on a new connection

Cause: four parts of the notice of silence had no scenario that fails without them. Change: four rows on the view alone.

--- a/features/steps/view-steps.ts
+++ b/features/steps/view-steps.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {setImmediate as yieldTurn} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {err, ok} from 'neverthrow';
 import {PlatformError} from '../../src/key-value/platform-error.js';
@@ -185,3 +186,63 @@
 	assert.deepEqual(view.asOf, {era: 2, number: lowRevision});
 	assert.equal(view.get('former'), undefined);
 });
+
+const readTimes = (text: string): number[] => text.split(', ').filter(Boolean).map(Number);
+
+Given('a view that waits for changes', async function (this: SystemWorld) {
+	const waits: number[] = [];
+	const state = {now: 0, reconnects: [] as number[], waits};
+	const view: StoreView = new StoreView({
+		feed: {
+			reconnect() {
+				state.reconnects.push(state.now);
+			},
+			list: async () => ok({era: 0, asOf: 1, items: []}),
+			async poll(_prefix, _after, wait) {
+				waits.push(wait);
+				return new Promise(() => {
+					// Never answered.
+				});
+			},
+		},
+		prefix: '',
+		comparator: unorderedItems,
+		waitMs: 20_000,
+		maximumBackoffMs: 1000,
+		clock: () => state.now,
+		random: () => 0.5,
+		delay: async () => undefined,
+		log: String,
+		onChange: String,
+	});
+	void view.run();
+	await yieldTurn();
+	this.onClose(() => {
+		view.close();
+	});
+	this.notes.set('view', view);
+	this.notes.set('state', state);
+});
+
+When('it is checked at {string} ms, with silence noted at {string} ms', async function (this: SystemWorld, checks: string, silences: string) {
+	const view = this.notes.get('view') as StoreView;
+	const state = this.notes.get('state') as {now: number};
+	const silentAt = readTimes(silences);
+	const times = [...readTimes(checks), ...silentAt].toSorted((one, other) => one - other);
+	for (const at of times) {
+		state.now = at;
+		if (silentAt.includes(at)) {
+			view.noteSilence('a link is silent');
+		} else {
+			view.checkCall(at);
+		}
+
+		await yieldTurn();
+	}
+});
+
+Then('it has opened new connections at {string} ms, and then waited 300 ms at most', function (this: SystemWorld, expected: string) {
+	const {reconnects, waits} = this.notes.get('state') as {reconnects: number[]; waits: number[]};
+	assert.deepEqual(reconnects, readTimes(expected));
+	assert.deepEqual(waits.slice(1), reconnects.map(() => 300));
+});
--- a/features/view.feature
+++ b/features/view.feature
@@ -54,3 +54,16 @@
     Given a view of a store that answers
     When its calls end as "answered, refused, refused, refused, refused, refused, refused, answered"
     Then the pauses grow from 50 ms to 1000 ms
+
+  # Guards against a process that goes on waiting on connections that went silent while it was paused, and against a call for each sign of silence.
+  Scenario Outline: The store is called again on a new connection after <signs>
+    Given a view that waits for changes
+    When it is checked at "<checks>" ms, with silence noted at "<silences>" ms
+    Then it has opened new connections at "<reconnects>" ms, and then waited 300 ms at most
+
+    Examples:
+      | signs                        | checks                      | silences    | reconnects |
+      | no sign                      | 0, 100, 200, 1100           |             |            |
+      | a pause of the process       | 0, 100, 5100, 5200          |             | 5100       |
+      | a sign                       | 0, 100, 200                 | 150         | 200        |
+      | several signs within seconds | 0, 900, 1000, 1500, 2000, 2200, 2300 | 950, 1450, 1950 | 1000, 2200 |
