Ignore removed targets of a restored store at entries that have just started

What callers saw: an entry that had started within two seconds sent requests to a target that had left, for 40 to 460 ms, when the store came back from an older copy. Cause: the restored store was compared with records of removals alone, and these begin with the process; that its own complete view lacked the target was not used. Ruled out: a peer's view that came and was ignored (none had arrived); silence as the cause (all entries that start at once fail without it). Change: a registration from before the records that the view lacked counts as removed if the copy certainly includes its revision; above that it is presumed removed until a peer decides that has followed the store since before the restore, 2 s at most. Why this works: absence from a complete view at a later revision is a removal; only revisions assigned again are in doubt, and a peer with records is asked for these.

--- a/features/restored-store.feature
+++ b/features/restored-store.feature
@@ -120,6 +120,39 @@
     And the entries run for 5000 ms
     Then nothing went back to an older state and every change was in force in time
 
+  # Guards against an entry that uses a removed target again: it started after the removal and has no record of it, but its view before the
+  # restore did not have the target. The copy's last write could as well be a later one under the same revision.
+  Scenario Outline: Entries that started after a target was removed do not use it when a backup contains it: <entries> started, <links> links, <write> write
+    When a target whose registration is <write> write of the backup is removed
+    And <entries> start again, and their links are <links>
+    And the store is restored to the state before that after 0 ms, and the lost keys are written again 1500 ms later
+    And the entries run for 5000 ms
+    Then none of them has used the removed target
+    And nothing went back to an older state and every change was in force in time
+
+    Examples:
+      | entries     | links  | write     |
+      | one entry   | open   | an early  |
+      | one entry   | cut    | an early  |
+      | all entries | open   | an early  |
+      | all entries | cut    | an early  |
+      | one entry   | open   | the last  |
+      | one entry   | cut    | the last  |
+      | all entries | open   | the last  |
+
+  # Guards against taking a registration for a removed one because its revision is lower than that of the view before.
+  Scenario Outline: A target that registers after the restore is used at once by entries that started shortly before: <entries>
+    When a target whose registration is an early write of the backup is removed
+    And <entries> start again, and their links are open
+    And the store is restored to the state before that after 0 ms, and a target registers at once
+    Then all entries use it within <ms> ms
+    And nothing went back to an older state and every change was in force in time
+
+    Examples:
+      | entries     | ms   |
+      | one entry   | 1000 |
+      | all entries | 3000 |
+
   Scenario: Two restores in a row
     When the operator changes the configuration, a target registers and another leaves
     And the store is restored to the state before that after 300 ms, and the lost keys are written again 400 ms later
@@ -164,7 +197,8 @@
       | 873  |
       | 196  |
 
-  # Guards against registrations that are taken for removed because nobody could write them again: the store was away when their time ended.
+  # Guards against registrations that are taken for removed because nobody could write them again: the store was away when their time ended;
+  # and against entries that use a removed target from a backup, because it was removed before they started.
   Scenario Outline: Restores and silent connections mixed with other faults: seed <seed>
     When restores, changes, restarts, partitions, slow and lost answers, refused calls and silent connections are mixed by seed <seed> for 40000 ms
     Then nothing went back to an older state and every change was in force in time
@@ -178,3 +212,13 @@
       | 76   |
       | 382  |
       | 500  |
+      | 337  |
+      | 3457 |
+      | 3949 |
+      | 10841 |
+      | 10903 |
+      | 10991 |
+      | 11987 |
+      | 12743 |
+      | 13094 |
+      | 14351 |
--- a/features/steps/restored-store-steps.ts
+++ b/features/steps/restored-store-steps.ts
@@ -190,6 +190,59 @@
 	await simulation.advance(settleMs);
 });
 
+When('a target whose registration is an/the {word} write of the backup is removed', async function (this: SystemWorld, write: string) {
+	const simulation = getSimulation(this);
+	const id = write === 'last' ? 'last' : 'target-1';
+	if (write === 'last') {
+		simulation.register(id);
+		await simulation.advance(settleMs);
+	}
+
+	simulation.store.takeCopy();
+	simulation.remove(id);
+	this.notes.set('removed', id);
+	await simulation.advance(settleMs);
+});
+
+When('{word} entry/entries start again, and their links are {word}', async function (this: SystemWorld, which: string, links: string) {
+	const simulation = getSimulation(this);
+	const restarted = which === 'one' ? ['6'] : [...simulation.entries.keys()];
+	for (const id of restarted) {
+		simulation.kill(id);
+	}
+
+	for (const id of restarted) {
+		simulation.start(`${id}+`);
+		if (links === 'cut') {
+			simulation.partitioned.add(simulation.entries.get(`${id}+`)!.address);
+		}
+	}
+
+	this.notes.set('restarted', restarted.map(id => `${id}+`));
+	await simulation.advance(settleMs);
+});
+
+Then('none of them has used the removed target', function (this: SystemWorld) {
+	const simulation = getSimulation(this);
+	const users = (this.notes.get('restarted') as string[]).filter(id => simulation.entries.get(id)!.usedAfterLeave.has(this.notes.get('removed') as string));
+	assert.deepEqual(users, []);
+});
+
+When('the store is restored to the state before that after 0 ms, and a target registers at once', async function (this: SystemWorld) {
+	const simulation = getSimulation(this);
+	simulation.store.restoreCopy();
+	simulation.register('new');
+	simulation.at(settleMs, () => {
+		simulation.rewriteLostKeys();
+	});
+});
+
+Then('all entries use it within {int} ms', async function (this: SystemWorld, ms: number) {
+	const simulation = getSimulation(this);
+	await simulation.advance(ms);
+	assert.equal(simulation.countUsing('new'), simulation.entries.size);
+});
+
 When('{int} more entries start', async function (this: SystemWorld, count: number) {
 	const simulation = getSimulation(this);
 	simulation.store.takeCopy();
--- a/src/mesh/entry-mesh.ts
+++ b/src/mesh/entry-mesh.ts
@@ -292,7 +292,7 @@
 		// A store that was restored from a backup may have less than a peer knows, which an entry that has just started cannot detect.
 		const isFirstSnapshot = viewRevision.number > 0 && !this.hasPeerSnapshot;
 		const isOutdated = configurationVersion > getConfigurationVersion() && this.mayRequestConfiguration(configurationVersion, now);
-		return isFirstSnapshot || isOutdated ? zeroRevision : undefined;
+		return isFirstSnapshot || isOutdated || view.hasPresumed ? zeroRevision : undefined;
 	}
 
 	/* Limits repeated requests for a configuration that this entry cannot use, though a peer can. */
--- a/src/view/retained-items.ts
+++ b/src/view/retained-items.ts
@@ -1,5 +1,6 @@
 import {type RemovedKey} from '../key-value/removed-key.js';
 import {type StoredValue} from '../key-value/stored-value.js';
+import {findCopyRevision} from './find-copy-revision.js';
 import {type ItemComparator} from './item-comparator.js';
 import {rewriteWindowMs} from './rewrite-window-ms.js';
 import {type RemovedItems} from './removed-items.js';
@@ -13,6 +14,8 @@
 	readonly item: StoredItem | undefined;
 	/** When the override expires, milliseconds; infinite if it holds until a newer value is written. */
 	readonly until: number;
+	/** Whether the key is only presumed removed: a peer that knows the store from before it was restored may tell otherwise. */
+	readonly isPresumed?: boolean;
 };
 
 type Rollback = {
@@ -20,8 +23,13 @@
 	readonly before: Items;
 	readonly stored: Items;
 	readonly removed: RemovedItems;
+	/** The store's own items before the rollback, and the revision since which removals are recorded. */
+	readonly former: Items;
+	readonly recordedFrom: number;
 };
 
+type PeerItems = Pick<ViewSnapshot, 'items' | 'retained' | 'presumed'>;
+
 /** Time within which a registration that is not renewed expires, milliseconds. A removed one that a backup holds again is ignored this long. */
 const registrationExpiryMs = 10_000;
 
@@ -62,7 +70,9 @@
 	}
 
 	/** Rebuilds the retained set after the store was restored from a backup; `now` in milliseconds. */
-	rebuild({before, stored, removed}: Rollback, now: number): void {
+	rebuild(rollback: Rollback, now: number): void {
+		const {before, stored, removed, former} = rollback;
+		const formerEntries = new Map(this.entries);
 		this.entries.clear();
 		for (const known of before.values()) {
 			const until = this.findRetentionEnd(known, stored.get(known.key), now);
@@ -80,6 +90,51 @@
 				this.entries.set(key, {item: undefined, until: now + registrationExpiryMs});
 			}
 		}
+
+		for (const [key, retained] of formerEntries) {
+			const isUnchanged = stored.has(key) && stored.get(key)?.revision === former.get(key)?.revision;
+			if (!retained.item && isUnchanged && !this.entries.has(key)) {
+				this.entries.set(key, retained);
+			}
+		}
+
+		this.ignoreUnrecordedRemovals(rollback, now);
+	}
+
+	/** Keys that are only presumed removed. */
+	listPresumed(): string[] {
+		return [...this.entries].filter(([, {isPresumed}]) => isPresumed).map(([key]) => key);
+	}
+
+	/** Adopts a peer's presumed removals of keys that are the same here; returns whether there are any. */
+	adoptPresumed({presumed, items}: {readonly presumed: readonly string[]; readonly items: readonly StoredItem[]}, stored: Items, now: number): boolean {
+		const adopted = items.filter(({key, revision}) => presumed.includes(key) && stored.get(key)?.revision === revision && !this.entries.has(key));
+		for (const {key} of adopted) {
+			this.entries.set(key, {item: undefined, until: now + rewriteWindowMs, isPresumed: true});
+		}
+
+		return adopted.length > 0;
+	}
+
+	/**
+	 * Decides on the presumed removals by the view of a peer that knows the store from before it was restored.
+	 *
+	 * @returns whether any key is in use again
+	 */
+	confirmPresumed({items, retained = [], presumed = []}: PeerItems): boolean {
+		const stored = new Map(items.map(item => [item.key, item]));
+		const removedKeys = new Set(retained.filter(({item}) => item === undefined).map(({key}) => key));
+		let hasReleased = false;
+		for (const key of this.listPresumed().filter(name => stored.has(name) && !presumed.includes(name))) {
+			if (removedKeys.has(key)) {
+				this.entries.set(key, {...this.entries.get(key)!, isPresumed: false});
+			} else {
+				this.entries.delete(key);
+				hasReleased = true;
+			}
+		}
+
+		return hasReleased;
 	}
 
 	/** Applies a change received from the store, or found by reading it again; `known` is the item in effect until now. */
@@ -132,7 +187,7 @@
 
 	/** The retained items in the form sent to peers. */
 	list(stored: Items, now: number): NonNullable<ViewSnapshot['retained']> {
-		return [...this.entries].map(([key, {item, until}]) => ({
+		return [...this.entries].filter(([, {isPresumed}]) => !isPresumed).map(([key, {item, until}]) => ({
 			key,
 			...(item && {item}),
 			...(Number.isFinite(until) && {leftMs: until - now}),
@@ -146,7 +201,8 @@
 	 * @returns whether any was added
 	 */
 	mergeFromPeer(offered: NonNullable<ViewSnapshot['retained']>, stored: Items, now: number): boolean {
-		const unchanged = offered.filter(({key, storedRevision}) => !this.entries.has(key) && stored.get(key)?.revision === storedRevision);
+		const isKnown = (key: string): boolean => this.entries.has(key) && !this.entries.get(key)?.isPresumed;
+		const unchanged = offered.filter(({key, storedRevision}) => !isKnown(key) && stored.get(key)?.revision === storedRevision);
 		for (const {key, item, leftMs} of unchanged) {
 			this.entries.set(key, {item, until: now + (leftMs ?? Number.POSITIVE_INFINITY)});
 		}
@@ -154,6 +210,24 @@
 		return unchanged.length > 0;
 	}
 
+	/*
+	 * Ignores registrations in the restored store that were written before this process recorded removals, and that its view before did not
+	 * have. Those of a revision that the copy certainly includes were removed. A later one was either removed too, or written since the
+	 * restore under a revision that was assigned again.
+	 */
+	private ignoreUnrecordedRemovals({before, stored, removed, former, recordedFrom}: Rollback, now: number): void {
+		const copyRevision = findCopyRevision(former, stored);
+		for (const [key, offered] of stored) {
+			const isRecorded = former.has(key) || before.has(key) || removed.get(key) !== undefined;
+			if (isRecorded || offered.revision >= recordedFrom || !this.comparator.isSameIncarnation(offered, offered)) {
+				continue;
+			}
+
+			const isPresumed = offered.revision > copyRevision;
+			this.entries.set(key, {item: undefined, until: now + (isPresumed ? rewriteWindowMs : registrationExpiryMs), isPresumed});
+		}
+	}
+
 	private findRetentionEnd(known: StoredItem, offered: StoredItem | undefined, now: number): number | undefined {
 		const isOlder = this.comparator.isOlder(known, offered);
 		if (isOlder === true) {
--- a/src/view/store-view.ts
+++ b/src/view/store-view.ts
@@ -71,6 +71,8 @@
 	private readonly items: ViewItems;
 	private readonly availability: StoreAvailability;
 	private revision: Revision = {era: 0, number: 0};
+	/** Revision since which removals are recorded, here or by a peer before; undefined until the view is filled. */
+	private recordedFrom: Revision | undefined;
 	private backoffMs = initialBackoffMs;
 	private lastResult: CallResult | undefined;
 	private needsFullRead = true;
@@ -120,6 +122,11 @@
 		return this.availability.isUnavailable;
 	}
 
+	/** Whether registrations are ignored that may have been removed, which a peer may know. */
+	get hasPresumed(): boolean {
+		return this.items.hasPresumed;
+	}
+
 	/** Time since the view was last known to be up to date, milliseconds. */
 	getAge(now: number): number {
 		return now - this.upToDateAt;
@@ -214,7 +221,12 @@
 
 	/** The view in the form sent to peers. */
 	getSnapshot(now: number): ViewSnapshot {
-		return {asOf: this.revision, ageMs: this.getAge(now), ...this.items.getSnapshot(now)};
+		return {
+			asOf: this.revision,
+			ageMs: this.getAge(now),
+			...(this.recordedFrom && {recordedFrom: this.recordedFrom}),
+			...this.items.getSnapshot(now),
+		};
 	}
 
 	/** Merges a peer's view: all of it if it is newer, and single items that are newer. Returns whether anything changed. */
@@ -228,9 +240,11 @@
 			this.upToDateAt = Math.max(this.upToDateAt, now - snapshot.ageMs);
 		}
 
-		const hasAdded = snapshot.asOf.era === this.revision.era && this.items.mergeRetained(snapshot, now);
+		const isSameEra = snapshot.asOf.era === this.revision.era;
+		const hasAdded = isSameEra && this.items.mergeRetained(snapshot, now);
+		const hasDecided = isSameEra && this.mergePresumed(snapshot, now);
 		const hasRetained = this.items.retainNewer(snapshot);
-		const hasChanged = hasReleased || isNewer || hasAdded || hasRetained;
+		const hasChanged = hasReleased || isNewer || hasAdded || hasDecided || hasRetained;
 		if (hasChanged) {
 			this.options.onChange(now);
 		}
@@ -238,6 +252,20 @@
 		return hasChanged;
 	}
 
+	/* A view that has been kept since before the store was restored knows which registrations were removed; one that started later does not. */
+	private mergePresumed(snapshot: ViewSnapshot, now: number): boolean {
+		const {era} = this.revision;
+		const peerFrom = snapshot.recordedFrom;
+		if (!peerFrom || peerFrom.era >= era) {
+			return false;
+		}
+
+		const isNew = this.recordedFrom === undefined || this.recordedFrom.era === era;
+		const hasDecided = isNew ? this.items.adoptPresumed(snapshot, now) : this.items.confirmPresumed(snapshot);
+		this.recordedFrom = this.recordedFrom && isLater(peerFrom, this.recordedFrom) ? this.recordedFrom : peerFrom;
+		return hasDecided;
+	}
+
 	/** Reads all keys or waits for changes. */
 	private async callStore(): Promise<CallResult> {
 		return this.needsFullRead ? this.readAll() : this.readChanges();
@@ -365,7 +393,7 @@
 
 	private replace(items: readonly StoredItem[], asOf: Revision, now: number): void {
 		const isRestored = this.isLoaded && (asOf.era !== this.revision.era || asOf.number < this.revision.number);
-		this.items.replace(items, isRestored, now);
+		this.items.replace(items, {isRestored, recordedFrom: this.recordedFrom?.number ?? 0}, now);
 		if (isRestored) {
 			this.availability.noteRollback(now);
 			const retained = describeRetained(this.items.getSnapshot(now).retained ?? []);
@@ -373,6 +401,7 @@
 		}
 
 		this.revision = asOf;
+		this.recordedFrom ??= asOf;
 	}
 
 	private apply(changes: ReadonlyArray<StoredValue | RemovedKey>, asOf: number, now: number): void {
--- a/src/view/view-items.ts
+++ b/src/view/view-items.ts
@@ -6,7 +6,13 @@
 import {type StoredItem} from './stored-item.js';
 import {type ViewSnapshot} from './view-snapshot.js';
 
-type SnapshotItems = Pick<ViewSnapshot, 'items' | 'retained' | 'removed'>;
+type SnapshotItems = Pick<ViewSnapshot, 'items' | 'retained' | 'removed' | 'presumed'>;
+type Replacement = {
+	/** Whether the store was restored from a backup since the last read. */
+	readonly isRestored: boolean;
+	/** Revision since which removals are recorded. */
+	readonly recordedFrom: number;
+};
 
 /** The items of a view: those of the store, and those that override them after the store was restored from a backup. */
 export class ViewItems {
@@ -42,16 +48,14 @@
 			.toSorted((one, other) => one.era - other.era || one.revision - other.revision);
 	}
 
-	/**
-	 * Replaces all stored items.
-	 *
-	 * @param isRestored - whether the store was restored from a backup since the last read
-	 */
-	replace(items: readonly StoredItem[], isRestored: boolean, now: number): void {
+	/** Replaces all stored items. */
+	replace(items: readonly StoredItem[], {isRestored, recordedFrom}: Replacement, now: number): void {
 		const former = this.stored;
 		this.stored = new Map(items.map(item => [item.key, item]));
 		if (isRestored) {
-			this.retained.rebuild({before: this.current, stored: this.stored, removed: this.removed}, now);
+			this.retained.rebuild({
+				before: this.current, stored: this.stored, removed: this.removed, former, recordedFrom,
+			}, now);
 		} else {
 			this.detectChanges(former, now);
 		}
@@ -90,7 +94,32 @@
 	getSnapshot(now: number): SnapshotItems {
 		const retained = this.retained.list(this.stored, now);
 		const removed = this.removed.list(now);
-		return {items: [...this.stored.values()], ...(retained.length > 0 && {retained}), ...(removed.length > 0 && {removed})};
+		const presumed = this.retained.listPresumed();
+		return {
+			items: [...this.stored.values()],
+			...(retained.length > 0 && {retained}),
+			...(removed.length > 0 && {removed}),
+			...(presumed.length > 0 && {presumed}),
+		};
+	}
+
+	/** Whether registrations are ignored that may have been removed, which a peer may know. */
+	get hasPresumed(): boolean {
+		return this.retained.listPresumed().length > 0;
+	}
+
+	/** Adopts a peer's presumed removals; returns whether there are any. */
+	adoptPresumed({presumed = [], items}: SnapshotItems, now: number): boolean {
+		const hasAdopted = this.retained.adoptPresumed({presumed, items}, this.stored, now);
+		this.updateCurrent();
+		return hasAdopted;
+	}
+
+	/** Decides on presumed removals by the view of a peer that knows the store from before it was restored; returns whether any key is in use again. */
+	confirmPresumed(snapshot: SnapshotItems): boolean {
+		const hasReleased = this.retained.confirmPresumed(snapshot);
+		this.updateCurrent();
+		return hasReleased;
 	}
 
 	/** Adds a peer's removals; returns whether they ended any retained item. */
--- a/src/view/view-snapshot.ts
+++ b/src/view/view-snapshot.ts
@@ -24,6 +24,10 @@
 	})).optional(),
 	/** Recently removed items, to be ignored if a restored store holds them again; absent if there are none. */
 	removed: z.array(z.object({item, agoMs: z.number()})).optional(),
+	/** Keys that the sender ignores, though it does not know whether they were removed; absent if there are none. */
+	presumed: z.array(z.string()).optional(),
+	/** Revision since which the sender, or a peer before it, has recorded removals. */
+	recordedFrom: Revision.optional(),
 });
 type ViewSnapshot = z.infer<typeof ViewSnapshot>;
 
