Tell a stopped group from connections that have gone silent

Cause: own streams that stand still were taken for a stopped group, and the probes went out on pooled connections that were dead as well. Evidence: the entries that logged "is down" are those that the silence hit, two others served the group meanwhile. Why it works: a group in lock step makes progress on all streams or on none.

--- a/features/stall.feature
+++ b/features/stall.feature
@@ -32,6 +32,48 @@
       | 3       | 450 | isn't |
       | 2       | 650 | isn't |
 
+  # Guards against an entry that takes a whole service for stopped, and refuses its requests, because its own connections have gone silent.
+  Scenario Outline: Streams that all stand still show silent connections, not a stopped service: <evidence>
+    Given 4 streams at four targets, all with their first event
+    When none gets an event for 650 ms, and "<evidence>"
+    Then the service <known> considered stopped
+    And <aborted> of them are aborted
+
+    Examples:
+      | evidence                               | known | aborted |
+      | a peer still reports it as active      | isn't | 4       |
+      | the links to peers are silent too      | isn't | 4       |
+      | peers report something else            | is    | 0       |
+      | a peer reported it as active 250 ms in | is    | 0       |
+
+  # Guards against resuming streams on silent connections one by one, seconds late, and taking their targets for failing.
+  Scenario Outline: Streams of several targets that stop at the same time are on silent connections: <stopped> stop within <within> ms, the others go on for <ms> ms
+    Given 6 streams at four targets, all with their first event
+    When the last <stopped> stop within <within> ms, and the others go on for <ms> ms
+    Then <aborted> of them are aborted
+    And idle connections from before are closed: <closed>
+
+    Examples:
+      | stopped | within | ms  | aborted | closed |
+      | 4       | 0      | 500 | 4       | yes    |
+      | 4       | 0      | 300 | 0       | no     |
+      | 1       | 0      | 500 | 0       | no     |
+      | 2       | 300    | 500 | 0       | no     |
+      | 6       | 0      | 250 | 0       | yes    |
+
+  # Guards against aborting streams whose events have arrived but have not been read yet.
+  Scenario: After a pause of the process, no stream is taken for silent until all have been read
+    Given 6 streams at four targets, all with their first event
+    When the process is paused for 2000 ms, and the first 2 streams are read 100 ms before the others
+    Then 0 of them are aborted
+
+  # Guards against retrying a request on a new connection, which proved to work after the others had gone silent.
+  Scenario: Requests on connections that proved to work after the silence are not aborted
+    Given 6 streams at four targets, all with their first event
+    And a request is sent on a connection opened 200 ms after the last 4 have stopped
+    When the last 4 stop within 0 ms, and the others go on for 700 ms
+    Then 4 of them are aborted
+
   Scenario: A service that has become slow is not considered stopped repeatedly
     Given 3 streams at one target, all with their first event
     When each gets an event each 600 ms, 20 times
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -46,36 +46,54 @@
 	timesStopped = 0;
 	readonly aborts: AbortController[] = [];
 	readonly waitingForCaller: boolean[] = [];
+	/** Time before which idle connections are to be closed, milliseconds. */
+	retiredBefore = Number.NEGATIVE_INFINITY;
+	/** When a report of a peer last arrived, milliseconds; undefined without peers. */
+	lastReportAt: number | undefined;
+	readonly detector: StallDetector;
 	private readonly inFlightCounts = new InFlightCounts();
-	private readonly detector = new StallDetector({
-		inFlightCounts: this.inFlightCounts,
-		health: new TargetHealth(),
-		clock: () => this.now,
-		log() {
-			// The log is not checked here.
-		},
-		onSilentConnection: id => {
-			this.dropped.push(id);
-		},
-		onStopped: service => {
-			this.stopped.add(service);
-		},
-	});
-
+	private readonly targets: readonly Target[];
 	private readonly watches: Array<ReturnType<StallDetector['watch']>> = [];
 
-	constructor(streams: number) {
+	constructor(streams: number, targets = 1) {
+		this.targets = Array.from({length: targets}, (_, index) => ({...target, id: `target-${index + 1}`}));
+		this.detector = new StallDetector({
+			inFlightCounts: this.inFlightCounts,
+			health: new TargetHealth(),
+			clock: () => this.now,
+			log() {
+				// The log is not checked here.
+			},
+			onSilentConnection: id => {
+				this.dropped.push(id);
+			},
+			onStopped: service => {
+				this.stopped.add(service);
+			},
+			onSuspicion: before => {
+				this.retiredBefore = before;
+			},
+			getLastReportAt: () => this.lastReportAt,
+		});
 		for (let index = 0; index < streams; index++) {
-			const abort = new AbortController();
-			this.aborts.push(abort);
-			this.waitingForCaller.push(false);
-			this.inFlightCounts.noteStart(target.id, this.now);
-			this.watches.push(this.detector.watch({target, abort, isWaitingForCaller: () => this.waitingForCaller[index]}));
+			this.start(index);
 		}
 	}
 
+	/** Starts a request on a new connection. */
+	start(index: number): void {
+		const abort = new AbortController();
+		const to = this.getTarget(index);
+		this.aborts.push(abort);
+		this.waitingForCaller.push(false);
+		this.inFlightCounts.noteStart(to.id, this.now);
+		const watch = this.detector.watch({target: to, abort, isWaitingForCaller: () => this.waitingForCaller[index]});
+		watch.noteConnection(this.now);
+		this.watches.push(watch);
+	}
+
 	progress(index: number): void {
-		this.inFlightCounts.noteProgress(target.id, this.now);
+		this.inFlightCounts.noteProgress(this.getTarget(index).id, this.now);
 		this.watches[index].noteProgress();
 	}
 
@@ -88,6 +106,10 @@
 			this.detector.tick();
 		}
 	}
+
+	private getTarget(index: number): Target {
+		return this.targets[index % this.targets.length];
+	}
 }
 
 const getStreams = (world: SystemWorld): Streams => world.notes.get('streams') as Streams;
@@ -111,6 +133,75 @@
 	this.notes.set('streams', streams);
 });
 
+Given('{int} streams at four targets, all with their first event', function (this: SystemWorld, count: number) {
+	const streams = new Streams(count, 4);
+	this.notes.set('streams', streams);
+	streams.pass(tickMs, [...streams.aborts.keys()]);
+});
+
+/* What happens in each step while none of the streams gets an event. */
+const evidences: Readonly<Record<string, (streams: Streams, stoppedMs: number) => void>> = {
+	'a peer still reports it as active'(streams) {
+		streams.lastReportAt = streams.now;
+		streams.detector.notePeerActivity(['desk'], streams.now);
+	},
+	'the links to peers are silent too'(streams, stoppedMs) {
+		streams.lastReportAt = streams.now - stoppedMs;
+	},
+	'peers report something else'(streams) {
+		streams.lastReportAt = streams.now;
+		streams.detector.notePeerActivity(['other'], streams.now);
+	},
+	'a peer reported it as active 250 ms in'(streams, stoppedMs) {
+		streams.lastReportAt = streams.now;
+		if (stoppedMs <= 250) {
+			streams.detector.notePeerActivity(['desk'], streams.now);
+		}
+	},
+};
+
+When('none gets an event for {int} ms, and {string}', function (this: SystemWorld, ms: number, evidence: string) {
+	const streams = getStreams(this);
+	for (let stoppedMs = 0; stoppedMs < ms; stoppedMs += tickMs) {
+		evidences[evidence](streams, stoppedMs);
+		streams.pass(tickMs, []);
+	}
+});
+
+Then('{int} of them is/are aborted', function (this: SystemWorld, count: number) {
+	assert.equal(getStreams(this).aborts.filter(({signal}) => signal.aborted).length, count);
+});
+
+When('the last {int} stop within {int} ms, and the others go on for {int} ms', function (this: SystemWorld, count: number, withinMs: number, ms: number) {
+	const streams = getStreams(this);
+	const all = [...streams.aborts.keys()].slice(0, 6);
+	streams.pass(withinMs, all.slice(0, -1));
+	const newAt = this.notes.get('opened after') as number | undefined;
+	const live = all.slice(0, all.length - count);
+	if (newAt !== undefined) {
+		streams.pass(newAt, live);
+		streams.start(all.length);
+	}
+
+	streams.pass(ms - (newAt ?? 0), live);
+});
+
+Given('a request is sent on a connection opened {int} ms after the last 4 have stopped', function (this: SystemWorld, ms: number) {
+	this.notes.set('opened after', ms);
+});
+
+When('the process is paused for {int} ms, and the first {int} streams are read 100 ms before the others', function (this: SystemWorld, ms: number, first: number) {
+	const streams = getStreams(this);
+	const all = [...streams.aborts.keys()];
+	streams.now += ms;
+	streams.pass(100, all.slice(0, first));
+	streams.pass(500, all);
+});
+
+Then('idle connections from before are closed: {word}', function (this: SystemWorld, closed: string) {
+	assert.equal(Number.isFinite(getStreams(this).retiredBefore), closed === 'yes');
+});
+
 When('none gets an event for {int} ms', function (this: SystemWorld, ms: number) {
 	getStreams(this).pass(ms, []);
 });
--- a/features/support/fleet-simulation.ts
+++ b/features/support/fleet-simulation.ts
@@ -361,6 +361,7 @@
 				send: async options => path === this.paths[entry] && !this.downEntries.has(entry) ? this.send(entry, options, listener) : this.makeDeadSend(),
 				check: async meant => this.targets.find(({target}) => target.id === meant.id)!.isDown ? 'refuses' : 'listens',
 				drop: () => undefined,
+				retire: () => undefined,
 				close: () => undefined,
 			}),
 		});
--- a/features/support/make-simulated-entry.ts
+++ b/features/support/make-simulated-entry.ts
@@ -44,6 +44,7 @@
 			send: async () => ({kind: 'not-run', reason: 'not sent', wasSent: false}),
 			check: async () => 'listens',
 			drop: () => undefined,
+			retire: () => undefined,
 			close: () => undefined,
 		}),
 	});
--- a/src/balance/service-breaker.ts
+++ b/src/balance/service-breaker.ts
@@ -19,15 +19,17 @@
 
 	constructor(private readonly log: (message: string) => void) {}
 
-	/** Notes that a service is down, and why. */
-	noteDown(service: string, now: number, cause: string): void {
+	/** Notes that a service is down, and why; returns whether that was not known. */
+	noteDown(service: string, now: number, cause: string): boolean {
 		const outage = this.outages.get(service);
 		if (outage) {
 			outage.backoffUntil = now + groupBackoffMs;
-		} else {
-			this.outages.set(service, {since: now, nextProbeAt: now + probeIntervalMs, backoffUntil: now + groupBackoffMs});
-			this.log(`service ${service} is down: ${cause}`);
+			return false;
 		}
+
+		this.outages.set(service, {since: now, nextProbeAt: now + probeIntervalMs, backoffUntil: now + groupBackoffMs});
+		this.log(`service ${service} is down: ${cause}`);
+		return true;
 	}
 
 	/** Notes that a target of the service has made progress, so that the service runs. */
--- a/src/forward/connection-pool.ts
+++ b/src/forward/connection-pool.ts
@@ -2,6 +2,11 @@
 import {TargetConnection} from './target-connection.js';
 
 type IdleConnection = {readonly connection: TargetConnection; readonly since: number};
+type TakenConnection = {
+	readonly connection: TargetConnection;
+	/** When it last proved to work, milliseconds: the end of its last answer, or now for a new one, which proves itself by opening. */
+	readonly aliveAt: number;
+};
 
 /** Idle connections to targets, kept for reuse. */
 export class ConnectionPool {
@@ -16,19 +21,19 @@
 	 *
 	 * @param maximumIdleMs - longest time that it may have been idle, milliseconds; the target may have closed it unnoticed
 	 */
-	take(target: Target, maximumIdleMs: number): TargetConnection {
+	take(target: Target, maximumIdleMs: number): TakenConnection {
 		const connections = this.idle.get(target.id) ?? [];
-		const earliest = this.clock() - maximumIdleMs;
-		while (connections.length > 0 && connections.at(-1)!.since >= earliest) {
-			const {connection} = connections.pop()!;
+		const now = this.clock();
+		while (connections.length > 0 && connections.at(-1)!.since >= now - maximumIdleMs) {
+			const {connection, since} = connections.pop()!;
 			if (connection.isReusable) {
-				return connection;
+				return {connection, aliveAt: since};
 			}
 
 			connection.destroy();
 		}
 
-		return new TargetConnection(target);
+		return {connection: new TargetConnection(target), aliveAt: now};
 	}
 
 	/** Returns a connection to the pool after a complete answer. */
@@ -52,6 +57,17 @@
 		this.idle.delete(target);
 	}
 
+	/** Closes the idle connections that were last used before `before`, milliseconds: they may be silent. */
+	retire(before: number): void {
+		for (const [target, connections] of this.idle) {
+			for (const {connection} of connections.filter(({since}) => since < before)) {
+				connection.destroy();
+			}
+
+			this.idle.set(target, connections.filter(({since}) => since >= before));
+		}
+	}
+
 	/** Closes all idle connections. */
 	close(): void {
 		for (const target of this.idle.keys()) {
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -14,6 +14,7 @@
 import {retrySpreads} from './retry-spreads.js';
 import {type SendOutcome} from './send-outcome.js';
 import {type SendProgress} from './send-progress.js';
+import {silentConnectionReason} from './silent-connection-reason.js';
 import {type StallDetector} from './stall-detector.js';
 import {StreamDelivery} from './stream-delivery.js';
 import {TargetPicker} from './target-picker.js';
@@ -58,6 +59,7 @@
 			reason: 'no target is registered, or all leave',
 			failure: undefined,
 			isExpired: false,
+			hasLostConnection: false,
 			inFlight: 0,
 		};
 		for (;;) {
@@ -100,8 +102,8 @@
 				progress,
 				stalls,
 				clock,
-				send: async (signal, onProgress) => send({
-					exchange, target, delivery: progress.delivery, signal, onProgress,
+				send: async (signal, callbacks) => send({
+					exchange, target, delivery: progress.delivery, signal, ...callbacks,
 				}),
 			});
 		} finally {
@@ -138,9 +140,13 @@
 				progress.sent++;
 				progress.isNotRun = false;
 				this.noteFailure(target, outcome.reason, progress, exchange);
+				// A connection that goes silent together with those to other targets is not the target's fault.
+				progress.hasLostConnection = outcome.reason === silentConnectionReason;
 				if (!isOver) {
 					this.options.crashes.noteLost(exchange, target, outcome);
-					this.options.tracker.health.noteOutcome(target.id, true, now);
+					if (!progress.hasLostConnection) {
+						this.options.tracker.health.noteOutcome(target.id, true, now);
+					}
 				}
 
 				const mayRetry = exchange.isRetryable && !isOver;
--- a/src/forward/make-entry-state.ts
+++ b/src/forward/make-entry-state.ts
@@ -32,6 +32,8 @@
 	readonly clock: () => number;
 	readonly random: () => number;
 	readonly delay: (ms: number) => Promise<void>;
+	/** Called when a link to a peer has become silent; `since`: when something was last received on it, milliseconds. */
+	readonly onSilentLink?: (since: number) => void;
 	readonly log: {readonly view: (message: string) => void; readonly fleet: (message: string) => void; readonly entry: (message: string) => void};
 };
 
@@ -95,8 +97,9 @@
 			fleetStart.notePeer(peer, digest.isNewFleet ?? false);
 			options.onDigest(peer, digest, isSameZone, now);
 		},
-		onSilence(reason) {
+		onSilence(reason, since) {
 			view.noteSilence(reason);
+			options.onSilentLink?.(since);
 		},
 		log: log.view,
 	});
--- a/src/forward/make-forward-pipeline.ts
+++ b/src/forward/make-forward-pipeline.ts
@@ -34,6 +34,10 @@
 	readonly onCrashFound: () => void;
 	/** Called with each retry that the retry budget does not allow. */
 	readonly onRetryRefusal: (service: string) => void;
+	/** Called when connections to targets have gone silent: others of this process may be silent as well. */
+	readonly onSilence?: (reason: string) => void;
+	/** When a report was last received from any peer, milliseconds; undefined if too few peers are connected to tell. */
+	readonly getLastReportAt?: () => number | undefined;
 	/** Called for each attempt. */
 	readonly onSend: (service: string, isRetry: boolean) => void;
 };
@@ -52,6 +56,8 @@
 	removeTarget(target: string): void;
 	/** Closes the connections and resets the state of a target that has restarted. */
 	resetTarget(target: string): void;
+	/** Notes that a link to a peer has been silent since `since`, milliseconds. */
+	noteSilentLink(since: number): void;
 	/** Notes that a group has been formed again, so that requests may go to it. */
 	noteGroupFormed(failureDomain: string): void;
 	close(): void;
@@ -59,7 +65,8 @@
 
 /** Creates the components that send a request to a target: choice of target, admission, retry budget, transport, stall and crash detection. */
 export function makeForwardPipeline(options: PipelineOptions): ForwardPipeline {
-	const {availabilityZone, repeats, openTransport, clock, random, countRegistered, isNewFleet, getService, onLoadChange, onCrashFound, onRetryRefusal, onSend, log, address, listPeers} = options;
+	const {availabilityZone, repeats, openTransport, clock, random, countRegistered, isNewFleet, getService, log, address, listPeers} = options;
+	const {onLoadChange, onCrashFound, onRetryRefusal, onSend, onSilence, getLastReportAt} = options;
 	const inFlightCounts = new InFlightCounts(onLoadChange);
 	const electEntry = (key: string, now: number): string => rankByRendezvous(key, [address, ...listPeers(now)])[0];
 	const tracker = new TargetTracker({...options, electEntry, countInFlight: target => inFlightCounts.count(target, clock())});
@@ -77,8 +84,20 @@
 		clock,
 		log,
 		onStopped(failureDomain) {
-			serviceBreaker.noteDown(failureDomain, clock(), 'none of its streams makes progress');
+			const now = clock();
+			// The first request after that goes out on a new connection, and shows whether the group or the connections have stopped.
+			if (serviceBreaker.noteDown(failureDomain, now, 'none of its streams makes progress')) {
+				serviceBreaker.allowNextProbe(failureDomain, now);
+			}
+		},
+		onRunning(failureDomain) {
+			serviceBreaker.noteRunning(failureDomain, clock());
 		},
+		onSuspicion(before) {
+			transport.retire(before);
+		},
+		onSilence,
+		getLastReportAt,
 		onSilentConnection(target) {
 			transport.drop(target);
 		},
@@ -133,12 +152,19 @@
 		inFlightCounts,
 		tracker,
 		dispatcher,
-		getDigest: (isFull, now) => ({
-			...tracker.getDigest(now), ...crashes.suspects.getDigest(isFull, now), ...(isFull && {entries: entryCount.getDigest(now)}),
-		}),
+		getDigest(isFull, now) {
+			const active = stalls.listActive(now);
+			return {
+				...tracker.getDigest(now),
+				...crashes.suspects.getDigest(isFull, now),
+				...(isFull && {entries: entryCount.getDigest(now)}),
+				...(active.length > 0 && {active}),
+			};
+		},
 		mergeDigest(peer, digest, isSameZone, now) {
 			tracker.mergeDigest(peer, digest, isSameZone, now);
 			crashes.suspects.merge(digest, now);
+			stalls.notePeerActivity(digest.active ?? [], now);
 			if (digest.entries) {
 				entryCount.merge(digest.entries, now);
 			}
@@ -160,6 +186,9 @@
 			tracker.resetTarget(target);
 			crashes.noteRestart(target);
 		},
+		noteSilentLink(since) {
+			stalls.noteSilentLink(since);
+		},
 		noteGroupFormed(failureDomain) {
 			serviceBreaker.noteRunning(failureDomain, clock());
 		},
--- a/src/forward/make-http-transport.ts
+++ b/src/forward/make-http-transport.ts
@@ -23,6 +23,9 @@
 		drop(target) {
 			pool.drop(target);
 		},
+		retire(before) {
+			pool.retire(before);
+		},
 		close() {
 			pool.close();
 		},
--- a/src/forward/send-progress.ts
+++ b/src/forward/send-progress.ts
@@ -16,6 +16,8 @@
 	isNotRun: boolean;
 	/** Whether the next attempt has already been charged to the retry budget. */
 	isRetryCharged: boolean;
+	/** Whether the last attempt was lost with a connection that went silent together with others, through no fault of its target. */
+	hasLostConnection: boolean;
 	/** Why the last attempt gave no answer; may be sent to the caller. */
 	reason: string;
 	/** A target's error response, relayed to the caller if there is no other answer. */
--- a/src/forward/send-with-timeouts.ts
+++ b/src/forward/send-with-timeouts.ts
@@ -4,6 +4,7 @@
 import {type SendOutcome} from './send-outcome.js';
 import {type SendProgress} from './send-progress.js';
 import {type StallDetector} from './stall-detector.js';
+import {type TargetTransport} from './target-transport.js';
 
 type SendOptions = {
 	readonly exchange: ForwardExchange;
@@ -13,7 +14,7 @@
 	/** The present time, milliseconds; the request's deadline is on the same clock. */
 	readonly clock: () => number;
 	/** Sends the request; aborted by the signal. */
-	readonly send: (signal: AbortSignal, onProgress: () => void) => Promise<SendOutcome>;
+	readonly send: (signal: AbortSignal, callbacks: Pick<Parameters<TargetTransport['send']>[0], 'onConnection' | 'onProgress'>) => Promise<SendOutcome>;
 };
 
 /** Timeout of one attempt of an idempotent request, as a multiple of its route's target latency; it is then retried elsewhere. */
@@ -44,8 +45,13 @@
 	exchange.disconnection.signal.addEventListener('abort', handleDisconnect, {once: true});
 	const watch = exchange.isRetryable ? stalls.watch({target, abort, isWaitingForCaller: () => exchange.response.writableNeedDrain}) : undefined;
 	try {
-		return await send(abort.signal, () => {
-			watch?.noteProgress();
+		return await send(abort.signal, {
+			onConnection(aliveAt) {
+				watch?.noteConnection(aliveAt);
+			},
+			onProgress() {
+				watch?.noteProgress();
+			},
 		});
 	} finally {
 		watch?.stop();
--- a/src/forward/stall-detector.ts
+++ b/src/forward/stall-detector.ts
@@ -2,6 +2,8 @@
 import {type TargetHealth} from '../balance/target-health.js';
 import {getFailureDomain} from '../fleet/get-failure-domain.js';
 import {type Target} from '../fleet/target.js';
+import {findSilenceStart} from './find-silence-start.js';
+import {silentConnectionReason} from './silent-connection-reason.js';
 
 type DetectorOptions = {
 	readonly inFlightCounts: InFlightCounts;
@@ -12,6 +14,14 @@
 	readonly onStopped: (failureDomain: string) => void;
 	/** Called with a target of which one connection has stalled: idle connections to it may be lost as well. */
 	readonly onSilentConnection: (target: string) => void;
+	/** Called with the failure domain that is known to run although none of its streams made progress. */
+	readonly onRunning?: (failureDomain: string) => void;
+	/** Called when connections that last proved to work before `before`, milliseconds, may be silent. */
+	readonly onSuspicion?: (before: number) => void;
+	/** Called when connections have gone silent: others of this process may be silent as well. */
+	readonly onSilence?: (reason: string) => void;
+	/** When a report was last received from any peer, milliseconds; undefined if too few peers are connected to tell. */
+	readonly getLastReportAt?: () => number | undefined;
 };
 
 /** A request in flight at a target. */
@@ -20,11 +30,19 @@
 	readonly abort: AbortController;
 	/** Whether the caller has yet to read what was sent (backpressure), so that nothing is read from the target meanwhile. */
 	readonly isWaitingForCaller: () => boolean;
+	readonly startedAt: number;
 	/** When the target last sent something for it, milliseconds; undefined before the first time. */
 	progressAt: number | undefined;
+	/** When its connection last proved to work, milliseconds; undefined before it has one. */
+	aliveAt: number | undefined;
 };
 
+/** A stream that has begun, by its target, and its last progress, milliseconds. */
+type RunningStream = {readonly target: string; readonly progressAt: number};
+
 type Watch = {
+	/** Notes when the connection that was taken for the request last proved to work, milliseconds. */
+	noteConnection(aliveAt: number): void;
 	/** Notes that the target sent something for the request. */
 	noteProgress(): void;
 	/** Ends the watch. */
@@ -44,9 +62,28 @@
 const stallGapFactor = 4;
 /** Weight of the newest gap between two events in the moving average. */
 const gapWeight = 0.1;
+/** A group or service of which no stream made progress for this share of its timeout gets requests on new connections only. */
+const suspicionShare = 0.4;
+/** Streams that stand still for this time, at several targets at once, while others of their group go on, are on silent connections, milliseconds. */
+const silenceTimeoutMs = 350;
+/** A group that has sent something on some stream for this time without interruption runs, milliseconds. */
+const steadyMs = 200;
+/** A peer's report that a group is active proves that it runs if it arrives this long after the own last progress, milliseconds. */
+const peerActivityMs = 350;
+/** Connections that worked until this time after the last progress of silent ones may be silent as well, milliseconds. */
+const silenceMarginMs = 100;
+/** A request that has waited less is not aborted as silent, milliseconds: most are answered sooner. */
+const minimumWaitMs = 200;
+/** A process whose checks did not run for this time was paused, milliseconds. */
+const pauseMs = 300;
+/** Time after a pause within which the process reads what was sent meanwhile, milliseconds: until then, streams seem to stand still. */
+const catchUpMs = 300;
 /** Streams needed to distinguish a stopped service from slow answers. */
 const minimumStreams = 3;
 
+/** Progress of a group or service on any stream: since when without interruption, and the last one, milliseconds. */
+type Activity = {since: number; last: number};
+
 /** Aborts requests whose target or connection has stalled while others make progress, so that they can be retried elsewhere. */
 export class StallDetector {
 	/** By service, since when it has been active without interruption, milliseconds. */
@@ -54,14 +91,26 @@
 	private readonly watched = new Set<WatchedRequest>();
 	/** By group or service, moving average of the gap between two events of a stream, milliseconds. */
 	private readonly meanGaps = new Map<string, number>();
+	/** By group or service. */
+	private readonly activities = new Map<string, Activity>();
+	/** By group or service, when a peer last reported it as active, milliseconds. */
+	private readonly peerActivityAt = new Map<string, number>();
+	/** When the checks last ran, and when they last resumed after a pause of this process, milliseconds. */
+	private checkedAt: number | undefined;
+	private resumedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly options: DetectorOptions) {}
 
 	/** Starts to watch a request; the result stops the watch. */
 	watch(request: Pick<WatchedRequest, 'target' | 'abort' | 'isWaitingForCaller'>): Watch {
-		const watched: WatchedRequest = {...request, progressAt: undefined};
+		const watched: WatchedRequest = {
+			...request, startedAt: this.options.clock(), progressAt: undefined, aliveAt: undefined,
+		};
 		this.watched.add(watched);
 		return {
+			noteConnection(aliveAt) {
+				watched.aliveAt = aliveAt;
+			},
 			noteProgress: () => {
 				this.noteProgress(watched);
 			},
@@ -74,8 +123,13 @@
 	/** Checks all watched requests. */
 	tick(): void {
 		const now = this.options.clock();
+		this.notePause(now);
 		this.updateActive(now);
-		this.detectStoppedUnits(now);
+		if (now - this.resumedAt < catchUpMs) {
+			return;
+		}
+
+		this.checkFailureDomains(now);
 		for (const watched of this.watched) {
 			if (watched.isWaitingForCaller()) {
 				watched.progressAt &&= now;
@@ -87,11 +141,45 @@
 		}
 	}
 
+	/** Groups, or services whose groups are not known, that have made progress within the last moments; `now` in milliseconds. */
+	listActive(now: number): string[] {
+		return [...this.activities].filter(([, {last}]) => now - last < activeWindowMs).map(([failureDomain]) => failureDomain);
+	}
+
+	/** Notes that a peer has reported these groups as active; `now` in milliseconds. */
+	notePeerActivity(failureDomains: readonly string[], now: number): void {
+		for (const failureDomain of failureDomains) {
+			this.peerActivityAt.set(failureDomain, now);
+		}
+	}
+
+	/** Notes that a link to a peer has been silent since `since`, milliseconds: if all links are, other connections are taken for silent too. */
+	noteSilentLink(since: number): void {
+		const lastReportAt = this.options.getLastReportAt?.();
+		this.options.onSuspicion?.(since);
+		if (lastReportAt !== undefined && lastReportAt <= since + silenceMarginMs) {
+			this.abortSilent(since, 'nothing arrives on the links to peers');
+		}
+	}
+
+	private notePause(now: number): void {
+		if (this.checkedAt !== undefined && now - this.checkedAt > pauseMs) {
+			this.resumedAt = now;
+			this.activeSince.clear();
+		}
+
+		this.checkedAt = now;
+	}
+
 	private noteProgress(watched: WatchedRequest): void {
 		const now = this.options.clock();
 		const {target, progressAt} = watched;
+		const failureDomain = getFailureDomain(target);
+		const activity = this.activities.get(failureDomain);
+		const isContinued = activity !== undefined && now - activity.last < activeWindowMs;
+		this.activities.set(failureDomain, {since: isContinued ? activity.since : now, last: now});
+		watched.aliveAt = now;
 		if (progressAt !== undefined) {
-			const failureDomain = getFailureDomain(target);
 			const meanGapMs = this.meanGaps.get(failureDomain) ?? 0;
 			this.meanGaps.set(failureDomain, meanGapMs + (((now - progressAt) - meanGapMs) * gapWeight));
 		}
@@ -118,21 +206,80 @@
 		}
 	}
 
-	/* Requests to a stopped group or service would wait until they are refused or their caller disconnects. */
-	private detectStoppedUnits(now: number): void {
-		const failureDomains = new Map<string, number[]>();
+	private checkFailureDomains(now: number): void {
+		const streams = new Map<string, RunningStream[]>();
 		for (const {target, progressAt, isWaitingForCaller} of this.watched) {
 			if (progressAt !== undefined && !isWaitingForCaller()) {
 				const failureDomain = getFailureDomain(target);
-				failureDomains.set(failureDomain, [...failureDomains.get(failureDomain) ?? [], progressAt]);
+				streams.set(failureDomain, [...streams.get(failureDomain) ?? [], {target: target.id, progressAt}]);
 			}
 		}
 
-		for (const [failureDomain, times] of failureDomains) {
-			const limitMs = Math.max(failureDomainStallTimeoutMs, stallGapFactor * (this.meanGaps.get(failureDomain) ?? 0));
-			if (times.length >= minimumStreams && now - Math.max(...times) > limitMs) {
-				this.options.onStopped(failureDomain);
+		for (const [failureDomain, running] of streams) {
+			this.checkFailureDomain(failureDomain, running, now);
+		}
+	}
+
+	private checkFailureDomain(failureDomain: string, streams: readonly RunningStream[], now: number): void {
+		const slowMs = stallGapFactor * (this.meanGaps.get(failureDomain) ?? 0);
+		const limitMs = Math.max(failureDomainStallTimeoutMs, slowMs);
+		const lastProgressAt = Math.max(...streams.map(({progressAt}) => progressAt));
+		const stoppedMs = now - lastProgressAt;
+		if (this.isSteady(failureDomain, now)) {
+			const silentSince = findSilenceStart(streams.filter(({progressAt}) => now - progressAt > Math.max(silenceTimeoutMs, slowMs)));
+			if (silentSince !== undefined) {
+				this.abortSilent(silentSince, `${failureDomain} makes progress on others`);
 			}
+		} else if (streams.length >= minimumStreams && stoppedMs > limitMs) {
+			this.handleStandstill(failureDomain, lastProgressAt);
+		} else if (streams.length >= minimumStreams && stoppedMs > suspicionShare * limitMs) {
+			this.options.onSuspicion?.(lastProgressAt);
+		}
+	}
+
+	/* Requests to a stopped group or service would wait until they are refused or their caller disconnects. */
+	private handleStandstill(failureDomain: string, lastProgressAt: number): void {
+		const evidence = this.findOwnFault(failureDomain, lastProgressAt);
+		if (evidence === undefined) {
+			this.options.onStopped(failureDomain);
+		} else {
+			this.options.onRunning?.(failureDomain);
+			this.abortSilent(lastProgressAt, evidence);
+		}
+	}
+
+	/* Streams that all stand still show that their group has stopped, or that the connections of this process have gone silent. */
+	private findOwnFault(failureDomain: string, lastProgressAt: number): string | undefined {
+		if ((this.peerActivityAt.get(failureDomain) ?? Number.NEGATIVE_INFINITY) > lastProgressAt + peerActivityMs) {
+			return `a peer reports that ${failureDomain} is active`;
+		}
+
+		const lastReportAt = this.options.getLastReportAt?.();
+		const areLinksSilent = lastReportAt !== undefined && lastReportAt <= lastProgressAt + silenceMarginMs;
+		return areLinksSilent ? 'nothing arrives on the links to peers either' : undefined;
+	}
+
+	private isSteady(failureDomain: string, now: number): boolean {
+		const activity = this.activities.get(failureDomain);
+		return activity !== undefined && now - activity.last < activeWindowMs && activity.last - activity.since >= steadyMs;
+	}
+
+	/* Aborts the requests whose connections have not proved to work since `since`, so that they are retried on new ones. */
+	private abortSilent(since: number, evidence: string): void {
+		const now = this.options.clock();
+		const before = since + silenceMarginMs;
+		this.options.onSuspicion?.(before);
+		const silent = [...this.watched].filter(({aliveAt, startedAt, isWaitingForCaller}) =>
+			aliveAt !== undefined && aliveAt <= before && now - Math.max(startedAt, aliveAt) > minimumWaitMs && !isWaitingForCaller());
+		if (silent.length === 0) {
+			return;
+		}
+
+		const reason = `${silent.length} requests are on connections silent for ${Math.round(now - since)} ms: ${evidence}`;
+		this.options.log(reason);
+		this.options.onSilence?.(reason);
+		for (const {abort} of silent) {
+			abort.abort(silentConnectionReason);
 		}
 	}
 
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -80,6 +80,10 @@
 		onRetryRefusal(service) {
 			metrics.refusedRetries.inc({service});
 		},
+		onSilence(reason) {
+			view.noteSilence(reason);
+		},
+		getLastReportAt: () => mesh.lastReportAt,
 		onSend(service, isRetry) {
 			metrics.sends.inc({service, repeat: String(isRetry)});
 		},
@@ -126,6 +130,9 @@
 		onRestart(target) {
 			pipeline.resetTarget(target);
 		},
+		onSilentLink(since) {
+			pipeline.noteSilentLink(since);
+		},
 		onGroupFormed(failureDomain) {
 			pipeline.noteGroupFormed(failureDomain);
 		},
--- a/src/forward/target-picker.ts
+++ b/src/forward/target-picker.ts
@@ -114,7 +114,7 @@
 			getLatencyMs: target => exchange.route!.kind === 'stream' ? 0 : health.getLatencyMs(target, now),
 			// A stream that has begun takes precedence over new requests.
 			queueLength: progress.delivery.hasBegun ? Number.POSITIVE_INFINITY : queueLength,
-			isRetry: progress.sent > 0,
+			isRetry: progress.sent > 0 && !progress.hasLostConnection,
 			mayProbe: () => progress.sent === 0 && probes.takeProbe(exchange.service),
 			random,
 		});
--- a/src/forward/target-sender.ts
+++ b/src/forward/target-sender.ts
@@ -49,7 +49,9 @@
 
 	constructor(private readonly sender: SenderOptions, private readonly options: SendOptions) {
 		this.sentAt = sender.clock();
-		this.connection = sender.pool.take(options.target, options.exchange.isRetryable ? Number.POSITIVE_INFINITY : maximumIdleOnceMs);
+		const {connection, aliveAt} = sender.pool.take(options.target, options.exchange.isRetryable ? Number.POSITIVE_INFINITY : maximumIdleOnceMs);
+		this.connection = connection;
+		options.onConnection(aliveAt);
 	}
 
 	async run(): Promise<SendOutcome> {
--- a/src/forward/target-transport.ts
+++ b/src/forward/target-transport.ts
@@ -9,6 +9,8 @@
 	readonly delivery: StreamDelivery;
 	/** Aborts the attempt; the signal's reason says why. */
 	readonly signal: AbortSignal;
+	/** Called with the time at which the connection taken last proved to work, milliseconds. */
+	readonly onConnection: (aliveAt: number) => void;
 	/** Called for each part of the target's answer. */
 	readonly onProgress: () => void;
 };
@@ -21,5 +23,7 @@
 	check(target: Target): Promise<'listens' | 'refuses' | 'silent'>;
 	/** Closes the idle connections to a target. */
 	drop(target: string): void;
+	/** Closes the idle connections to all targets that were last used before `before`, milliseconds. */
+	retire(before: number): void;
 	close(): void;
 };
--- a/src/mesh/entry-digest.ts
+++ b/src/mesh/entry-digest.ts
@@ -18,6 +18,8 @@
 	entries: EntryCountDigest.optional(),
 	/** Whether all entries have started for the first time, as far as the sender knows; absent if not. */
 	isNewFleet: z.literal(true).optional(),
+	/** Groups, or services whose groups are not known, that have sent the sender something within the last moments; absent when there are none. */
+	active: z.array(z.string()).optional(),
 	...CrashDigest.shape,
 });
 type EntryDigest = z.infer<typeof EntryDigest>;
--- a/src/mesh/entry-mesh.ts
+++ b/src/mesh/entry-mesh.ts
@@ -24,8 +24,12 @@
 	readonly getDigest: (isFull: boolean, now: number) => EntryDigest;
 	/** Called with the digest in each report of a peer; `isSameZone`: the peer is in this entry's availability zone. */
 	readonly onDigest: (peer: string, digest: EntryDigest, isSameZone: boolean, now: number) => void;
-	/** Called when a link has become silent: other connections opened before may be silent as well. */
-	readonly onSilence: (reason: string) => void;
+	/**
+	 * Called when a link has become silent: other connections opened before may be silent as well.
+	 *
+	 * @param since - when something was last received on it, milliseconds
+	 */
+	readonly onSilence: (reason: string, since: number) => void;
 	/** Called with messages that do not concern the mesh itself; `send` answers on the same link. */
 	readonly onMessage: (message: LinkMessage, send: (message: LinkMessage) => boolean) => void;
 	readonly clock: () => number;
@@ -71,6 +75,8 @@
 const linkTimeoutMs = 1500;
 /** Maximum backoff between attempts to open a link, milliseconds. */
 const maximumBackoffMs = 800;
+/** Open links needed to tell silent connections of this process from silent peers. */
+const minimumLinks = 2;
 /** Minimum interval between two requests for a peer's view, milliseconds. */
 const viewRequestMs = 300;
 /** Minimum interval between two requests for the same version of a configuration, milliseconds. */
@@ -84,7 +90,7 @@
  */
 export class EntryMesh {
 	private readonly peers = new Map<string, Peer>();
-	private reportedAt = 0;
+	private sentAt = 0;
 	private peerListSentAt = 0;
 	private remoteZoneReportedAt = 0;
 	private lastSummary = '';
@@ -131,7 +137,7 @@
 		this.timer ??= setTimeout(() => {
 			this.timer = undefined;
 			this.report(this.options.clock());
-		}, Math.max(0, this.reportedAt + Math.min(maximumReportMs, reportMsPerPeer * this.peers.size) - now));
+		}, Math.max(0, this.sentAt + Math.min(maximumReportMs, reportMsPerPeer * this.peers.size) - now));
 	}
 
 	/** Addresses of the peers whose link is open and has not timed out. */
@@ -144,6 +150,15 @@
 		return [...this.peers.values()].filter(peer => this.isSilent(peer, now)).length;
 	}
 
+	/**
+	 * When a report was last received from any peer, milliseconds. Undefined with fewer than two open links: the silence of a single one
+	 * may be the peer's.
+	 */
+	get lastReportAt(): number | undefined {
+		const linked = [...this.peers.values()].filter(({link}) => link.current !== undefined);
+		return linked.length < minimumLinks ? undefined : Math.max(...linked.map(peer => peer.reportedAt));
+	}
+
 	/** Whether a peer has sent its view since the start. */
 	get hasReceivedView(): boolean {
 		return this.hasPeerSnapshot;
@@ -217,7 +232,7 @@
 		const wasSilent = peer.isSilent;
 		peer.isSilent = this.isSilent(peer, now);
 		if (peer.isSilent && !wasSilent) {
-			this.options.onSilence(`nothing received on the link to ${address} for ${Math.round(now - peer.lastSeenAt)} ms`);
+			this.options.onSilence(`nothing received on the link to ${address} for ${Math.round(now - peer.lastSeenAt)} ms`, peer.lastSeenAt);
 		}
 	}
 
@@ -309,16 +324,16 @@
 		const includesPeers = now - this.peerListSentAt >= peerListMs;
 		const {inFlightCounts, view, getConfigurationVersion, getDigest} = this.options;
 		const digest = getDigest(false, now);
-		// The age of a limit grows with time; it does not count as a change.
-		const summary = JSON.stringify([inFlightCounts.getOwnCounts(), view.asOf, getConfigurationVersion(), {...digest, limits: digest.limits?.map(({agoMs, ...limit}) => limit)}]);
-		const isOwnZoneDue = summary !== this.lastSummary || now - this.reportedAt >= heartbeatMs;
+		// The age of a limit, and which groups are active, vary all the time; they do not count as changes.
+		const summary = JSON.stringify([inFlightCounts.getOwnCounts(), view.asOf, getConfigurationVersion(), {...digest, active: undefined, limits: digest.limits?.map(({agoMs, ...limit}) => limit)}]);
+		const isOwnZoneDue = summary !== this.lastSummary || now - this.sentAt >= heartbeatMs;
 		const isRemoteZoneDue = now - this.remoteZoneReportedAt >= remoteZoneReportMs;
 		if (!isOwnZoneDue && !isRemoteZoneDue) {
 			return;
 		}
 
 		this.lastSummary = summary;
-		this.reportedAt = isOwnZoneDue ? now : this.reportedAt;
+		this.sentAt = isOwnZoneDue ? now : this.sentAt;
 		this.peerListSentAt = includesPeers ? now : this.peerListSentAt;
 		const report = this.makeReport(includesPeers);
 		this.remoteZoneReportedAt = isRemoteZoneDue ? now : this.remoteZoneReportedAt;
