Keep requests that crash targets in the store

What callers saw: a request that crashes its targets crashed two or three more after each start of all entries at once. Cause: that it is refused was kept in the entries' memories alone, and peers could tell an entry that starts only while one of them ran on. Ruled out: reports of peers that do not arrive. Why it works: what must last is in the platform's store, and an entry serves nothing before it has read it.

--- a/features/crash.feature
+++ b/features/crash.feature
@@ -31,6 +31,19 @@
     And a request that crashes its targets is sent to all entries every 1000 ms from second 14 to 20
     Then it reaches targets at most 4 times in total
 
+  # Guards against forgetting such a request when all entries start at once: it crashed two more targets after each start.
+  Scenario Outline: All entries start again while the request is sent every <everyMs> ms: seed <seed>
+    Given 8 entries and 16 targets, with callers that use 3 tenths of the capacity, seed <seed>
+    When a request that crashes its targets is sent every <everyMs> ms from second 2 to 22, and all entries start again at seconds 6, 9, 12 and 15
+    Then it reaches targets at most 3 times later than 3 seconds after the third crash
+    And it reaches targets at most 6 times in total
+
+    Examples:
+      | everyMs | seed |
+      | 400     | 1    |
+      | 400     | 2    |
+      | 150     | 3    |
+
   # Targets that crash for unrelated reasons must not cause requests to be blocked, however often the same request is sent.
   Scenario Outline: A target crashes every <everyMs> ms for an unrelated reason, <requests>, seed <seed>
     Given <entries> entries and <targets> targets, with callers that use 3 tenths of the capacity, seed <seed>
--- a/features/steps/crash-steps.ts
+++ b/features/steps/crash-steps.ts
@@ -44,6 +44,30 @@
 	});
 });
 
+const restartedCrashes = 'a request that crashes its targets is sent every {int} ms from second {int} to {int}, and all entries start again at seconds 6, 9, 12 and 15';
+
+When(restartedCrashes, async function (this: SystemWorld, everyMs: number, from: number, until: number) {
+	const restarts = [6000, 9000, 12_000, 15_000];
+	await repeatCrashingRequest(this, everyMs, [from, until], fleet => {
+		if (restarts.length > 0 && fleet.now >= restarts[0]) {
+			restarts.shift();
+			const entries = [...fleet.paths.keys()];
+			for (const entry of entries) {
+				fleet.killEntry(entry);
+			}
+
+			for (const entry of entries) {
+				fleet.startEntry(entry);
+			}
+
+			// An entry takes no request before it has read the store.
+			return;
+		}
+
+		fleet.sendCrashingRequest();
+	});
+});
+
 When('a request that crashes its targets is sent to all entries every {int} ms from second {int} to {int}', async function (this: SystemWorld, everyMs: number, from: number, until: number) {
 	await repeatCrashingRequest(this, everyMs, [from, until], fleet => {
 		for (const entry of fleet.paths.keys()) {
--- a/features/support/fleet-simulation.ts
+++ b/features/support/fleet-simulation.ts
@@ -6,10 +6,12 @@
 import {type Target} from '../../src/fleet/target.js';
 import {type AnswerMetadata} from '../../src/forward/answer-metadata.js';
 import {ForwardExchange} from '../../src/forward/forward-exchange.js';
+import {CrashRecords} from '../../src/forward/crash-records.js';
 import {makeForwardPipeline} from '../../src/forward/make-forward-pipeline.js';
 import {type SendOutcome} from '../../src/forward/send-outcome.js';
 import {type TargetTransport} from '../../src/forward/target-transport.js';
 import {type TransportListener} from '../../src/forward/transport-listener.js';
+import {MemoryStore} from '../../stand-ins/forward/memory-store.js';
 import {SimulatedTarget} from './simulated-target.js';
 
 type Path = ReturnType<typeof makeForwardPipeline>;
@@ -95,6 +97,9 @@
 	readonly refusals: Refusal[] = [];
 	/** Log lines of the entries, and the trails of their requests. */
 	readonly lines: string[] = [];
+	/** The store, which holds the requests that crash targets. */
+	private readonly store = new MemoryStore(() => this.now);
+	private readonly crashRecords: CrashRecords[] = [];
 	/** Entries that do not run. */
 	private readonly downEntries = new Set<number>();
 	/** The callers that wait for an answer, by entry: called when the entry is killed. */
@@ -157,6 +162,7 @@
 		this.downEntries.delete(entry);
 		this.paths[entry] = this.openPath(entry);
 		const path = this.paths[entry];
+		void this.readCrashRecords(entry);
 		path.tracker.directory.replace(this.targets.map(({target}) => target), this.now, false);
 		for (const other of this.listRunningEntries().filter(index => index !== entry && this.isLinked(index, entry))) {
 			path.mergeDigest(`entry-${other}`, this.paths[other].getDigest(true, this.now), other % zones === entry % zones, this.now);
@@ -194,6 +200,7 @@
 		if (this.now % tickMs === 0) {
 			for (const index of this.listRunningEntries()) {
 				this.paths[index].tick();
+				void this.crashRecords[index].tick(this.now);
 			}
 		}
 
@@ -365,9 +372,16 @@
 				close: () => undefined,
 			}),
 		});
+		this.crashRecords[entry] = new CrashRecords({suspects: path.crashSuspects, registry: this.store.createClient(`entry-${entry}`), log: line => this.lines.push(line)});
 		return path;
 	}
 
+	/* An entry reads the store as it starts, and writes there what it has found. */
+	private async readCrashRecords(entry: number): Promise<void> {
+		const items = await this.store.createClient(`entry-${entry}`).list('');
+		this.crashRecords[entry].read(items._unsafeUnwrap().items, this.now);
+	}
+
 	/* A process that was killed sends nothing more. */
 	private async makeDeadSend(): Promise<SendOutcome> {
 		return new Promise<SendOutcome>(() => {
--- a/src/balance/crash-suspects.ts
+++ b/src/balance/crash-suspects.ts
@@ -1,5 +1,6 @@
 import {type Target} from '../fleet/target.js';
 import {type CrashDigest} from './crash-digest.js';
+import {type CrashRecord} from './crash-record.js';
 
 /** One incarnation of a target: a restart under the same id gives a new one. */
 type Incarnation = Pick<Target, 'id' | 'bornAt'>;
@@ -64,6 +65,8 @@
 	/** Requests that are no longer suspects, and when they were cleared, milliseconds. */
 	private readonly cleared = new Map<string, number>();
 	private losses: LossRecord[] = [];
+	/** Requests whose records in the store are out of date. */
+	private readonly unsaved = new Set<string>();
 
 	constructor(private readonly log: (message: string) => void) {}
 
@@ -116,11 +119,35 @@
 		this.losses = this.losses.filter(loss => !lost.includes(loss));
 		for (const {fingerprint, incarnation, hasJustBegun} of lost) {
 			this.addCrashes(fingerprint, [[formatIncarnation(incarnation), hasJustBegun]], now);
+			if (this.getRecord(fingerprint)) {
+				this.noteUnsaved(fingerprint);
+			}
 		}
 
 		return lost.length > 0;
 	}
 
+	/** Takes a request whose record in the store is out of date; undefined if there is none. */
+	takeUnsaved(): string | undefined {
+		const [fingerprint] = this.unsaved;
+		this.unsaved.delete(fingerprint);
+		return fingerprint;
+	}
+
+	/** Notes that the record of a request in the store is out of date. */
+	noteUnsaved(fingerprint: string): void {
+		this.unsaved.add(fingerprint);
+		evictOldest(this.unsaved, maximumSuspects);
+	}
+
+	/** Gets what the store is to hold of a request; undefined if nothing, since it is not refused. */
+	getRecord(fingerprint: string): CrashRecord | undefined {
+		const suspect = this.suspects.get(fingerprint);
+		return suspect && isSuspected(suspect)
+			? {incarnations: [...suspect.incarnations.keys()], met: [...suspect.incarnations].filter(([, hasJustBegun]) => !hasJustBegun).map(([name]) => name)}
+			: undefined;
+	}
+
 	/**
 	 * Gets the digest for peers.
 	 *
@@ -205,8 +232,13 @@
 			return;
 		}
 
+		const isRecorded = isSuspected(suspect);
 		this.suspects.delete(fingerprint);
 		this.cleared.set(fingerprint, now);
+		if (isRecorded) {
+			this.noteUnsaved(fingerprint);
+		}
+
 		if (suspect.blockedUntil > now) {
 			this.log(`request ${fingerprint} is no longer refused: a target has answered it`);
 		}
--- a/src/forward/make-entry-state.ts
+++ b/src/forward/make-entry-state.ts
@@ -32,6 +32,8 @@
 	readonly clock: () => number;
 	readonly random: () => number;
 	readonly delay: (ms: number) => Promise<void>;
+	/** Called after a change of the store, with the present time, milliseconds. */
+	readonly onChange?: (view: StoreView, now: number) => void;
 	/** Called when a link to a peer has become silent; `since`: when something was last received on it, milliseconds. */
 	readonly onSilentLink?: (since: number) => void;
 	readonly log: {readonly view: (message: string) => void; readonly fleet: (message: string) => void; readonly entry: (message: string) => void};
@@ -80,6 +82,7 @@
 			noteFirstRead();
 			fleet.refresh(now);
 			connectToRegistered();
+			options.onChange?.(view, now);
 		},
 	});
 	const fleet = new FleetState({...options, view, log: log.fleet});
--- a/src/forward/make-forward-pipeline.ts
+++ b/src/forward/make-forward-pipeline.ts
@@ -1,3 +1,4 @@
+import {type CrashSuspects} from '../balance/crash-suspects.js';
 import {EntryCount} from '../balance/entry-count.js';
 import {InFlightCounts} from '../balance/in-flight-counts.js';
 import {ProbeBudget} from '../balance/probe-budget.js';
@@ -46,6 +47,7 @@
 	readonly inFlightCounts: InFlightCounts;
 	readonly tracker: TargetTracker;
 	readonly dispatcher: ForwardDispatcher;
+	readonly crashSuspects: CrashSuspects;
 	/** Returns the digest to send to peers; the whole one for a peer that may not have received any yet. */
 	getDigest(isFull: boolean, now: number): EntryDigest;
 	/** Merges a peer's digest; `isSameZone` says whether the peer is in the same availability zone. */
@@ -152,6 +154,7 @@
 		inFlightCounts,
 		tracker,
 		dispatcher,
+		crashSuspects: crashes.suspects,
 		getDigest(isFull, now) {
 			const active = stalls.listActive(now);
 			return {
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -9,6 +9,7 @@
 import {ForwardMetrics} from '../metrics/forward-metrics.js';
 import {registerViewGauges} from '../metrics/register-view-gauges.js';
 import {startAdminServer} from '../metrics/start-admin-server.js';
+import {CrashRecords} from './crash-records.js';
 import {describeRequest} from './describe-request.js';
 import {makeForwardFilter} from './filters/make-forward-filter.js';
 import {makeKeyFilter} from './filters/make-key-filter.js';
@@ -91,7 +92,14 @@
 			requestLog.info(message);
 		},
 	});
-	const {inFlightCounts, tracker, dispatcher} = pipeline;
+	const {inFlightCounts, tracker, dispatcher, crashSuspects} = pipeline;
+	const crashRecords = new CrashRecords({
+		suspects: crashSuspects,
+		registry: dependencies.registry,
+		log(message) {
+			requestLog.info(message);
+		},
+	});
 	let isStopping = false;
 
 	const entryState = makeEntryState({
@@ -130,6 +138,9 @@
 		onRestart(target) {
 			pipeline.resetTarget(target);
 		},
+		onChange(changed, now) {
+			crashRecords.read(changed.list(''), now);
+		},
 		onSilentLink(since) {
 			pipeline.noteSilentLink(since);
 		},
@@ -223,6 +234,7 @@
 		const now = clock();
 		entryState.tick(now);
 		pipeline.tick();
+		void crashRecords.tick(now);
 		metrics.cooldownTargets.set(tracker.cooldowns.size);
 		metrics.rateLimitedTargets.set(tracker.limits.size);
 		metrics.silentLinks.set(mesh.countSilentLinks(now));
--- a/stand-ins/forward/memory-store.ts
+++ b/stand-ins/forward/memory-store.ts
@@ -170,7 +170,7 @@
 				// There are no connections.
 			},
 			get: async key => isFaulty() ? fail() : ok(this.items.get(key)),
-			commit: async ({conditions, puts}) => {
+			commit: async ({conditions, puts, deletes}) => {
 				count();
 				this.writeTimes.push(this.clock());
 				if (isFaulty()) {
@@ -189,6 +189,10 @@
 					this.put(key, value, lease);
 				}
 
+				for (const key of deletes ?? []) {
+					this.remove(key);
+				}
+
 				return ok({era: this.era, number: this.revision});
 			},
 			grantLeaseFor: async lifeMs => {
