Let records of removals reach back as far as those of the peers that were merged

The row "one entry" presumed nothing, and an entry that had merged a peer's records in the same era of the store still took its own start for their beginning, so that it presumed more than needed: a target that registered after the restore could wait for a peer's view. Evidence: the new row with cut links fails without the decision. Ruled out: that the decision is needless (it is needed by an entry that no peer's view had reached before the restore). Change: the beginning of the records is merged in every era; rows with two changes before the start, and with cut links.

--- a/features/restored-store.feature
+++ b/features/restored-store.feature
@@ -148,17 +148,19 @@
       | all entries | open   | the last  |
 
   # Guards against taking a registration for a removed one because its revision is lower than that of the view before.
-  Scenario Outline: A target that registers after the restore is used at once by entries that started shortly before: <entries>
+  Scenario Outline: A target that registers after the restore is used at once by entries that started shortly before: <entries>, links <links> before
     When a target whose registration is an early write of the backup is removed
-    And <entries> start again, and their links are open
+    And the operator has changed the configuration twice
+    And <entries> start again, and their links are <links>
     And the store is restored to the state before that after 0 ms, and a target registers at once
     Then all entries use it within <ms> ms
     And nothing went back to an older state and every change was in force in time
 
     Examples:
-      | entries     | ms   |
-      | one entry   | 1000 |
-      | all entries | 3000 |
+      | entries     | links | ms   |
+      | one entry   | open  | 500  |
+      | one entry   | cut   | 1500 |
+      | all entries | open  | 3000 |
 
   Scenario: Two restores in a row
     When the operator changes the configuration, a target registers and another leaves
--- a/features/steps/restored-store-steps.ts
+++ b/features/steps/restored-store-steps.ts
@@ -222,6 +222,13 @@
 	await simulation.advance(settleMs);
 });
 
+When('the operator has changed the configuration twice', async function (this: SystemWorld) {
+	for (let left = 2; left > 0; left--) {
+		getSimulation(this).configure();
+		await getSimulation(this).advance(settleMs);
+	}
+});
+
 Then('none of them has used the removed target', function (this: SystemWorld) {
 	const simulation = getSimulation(this);
 	const users = (this.notes.get('restarted') as string[]).filter(id => simulation.entries.get(id)!.usedAfterLeave.has(this.notes.get('removed') as string));
@@ -230,6 +237,7 @@
 
 When('the store is restored to the state before that after 0 ms, and a target registers at once', async function (this: SystemWorld) {
 	const simulation = getSimulation(this);
+	simulation.partitioned.clear();
 	simulation.store.restoreCopy();
 	simulation.register('new');
 	simulation.at(settleMs, () => {
--- a/src/view/store-view.ts
+++ b/src/view/store-view.ts
@@ -255,7 +255,7 @@
 
 		const isSameEra = snapshot.asOf.era === this.revision.era;
 		const hasAdded = isSameEra && this.items.mergeRetained(snapshot, now);
-		const hasDecided = isSameEra && this.mergePresumed(snapshot, now);
+		const hasDecided = this.mergePresumed(snapshot, now);
 		const hasRetained = this.items.retainNewer(snapshot);
 		const hasChanged = hasReleased || isNewer || hasAdded || hasDecided || hasRetained;
 		if (hasChanged) {
@@ -268,15 +268,16 @@
 	/* A view that has been kept since before the store was restored knows which registrations were removed; one that started later does not. */
 	private mergePresumed(snapshot: ViewSnapshot, now: number): boolean {
 		const {era} = this.revision;
-		const peerFrom = snapshot.recordedFrom;
-		if (!peerFrom || peerFrom.era >= era) {
+		const {recordedFrom: peerFrom, asOf} = snapshot;
+		if (!peerFrom) {
 			return false;
 		}
 
 		const isNew = this.recordedFrom === undefined || this.recordedFrom.era === era;
-		const hasDecided = isNew ? this.items.adoptPresumed(snapshot, now) : this.items.confirmPresumed(snapshot);
+		const mayDecide = asOf.era === era && peerFrom.era < era;
+		// The peer's records of removals have been merged, so that they reach back here as far as there.
 		this.recordedFrom = this.recordedFrom && isLater(peerFrom, this.recordedFrom) ? this.recordedFrom : peerFrom;
-		return hasDecided;
+		return mayDecide && (isNew ? this.items.adoptPresumed(snapshot, now) : this.items.confirmPresumed(snapshot));
 	}
 
 	/** Reads all keys or waits for changes. */
