--- a/src/forward/make-forward-pipeline.ts
+++ b/src/forward/make-forward-pipeline.ts
@@ -37,7 +37,7 @@
 	readonly onRetryRefusal: (service: string) => void;
 	/** Called when connections to targets have gone silent: others of this process may be silent as well. */
 	readonly onSilence?: (reason: string) => void;
-	/** When a report was last received from any peer, milliseconds; undefined if too few peers are connected to tell. */
+	/** When a report was last received from any peer, milliseconds; undefined if too few peers are connected to judge by their silence. */
 	readonly getLastReportAt?: () => number | undefined;
 	/** Called for each attempt. */
 	readonly onSend: (service: string, isRetry: boolean) => void;
--- a/src/forward/stall-detector.ts
+++ b/src/forward/stall-detector.ts
@@ -20,7 +20,7 @@
 	readonly onSuspicion?: (before: number) => void;
 	/** Called when connections have gone silent: others of this process may be silent as well. */
 	readonly onSilence?: (reason: string) => void;
-	/** When a report was last received from any peer, milliseconds; undefined if too few peers are connected to tell. */
+	/** When a report was last received from any peer, milliseconds; undefined if too few peers are connected to judge by their silence. */
 	readonly getLastReportAt?: () => number | undefined;
 };
 
--- a/src/mesh/entry-mesh.ts
+++ b/src/mesh/entry-mesh.ts
@@ -75,7 +75,7 @@
 const linkTimeoutMs = 1500;
 /** Maximum backoff between attempts to open a link, milliseconds. */
 const maximumBackoffMs = 800;
-/** Open links needed to tell silent connections of this process from silent peers. */
+/** Open links needed to distinguish silent connections of this process from silent peers. */
 const minimumLinks = 2;
 /** Minimum interval between two requests for a peer's view, milliseconds. */
 const viewRequestMs = 300;
--- a/src/view/retained-items.ts
+++ b/src/view/retained-items.ts
@@ -14,7 +14,7 @@
 	readonly item: StoredItem | undefined;
 	/** When the override expires, milliseconds; infinite if it holds until a newer value is written. */
 	readonly until: number;
-	/** Whether the key is only presumed removed: a peer that knows the store from before it was restored may tell otherwise. */
+	/** Whether the key is only presumed removed: a peer that has followed the store since before the restore decides. */
 	readonly isPresumed?: boolean;
 };
 
@@ -71,7 +71,7 @@
 
 	/** Rebuilds the retained set after the store was restored from a backup; `now` in milliseconds. */
 	rebuild(rollback: Rollback, now: number): void {
-		const {before, stored, removed, former} = rollback;
+		const {before, stored, removed} = rollback;
 		const formerEntries = new Map(this.entries);
 		this.entries.clear();
 		for (const known of before.values()) {
@@ -91,13 +91,7 @@
 			}
 		}
 
-		for (const [key, retained] of formerEntries) {
-			const isUnchanged = stored.has(key) && stored.get(key)?.revision === former.get(key)?.revision;
-			if (!retained.item && isUnchanged && !this.entries.has(key)) {
-				this.entries.set(key, {...retained, until: Math.max(retained.until, now + rewriteWindowMs)});
-			}
-		}
-
+		this.keepRemovals(formerEntries, rollback, now);
 		this.ignoreUnrecordedRemovals(rollback, now);
 	}
 
@@ -210,6 +204,16 @@
 		return unchanged.length > 0;
 	}
 
+	/* Keeps ignoring the keys that were ignored before and that the store holds unchanged: it may have been restored from the same copy. */
+	private keepRemovals(formerEntries: ReadonlyMap<string, Retained>, {stored, former}: Rollback, now: number): void {
+		for (const [key, retained] of formerEntries) {
+			const isUnchanged = stored.has(key) && stored.get(key)?.revision === former.get(key)?.revision;
+			if (!retained.item && isUnchanged && !this.entries.has(key)) {
+				this.entries.set(key, {...retained, until: Math.max(retained.until, now + rewriteWindowMs)});
+			}
+		}
+	}
+
 	/*
 	 * Ignores registrations in the restored store that were written before this process recorded removals, and that its view before did not
 	 * have. Those of a revision that the copy certainly includes were removed. A later one was either removed too, or written since the
