Log the requests and prompt parts that are lost in each crash of a target

Cause: none of the three hypotheses of the incident could be told apart, since no line said which requests were lost in a crash, what their prompts hold, or how far they had come.

Change: the adapter decodes the shared parts of a prompt (all but the last; ids bounded to 32 characters, 256 parts); lost requests have a module of their own, from which the detector takes those of a crash; one line a crash names them with fingerprint, parts and progress, and wardswitch_target_crashes_total counts crashes by service. No decision reads the parts yet.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -167,3 +167,25 @@
 
   Scenario: The platform's names are used in its folder only
     Then no source outside of it contains a name of the platform's wire format
+
+  # Guards against a header that cannot be read, or a very long one, hiding a part or taking memory without bound.
+  Scenario Outline: The shared parts of a prompt are read from its header: <header>
+    When a request bears the prompt "<header>"
+    Then the shared parts of its prompt are "<parts>"
+
+    Examples:
+      | header                       | parts            |
+      |                              |                  |
+      | 5c1e07a2:800                 |                  |
+      | 5c1e07a2:800,91bd3f06:410    | 5c1e07a2         |
+      | 5C1E:800, 91bd:410 ,e4:250   | 5c1e 91bd        |
+      | aa:1,aa:1,bb:2               | aa               |
+      | aa:1,bb:2,aa:1               | aa bb            |
+      | ,,aa:1,,bb:2                 | aa               |
+      | aa,bb:x,:5,cc:1:2,dd         | aa bb cc         |
+      | no list                      |                  |
+      | one two:1,zz:1               | 7b48e40eb685ec50 |
+
+  Scenario: Thousands of parts and long ids are bounded
+    When a request bears a prompt of 5000 parts with ids of 500 characters
+    Then at most 256 parts of at most 32 characters are considered
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -307,7 +307,9 @@
 		incoming,
 		response: new ServerResponse(incoming),
 		arrivedAt: 0,
-		metadata: {id: 'the-request', deadlineMs: 5000, lastEventId: undefined},
+		metadata: {
+			id: 'the-request', deadlineMs: 5000, lastEventId: undefined, promptParts: [],
+		},
 		mayKeepAlive: () => true,
 	});
 	exchange.route = route;
--- a/features/support/fleet-simulation.ts
+++ b/features/support/fleet-simulation.ts
@@ -277,7 +277,9 @@
 			incoming,
 			response: new ServerResponse(incoming),
 			arrivedAt: this.now,
-			metadata: {id: 'request', deadlineMs, lastEventId: undefined},
+			metadata: {
+				id: 'request', deadlineMs, lastEventId: undefined, promptParts: [],
+			},
 			mayKeepAlive: () => true,
 		});
 		exchange.route = makeRoute(this.options.maximumAttempts ?? 2);
--- a/src/balance/crash-suspects.ts
+++ b/src/balance/crash-suspects.ts
@@ -1,12 +1,8 @@
-import {type Target} from '../fleet/target.js';
 import {type CrashDigest} from './crash-digest.js';
 import {type CrashRecord} from './crash-record.js';
+import {formatIncarnation} from './format-incarnation.js';
+import {type LostRequest} from './lost-request.js';
 
-/** One incarnation of a target: a restart under the same id gives a new one. */
-type Incarnation = Pick<Target, 'id' | 'bornAt'>;
-/** A request whose connection closed before its answer was complete; `hasJustBegun` if it had only started to run. */
-type LostRequest = {readonly fingerprint: string; readonly incarnation: Incarnation; readonly hasJustBegun: boolean};
-type LossRecord = LostRequest & {readonly at: number};
 /** Incarnations that crashed while they ran the request, and whether the request had just started there. Times in milliseconds. */
 type Suspect = {readonly incarnations: Map<string, boolean>; blockedUntil: number; changedAt: number; seenAt: number};
 
@@ -25,24 +21,22 @@
 const secondBlockMs = 120_000;
 const maximumBlockMs = 3_600_000;
 /**
- * A target that has crashed is detected, or registers a new incarnation, within this time after its requests were lost,
- * milliseconds. A request that was lost earlier is not attributed to the crash.
+ * A request that crashes its target does so as it begins to run, milliseconds; one that has been answered for longer
+ * was only lost in the crash.
  */
-const lossRetentionMs = 10_000;
+const crashWindowMs = 100;
 /** Time for which a change is included in reports to peers, milliseconds: more than twice the maximum interval between reports. */
 const digestRetentionMs = 3000;
 /** Suspects that were neither requested nor lost in a crash for this time are evicted, milliseconds. */
 const suspectRetentionMs = 3_600_000;
-/** Maximum number of suspects, lost requests and answered requests kept; beyond it the oldest are evicted. */
+/** Maximum number of suspects and answered requests kept; beyond it the oldest are evicted. */
 const maximumSuspects = 1000;
-const maximumLosses = 1000;
 const maximumAnswered = 4096;
 /** Maximum number of suspects, and of cleared requests, in one report. */
 const maximumDigestItems = 40;
 /** Maximum number of incarnations kept for each suspect. */
 const maximumIncarnations = 8;
 
-const formatIncarnation = ({id, bornAt}: Incarnation): string => bornAt === undefined ? id : `${id} ${bornAt}`;
 const countEarlyCrashes = ({incarnations}: Pick<Suspect, 'incarnations'>): number => [...incarnations.values()].filter(Boolean).length;
 const isSuspected = (suspect: Pick<Suspect, 'incarnations'>): boolean => countEarlyCrashes(suspect) >= earlyCrashesToBlock || suspect.incarnations.size >= crashesToBlock;
 const evictOldest = (kept: Map<string, unknown> | Set<string>, maximum: number): void => {
@@ -64,7 +58,6 @@
 	private readonly answered = new Set<string>();
 	/** Requests that are no longer suspects, and when they were cleared, milliseconds. */
 	private readonly cleared = new Map<string, number>();
-	private losses: LossRecord[] = [];
 	/** Requests whose records in the store are out of date. */
 	private readonly unsaved = new Set<string>();
 
@@ -108,24 +101,15 @@
 		}
 	}
 
-	/** Notes that a connection closed before the answer was complete. Whether the target crashed is learned later. */
-	noteLoss(lost: LostRequest, now: number): void {
-		this.losses = this.losses.filter(({at}) => now - at <= lossRetentionMs).slice(-maximumLosses);
-		this.losses.push({...lost, at: now});
-	}
-
-	/** Notes that a target has crashed, and attributes its recently lost requests to the crash. Returns whether there were any. */
-	noteCrash(target: string, now: number): boolean {
-		const lost = this.losses.filter(({incarnation, at}) => incarnation.id === target && now - at <= lossRetentionMs);
-		this.losses = this.losses.filter(loss => !lost.includes(loss));
-		for (const {fingerprint, incarnation, hasJustBegun} of lost) {
+	/** Notes that a target has crashed while it ran these requests. */
+	noteCrash(lostRequests: readonly LostRequest[], now: number): void {
+		for (const {fingerprint, incarnation, answeringMs} of lostRequests) {
+			const hasJustBegun = answeringMs === undefined || answeringMs <= crashWindowMs;
 			this.addCrashes(fingerprint, [[formatIncarnation(incarnation), hasJustBegun]], now);
 			if (this.getRecord(fingerprint)) {
 				this.noteUnsaved(fingerprint);
 			}
 		}
-
-		return lost.length > 0;
 	}
 
 	/** Takes a request whose record in the store is out of date; undefined if there is none. */
--- a/src/forward/crash-detector.ts
+++ b/src/forward/crash-detector.ts
@@ -1,15 +1,14 @@
 import {CrashSuspects} from '../balance/crash-suspects.js';
+import {type LostRequest} from '../balance/lost-request.js';
+import {LostRequests} from '../balance/lost-requests.js';
 import {type TargetHealth} from '../balance/target-health.js';
 import {type Target} from '../fleet/target.js';
 import {type ForwardExchange} from './forward-exchange.js';
 import {type SendOutcome} from './send-outcome.js';
 import {type TargetTransport} from './target-transport.js';
 
-/**
- * A request that crashes its target does so as it begins to run, milliseconds; one that has been answered for longer
- * was only lost in the crash.
- */
-const crashWindowMs = 100;
+/** Most requests that the log line on a crash names; a target runs few more. */
+const maximumDescribed = 12;
 
 type Lost = Extract<SendOutcome, {kind: 'lost'}>;
 
@@ -20,11 +19,16 @@
 	/** Whether this entry is the one, among the live entries, that may send a request with this fingerprint as a probe. */
 	readonly isElected: (fingerprint: string, now: number) => boolean;
 	/** Called when a crash has been found that peers must be notified of at once. */
-	readonly onCrashFound: () => void;
+	readonly onCrashFound: (target: string) => void;
 	readonly clock: () => number;
 	readonly log: (message: string) => void;
 };
 
+const describe = ({id, fingerprint, promptParts, answeringMs}: LostRequest): string => {
+	const progress = answeringMs === undefined ? 'not answered' : `answered for ${Math.round(answeringMs)} ms`;
+	return `${id ?? '-'} (${fingerprint}, prompt ${promptParts.join(' ') || '-'}, ${progress})`;
+};
+
 /**
  * Distinguishes crashed targets from lost connections, and blocks the requests that crash targets. A cut link, a frozen
  * VM or a target that breaks answers off is no crash: after a crash the VM refuses connections, or the target registers
@@ -32,6 +36,7 @@
  */
 export class CrashDetector {
 	readonly suspects: CrashSuspects;
+	private readonly lostRequests = new LostRequests();
 	/** Targets being checked. */
 	private readonly checking = new Set<string>();
 
@@ -50,9 +55,10 @@
 	}
 
 	/** Notes that a request was lost at a target, and checks the target if its connection was closed. */
-	noteLost({fingerprint}: ForwardExchange, target: Target, {isConnectionClosed, answeringMs}: Lost): void {
-		const hasJustBegun = answeringMs === undefined || answeringMs <= crashWindowMs;
-		this.suspects.noteLoss({fingerprint, incarnation: target, hasJustBegun}, this.options.clock());
+	noteLost({fingerprint, metadata: {id, promptParts}}: ForwardExchange, target: Target, {isConnectionClosed, answeringMs}: Lost): void {
+		this.lostRequests.add({
+			id, fingerprint, promptParts, incarnation: target, answeringMs,
+		}, this.options.clock());
 		if (isConnectionClosed && !this.checking.has(target.id)) {
 			void this.checkTarget(target);
 		}
@@ -78,9 +84,16 @@
 	}
 
 	private reportCrash(target: string): void {
-		const {clock, onCrashFound} = this.options;
-		if (this.suspects.noteCrash(target, clock())) {
-			onCrashFound();
+		const {clock, onCrashFound, log} = this.options;
+		const now = clock();
+		const lost = this.lostRequests.take(target, now);
+		if (lost.length === 0) {
+			return;
 		}
+
+		const described = lost.slice(0, maximumDescribed).map(request => describe(request)).join(', ');
+		log(`crash of target ${target}: ${lost.length} requests lost: ${described}`);
+		this.suspects.noteCrash(lost, now);
+		onCrashFound(target);
 	}
 }
--- a/src/forward/make-forward-pipeline.ts
+++ b/src/forward/make-forward-pipeline.ts
@@ -31,8 +31,8 @@
 	readonly isNewFleet: () => boolean;
 	/** Called when the number of this entry's requests in flight changes. */
 	readonly onLoadChange: () => void;
-	/** Called when a crash has been found that peers must be notified of at once. */
-	readonly onCrashFound: () => void;
+	/** Called with the target when a crash has been found that peers must be notified of at once. */
+	readonly onCrashFound: (target: string) => void;
 	/** Called with each retry that the retry budget does not allow. */
 	readonly onRetryRefusal: (service: string) => void;
 	/** Called when connections to targets have gone silent: others of this process may be silent as well. */
--- a/src/forward/request-metadata.ts
+++ b/src/forward/request-metadata.ts
@@ -6,4 +6,6 @@
 	readonly deadlineMs: number | undefined;
 	/** Id of the last event that the caller received of an interrupted stream; undefined when it does not resume one. */
 	readonly lastEventId: number | undefined;
+	/** Ids of the parts of its prompt that other requests may share, in order; empty when it names none. */
+	readonly promptParts: readonly string[];
 };
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -75,7 +75,8 @@
 				mesh.reportSoon();
 			}
 		},
-		onCrashFound() {
+		onCrashFound(target) {
+			metrics.crashes.inc({service: tracker.directory.get(target)?.service ?? ''});
 			mesh.reportNow();
 		},
 		onRetryRefusal(service) {
--- a/src/metrics/forward-metrics.ts
+++ b/src/metrics/forward-metrics.ts
@@ -59,6 +59,13 @@
 		registers: [this.registry],
 	});
 
+	readonly crashes = new Counter({
+		name: 'wardswitch_target_crashes_total',
+		help: 'Crashes of targets in which this process lost requests, by service',
+		labelNames: ['service'] as const,
+		registers: [this.registry],
+	});
+
 	readonly requestSeconds = new Histogram({
 		name: 'wardswitch_request_seconds',
 		help: 'Time from a request to the end of its answer, seconds',
--- a/stand-ins/forward/plain-dialect.ts
+++ b/stand-ins/forward/plain-dialect.ts
@@ -1,4 +1,5 @@
 import {type HeaderDialect} from '../../src/forward/header-dialect.js';
+import {listSharedParts} from '../../src/forward/list-shared-parts.js';
 import {readRate} from '../../src/forward/read-rate.js';
 import {readRetryAfter} from '../../src/forward/read-retry-after.js';
 
@@ -6,6 +7,7 @@
 const deadline = 'x-deadline';
 const target = 'x-target';
 const organisation = 'x-organisation';
+const prompt = 'x-prompt';
 const lastEvent = 'last-event-id';
 
 const toNumber = (text: unknown): number | undefined => text === undefined ? undefined : Number(text);
@@ -16,6 +18,7 @@
 		id: headers[requestId] as string | undefined,
 		deadlineMs: toNumber(headers[deadline]),
 		lastEventId: toNumber(headers[lastEvent]),
+		promptParts: listSharedParts(headers[prompt] as string | undefined),
 	}),
 	makeRequestHeaders: marks => ({
 		[target]: marks.targetId,
