Reproduce a part of prompts that crashes target after target

What callers saw: a whole service down for as long as requests with one part came.

Ruled out: crashes that are not recognised (the sending entry logs each). Conclusion: evidence has to be kept for the parts of prompts.

--- a/features/support/fleet-simulation.ts
+++ b/features/support/fleet-simulation.ts
@@ -1,8 +1,10 @@
+import {Buffer} from 'node:buffer';
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {Socket} from 'node:net';
 import {setImmediate as yieldTurn} from 'node:timers/promises';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {getFailureDomain} from '../../src/fleet/get-failure-domain.js';
 import {type Target} from '../../src/fleet/target.js';
 import {type AnswerMetadata} from '../../src/forward/answer-metadata.js';
 import {ForwardExchange} from '../../src/forward/forward-exchange.js';
@@ -27,12 +29,14 @@
 	readonly maximumAttempts?: number;
 	/** Slack of the retry budget; 90 if absent. */
 	readonly slack?: number;
+	/** Whether all targets are ranks of one group: when one crashes, all stop until it is back. */
+	readonly isGroup?: boolean;
 };
 
 /** Identifies an entry and a target incarnation together. */
 type EntryAndIncarnation = string;
 /** A request that reached a target; time in milliseconds. */
-type Arrival = {readonly pair: EntryAndIncarnation; readonly target: SimulatedTarget; readonly at: number; readonly isCrashing: boolean; readonly isRetry: boolean};
+type Arrival = {readonly pair: EntryAndIncarnation; readonly target: SimulatedTarget; readonly at: number; readonly isCrashing: boolean; readonly isRetry: boolean; readonly promptParts: readonly string[]};
 /** A cooldown that a target asked an entry for, from the time of its answer, milliseconds. */
 type Cooldown = {readonly pair: EntryAndIncarnation; readonly from: number; readonly until: number};
 /** An answer in which an entry read that a target is leaving, milliseconds. */
@@ -40,7 +44,17 @@
 /** A refusal: the entry, the time, how long it took, and when the caller may retry, milliseconds. */
 type Refusal = {readonly entry: number; readonly at: number; readonly afterMs: number; readonly returnAt: number};
 /** A caller's request: time of the first attempt (milliseconds), number of attempts, and whether it was served in the end. */
-type Call = {readonly askedAt: number; readonly body: Uint8Array<ArrayBuffer>; tries: number; isServed: boolean};
+type Call = {
+	readonly askedAt: number;
+	readonly body: Uint8Array<ArrayBuffer>;
+	readonly promptParts: readonly string[];
+	/** Retries after the first attempt. */
+	readonly retries: number;
+	tries: number;
+	isServed: boolean;
+};
+/** A part of prompts that crashes targets: how long after the arrival of the request, milliseconds. */
+type CrashingPart = {readonly afterMs: () => number};
 
 const stepMs = 2;
 const tickMs = 100;
@@ -55,6 +69,9 @@
 const deadlineMs = 8000;
 /** Time until a crashed target has restarted, milliseconds. */
 const restartMs = 1500;
+/** Time after a crash at which the other ranks of its group give up what they run, and time until the group is formed again, milliseconds. */
+const groupStallMs = 1500;
+const groupRestartMs = 4200;
 /** Body of the request that crashes targets when they begin to run it. */
 const crashingBody = new Uint8Array([255]);
 /** Callers wait for the Retry-After time up to this share of their remaining time. */
@@ -83,6 +100,12 @@
 	linkMs = latencyMs;
 	/** Whether callers' requests are identical; otherwise each is different. */
 	isIdentical = true;
+	/** Parts of prompts that crash the targets that begin to run them. */
+	readonly crashingParts = new Map<string, CrashingPart>();
+	/** The crashes that these parts have caused, milliseconds. */
+	readonly partCrashes: Array<{readonly part: string; readonly at: number}> = [];
+	/** Draws the shared parts of the prompt of a caller's request. */
+	drawPrompt: () => readonly string[] = () => [];
 	/** Entries whose links to the others are cut; empty when all are linked. */
 	cutOff: ReadonlySet<number> = new Set();
 	readonly paths: Path[] = [];
@@ -98,7 +121,7 @@
 	/** Log lines of the entries, and the trails of their requests. */
 	readonly lines: string[] = [];
 	/** The store, which holds the requests that crash targets. */
-	private readonly store = new MemoryStore(() => this.now);
+	readonly store = new MemoryStore(() => this.now);
 	private readonly crashRecords: CrashRecords[] = [];
 	/** Entries that do not run. */
 	private readonly downEntries = new Set<number>();
@@ -107,6 +130,11 @@
 	/** Requests that have reached a target. */
 	private readonly arrivedRequests = new WeakSet<ForwardExchange>();
 	private readonly random: () => number;
+	/** When the group stopped last, and when it is formed again, milliseconds. */
+	private groupStoppedAt = Number.NEGATIVE_INFINITY;
+	private groupOpensAt = 0;
+	/** Called when the group stops, for each request that runs in it. */
+	private readonly onGroupStop = new Set<() => void>();
 	private scheduled: Array<{readonly at: number; readonly run: () => void}> = [];
 	private nextCallAt = 0;
 
@@ -116,7 +144,7 @@
 		this.random = () => uniformFloat64(generator);
 		for (let index = 0; index < options.targets; index++) {
 			this.targets.push(new SimulatedTarget({
-				id: `target-${index}`, service: 'desk', address: '10.0.0.1', port: index + 1, availabilityZone: `zone-${index % zones}`, slots, isLeaving: false, bornAt: 1,
+				id: `target-${index}`, service: 'desk', address: '10.0.0.1', port: index + 1, availabilityZone: `zone-${index % zones}`, slots, isLeaving: false, bornAt: 1, ...(options.isGroup && {group: 'group'}),
 			}));
 		}
 
@@ -172,7 +200,15 @@
 	/** Sends the request that crashes targets, to a random entry unless one is given. */
 	sendCrashingRequest(entry = this.draw(this.options.entries)): void {
 		const call: Call = {
-			askedAt: this.now, body: crashingBody, tries: 0, isServed: false,
+			askedAt: this.now, body: crashingBody, promptParts: [], retries: 1, tries: 0, isServed: false,
+		};
+		void this.ask(call, entry);
+	}
+
+	/** Sends a request with these shared parts in its prompt, unlike any other; its caller repeats it twice. */
+	sendPrompt(promptParts: readonly string[], entry = this.drawEntry()): void {
+		const call: Call = {
+			askedAt: this.now, body: new Uint8Array(Buffer.from(`prompt ${this.random()}`)), promptParts, retries: 2, tries: 0, isServed: false,
 		};
 		void this.ask(call, entry);
 	}
@@ -180,10 +216,24 @@
 	/** Crashes a target, and restarts it after a while. */
 	crashTarget(target: SimulatedTarget): void {
 		target.crash();
-		this.after(restartMs, () => {
+		this.after(this.options.isGroup ? groupRestartMs : restartMs, () => {
 			target.restart();
 			this.register();
+			if (this.options.isGroup && this.now >= this.groupOpensAt) {
+				for (const index of this.listRunningEntries()) {
+					this.paths[index].noteGroupFormed(getFailureDomain(target.target));
+				}
+			}
 		});
+		if (this.options.isGroup) {
+			this.groupStoppedAt = this.now >= this.groupOpensAt ? this.now : this.groupStoppedAt;
+			this.groupOpensAt = this.now + groupRestartMs;
+			for (const onStop of this.onGroupStop) {
+				onStop();
+			}
+
+			this.onGroupStop.clear();
+		}
 	}
 
 	/** Schedules an action after `ms` milliseconds. */
@@ -212,7 +262,7 @@
 			this.nextCallAt += -Math.log(1 - this.random()) * 1000 / this.options.requestsPerSecond;
 			const body = new Uint8Array(this.isIdentical ? [0] : [this.calls.length % 251, Math.floor(this.calls.length / 251), 1]);
 			const call: Call = {
-				askedAt: this.now, body, tries: 0, isServed: false,
+				askedAt: this.now, body, promptParts: this.drawPrompt(), retries: 1, tries: 0, isServed: false,
 			};
 			this.calls.push(call);
 			void this.ask(call);
@@ -278,7 +328,7 @@
 			response: new ServerResponse(incoming),
 			arrivedAt: this.now,
 			metadata: {
-				id: 'request', deadlineMs, lastEventId: undefined, promptParts: [],
+				id: 'request', deadlineMs, lastEventId: undefined, promptParts: call.promptParts,
 			},
 			mayKeepAlive: () => true,
 		});
@@ -305,7 +355,7 @@
 	}
 
 	private askAgain(call: Call, afterMs: number): void {
-		if (call.tries === 1) {
+		if (call.tries <= call.retries) {
 			this.after(afterMs, () => {
 				void this.ask(call);
 			});
@@ -404,7 +454,12 @@
 				}
 
 				this.arrivals.push({
-					pair, target, at: this.now, isCrashing: options.exchange.body === crashingBody, isRetry: this.arrivedRequests.has(options.exchange),
+					pair,
+					target,
+					at: this.now,
+					isCrashing: options.exchange.body === crashingBody,
+					isRetry: this.arrivedRequests.has(options.exchange),
+					promptParts: options.exchange.metadata.promptParts,
 				});
 				this.arrivedRequests.add(options.exchange);
 				const refused = target.refuse(this.random());
@@ -433,6 +488,11 @@
 			return;
 		}
 
+		if (this.now < this.groupOpensAt) {
+			this.refuseWhileStopped(resolve);
+			return;
+		}
+
 		const sent = {target: meant, sentAt};
 		const state: {isLost: boolean; answeredAt?: number} = {isLost: false};
 		const end = target.run(() => {
@@ -442,6 +502,24 @@
 				kind: 'lost', reason: 'other side closed', isConnectionClosed: true, answeringMs,
 			});
 		});
+		const stop = (): void => {
+			state.isLost = true;
+			end();
+			if (state.answeredAt === undefined) {
+				this.refuseWhileStopped(resolve);
+				return;
+			}
+
+			const {answeredAt} = state;
+			this.after(groupStallMs, () => {
+				resolve({
+					kind: 'lost', reason: 'read ECONNRESET', isConnectionClosed: true, answeringMs: this.now - answeredAt,
+				});
+			});
+		};
+
+		this.onGroupStop.add(stop);
+		this.crashByPart(target, exchange.metadata.promptParts, state);
 		this.after(firstEventMs, () => {
 			if (state.isLost) {
 				return;
@@ -464,11 +542,38 @@
 		}
 
 		this.after(streamMs, () => {
+			this.onGroupStop.delete(stop);
+			if (state.isLost) {
+				return;
+			}
+
 			end();
 			resolve(signal.aborted ? {kind: 'lost', reason: String(signal.reason)} : {kind: 'streamed'});
 		});
 	}
 
+	/* Crashes a target that begins to run a request with a part that crashes targets. */
+	private crashByPart(target: SimulatedTarget, promptParts: readonly string[], state: {readonly isLost: boolean}): void {
+		const part = promptParts.find(id => this.crashingParts.has(id));
+		if (part !== undefined) {
+			this.after(this.crashingParts.get(part)!.afterMs(), () => {
+				if (!state.isLost) {
+					this.partCrashes.push({part, at: this.now});
+					this.crashTarget(target);
+				}
+			});
+		}
+	}
+
+	/* A rank of a group that has stopped keeps requests waiting at first, and then refuses them. */
+	private refuseWhileStopped(resolve: Receiver['resolve']): void {
+		this.after(Math.max(latencyMs, this.groupStoppedAt + groupStallMs - this.now), () => {
+			resolve({
+				kind: 'not-run', reason: 'its group has stopped', wasSent: true, cause: 'group-down',
+			});
+		});
+	}
+
 	private deliverHead(pair: EntryAndIncarnation, {target, sentAt}: Sent, marks: AnswerMetadata, listener: TransportListener): void {
 		listener.onHead(target, marks, sentAt);
 		if (marks.isLeaving) {
