--- a/features/crash-part.feature
+++ b/features/crash-part.feature
@@ -5,7 +5,7 @@
   Scenario Outline: Such requests come every <everyMs> ms: <part>, <disruption>, seed <seed>
     Given 8 entries and <targets> targets, with callers that use 3 tenths of the capacity, seed <seed>
     And the prompts of callers begin with one of 3 parts and go on with one of 15 documents
-    When requests that crash targets come every <everyMs> ms from second 4 to 30: "<part>", with "<disruption>"
+    When requests that crash targets come every <everyMs> ms for 26 s: "<part>", with "<disruption>"
     Then at most <crashes> targets crash under each part
     And at most 3 of these requests reach targets later than 3 s after the fifth crash
     And from 6 s after the fifth crash, at least 19 in 20 of the other requests are served at the first attempt
@@ -29,9 +29,9 @@
 
   # One crash of a rank stops its whole group, so that nothing is answered until the group is formed again.
   Scenario Outline: Such requests come every <everyMs> ms, and all targets are ranks of one group: <part>, <disruption>, seed <seed>
-    Given 8 entries and 16 ranks of one group, with callers that use 3 tenths of the capacity, seed <seed>
+    Given 8 entries and 16 ranks of one group, callers that use 3 tenths, seed <seed>
     And the prompts of callers begin with one of 3 parts and go on with one of 15 documents
-    When requests that crash targets come every <everyMs> ms from second 4 to 44: "<part>", with "<disruption>"
+    When requests that crash targets come every <everyMs> ms for 40 s: "<part>", with "<disruption>"
     Then at most <crashes> targets crash under each part
     And at most 3 of these requests reach targets later than 3 s after the fifth crash
     And from 6 s after the fifth crash, at least 19 in 20 of the other requests are served at the first attempt
--- a/features/steps/crash-part-steps.ts
+++ b/features/steps/crash-part-steps.ts
@@ -14,6 +14,8 @@
 const beforeAnswer = {from: 60, to: 140};
 const withinAnswer = {from: 190, to: 240};
 const [bad, otherBad] = ['bad-part', 'other-bad-part'];
+/** Time of calm before these requests come, milliseconds. */
+const startMs = 4000;
 /** Interval at which targets crash by themselves beside the part, milliseconds. */
 const loneCrashMs = 1500;
 
@@ -104,7 +106,7 @@
 	},
 };
 
-Given('{int} entries and {int} ranks of one group, with callers that use {int} tenths of the capacity, seed {int}', function (this: SystemWorld, entries: number, targets: number, tenths: number, seed: number) {
+Given('{int} entries and {int} ranks of one group, callers that use {int} tenths, seed {int}', function (this: SystemWorld, entries: number, targets: number, tenths: number, seed: number) {
 	this.notes.set('fleet', new FleetSimulation({
 		entries, targets, requestsPerSecond: targets * slots / streamSeconds * tenths / 10, seed, isGroup: true,
 	}));
@@ -116,7 +118,7 @@
 	fleet.drawPrompt = () => [`first-${fleet.draw(firsts)}`, `document-${fleet.draw(documents)}`];
 });
 
-When('requests that crash targets come every {int} ms from second {int} to {int}: {string}, with {string}', async function (this: SystemWorld, everyMs: number, fromSecond: number, untilSecond: number, part: string, disruption: string) {
+When('requests that crash targets come every {int} ms for {int} s: {string}, with {string}', async function (this: SystemWorld, everyMs: number, seconds: number, part: string, disruption: string) {
 	const fleet = getFleet(this);
 	const {from, to} = part.endsWith('as the answer begins') ? withinAnswer : beforeAnswer;
 	for (const id of [bad, otherBad]) {
@@ -124,7 +126,7 @@
 	}
 
 	const disrupt = disruptions[disruption]();
-	const [start, end] = [fromSecond * 1000, untilSecond * 1000];
+	const [start, end] = [startMs, startMs + (seconds * 1000)];
 	await fleet.advance(start);
 	while (fleet.now < end) {
 		disrupt(fleet, fleet.now - start);
@@ -152,7 +154,9 @@
 	}
 });
 
-Then('from {int} s after the fifth crash, at least {int} in {int} of the other requests are served at the first attempt', function (this: SystemWorld, seconds: number, least: number, outOf: number) {
+const servedAtOnce = 'from {int} s after the fifth crash, at least {int} in {int} of the other requests are served at the first attempt';
+
+Then(servedAtOnce, function (this: SystemWorld, seconds: number, least: number, outOf: number) {
 	const {until} = this.notes.get('span') as {until: number};
 	const crashes = [bad, otherBad].map(part => listCrashTimes(this, part)).filter(times => times.length > 0);
 	const from = Math.max(...crashes.map(times => times[crashesToIdentify - 1] ?? times.at(-1)!)) + (seconds * 1000);
--- a/features/support/fleet-simulation.ts
+++ b/features/support/fleet-simulation.ts
@@ -36,7 +36,14 @@
 /** Identifies an entry and a target incarnation together. */
 type EntryAndIncarnation = string;
 /** A request that reached a target; time in milliseconds. */
-type Arrival = {readonly pair: EntryAndIncarnation; readonly target: SimulatedTarget; readonly at: number; readonly isCrashing: boolean; readonly isRetry: boolean; readonly promptParts: readonly string[]};
+type Arrival = {
+	readonly pair: EntryAndIncarnation;
+	readonly target: SimulatedTarget;
+	readonly at: number;
+	readonly isCrashing: boolean;
+	readonly isRetry: boolean;
+	readonly promptParts: readonly string[];
+};
 /** A cooldown that a target asked an entry for, from the time of its answer, milliseconds. */
 type Cooldown = {readonly pair: EntryAndIncarnation; readonly from: number; readonly until: number};
 /** An answer in which an entry read that a target is leaving, milliseconds. */
@@ -105,7 +112,7 @@
 	/** The crashes that these parts have caused, milliseconds. */
 	readonly partCrashes: Array<{readonly part: string; readonly at: number}> = [];
 	/** Draws the shared parts of the prompt of a caller's request. */
-	drawPrompt: () => readonly string[] = () => [];
+	drawPrompt: (() => readonly string[]) | undefined;
 	/** Entries whose links to the others are cut; empty when all are linked. */
 	cutOff: ReadonlySet<number> = new Set();
 	readonly paths: Path[] = [];
@@ -262,7 +269,7 @@
 			this.nextCallAt += -Math.log(1 - this.random()) * 1000 / this.options.requestsPerSecond;
 			const body = new Uint8Array(this.isIdentical ? [0] : [this.calls.length % 251, Math.floor(this.calls.length / 251), 1]);
 			const call: Call = {
-				askedAt: this.now, body, promptParts: this.drawPrompt(), retries: 1, tries: 0, isServed: false,
+				askedAt: this.now, body, promptParts: this.drawPrompt?.() ?? [], retries: 1, tries: 0, isServed: false,
 			};
 			this.calls.push(call);
 			void this.ask(call);
