--- a/features/crash-part.feature
+++ b/features/crash-part.feature
@@ -26,6 +26,8 @@
       | one part, after the first         | 300     | 10      | 5       | links cut                 | 12   |
       | one part, after the first         | 300     | 10      | 5       | targets that crash alone  | 13   |
       | one part, as the answer begins    | 300     | 10      | 5       | no disruption             | 14   |
+      | one part, the first               | 120     | 10      | 5       | no disruption             | 15   |
+      | one part, to all entries at once  | 1500    | 16      | 9       | no disruption             | 16   |
 
   # One crash of a rank stops its whole group, so that nothing is answered until the group is formed again.
   Scenario Outline: Such requests come every <everyMs> ms, and all targets are ranks of one group: <part>, <disruption>, seed <seed>
--- a/features/steps/crash-part-steps.ts
+++ b/features/steps/crash-part-steps.ts
@@ -15,7 +15,9 @@
 const withinAnswer = {from: 190, to: 240};
 const [bad, otherBad] = ['bad-part', 'other-bad-part'];
 /** Time of calm before these requests come, milliseconds. */
-const startMs = 4000;
+const startMs = 12_000;
+/** Time after which entries are not restarted any more, milliseconds. */
+const disruptedMs = 10_000;
 /** Interval at which targets crash by themselves beside the part, milliseconds. */
 const loneCrashMs = 1500;
 
@@ -46,6 +48,11 @@
 		sendMiddle(fleet, elapsedMs);
 		fleet.sendPrompt([drawFirst(fleet), otherBad]);
 	},
+	'one part, to all entries at once'(fleet) {
+		for (const entry of fleet.paths.keys()) {
+			fleet.sendPrompt([drawFirst(fleet), bad], entry);
+		}
+	},
 	'two parts in one prompt'(fleet) {
 		fleet.sendPrompt([drawFirst(fleet), bad, otherBad]);
 	},
@@ -61,22 +68,29 @@
 	}
 };
 
-/** What happens beside these requests; called at each of them with the time since the first, milliseconds. */
-const disruptions: Record<string, () => Sender> = {
+/** Called before each of these requests with the time since the first, milliseconds; returns false if none is to be sent now. */
+type Disruption = (fleet: FleetSimulation, elapsedMs: number) => boolean | void;
+
+/** What happens beside these requests. */
+const disruptions: Record<string, () => Disruption> = {
 	'no disruption': () => () => undefined,
 	'all entries start again'() {
-		const times = [5000, 8000, 14_000];
+		const times = [5000, 8000, disruptedMs];
 		return (fleet, elapsedMs) => {
 			if (elapsedMs >= times[0]) {
 				times.shift();
 				restartAll(fleet);
+				// An entry takes no request before it has read the store.
+				return false;
 			}
+
+			return true;
 		};
 	},
 	'entries start again'() {
 		let nextAt = 1000;
 		return (fleet, elapsedMs) => {
-			if (elapsedMs >= nextAt) {
+			if (elapsedMs >= nextAt && elapsedMs < disruptedMs) {
 				nextAt += 900;
 				const entry = fleet.draw(fleet.paths.length);
 				fleet.killEntry(entry);
@@ -129,13 +143,16 @@
 	const [start, end] = [startMs, startMs + (seconds * 1000)];
 	await fleet.advance(start);
 	while (fleet.now < end) {
-		disrupt(fleet, fleet.now - start);
-		senders[part](fleet, fleet.now - start);
+		if (disrupt(fleet, fleet.now - start) ?? true) {
+			senders[part](fleet, fleet.now - start);
+		}
+
 		await fleet.advance(fleet.now + everyMs);
 	}
 
 	await fleet.advance(end + 2000);
-	this.notes.set('span', {from: start, until: end});
+	// Callers of an entry that is killed send their requests again.
+	this.notes.set('span', {from: disruption.endsWith('start again') ? start + disruptedMs + settleMs : start, until: end});
 });
 
 const listArrivals = (world: SystemWorld, part: string) => getFleet(world).arrivals.filter(({promptParts}) => promptParts.includes(part));
@@ -157,9 +174,10 @@
 const servedAtOnce = 'from {int} s after the fifth crash, at least {int} in {int} of the other requests are served at the first attempt';
 
 Then(servedAtOnce, function (this: SystemWorld, seconds: number, least: number, outOf: number) {
-	const {until} = this.notes.get('span') as {until: number};
+	const {from: calm, until} = this.notes.get('span') as {from: number; until: number};
 	const crashes = [bad, otherBad].map(part => listCrashTimes(this, part)).filter(times => times.length > 0);
-	const from = Math.max(...crashes.map(times => times[crashesToIdentify - 1] ?? times.at(-1)!)) + (seconds * 1000);
+	const identified = crashes.map(times => times[crashesToIdentify - 1] ?? times.at(-1)!);
+	const from = Math.max(calm, ...identified.map(at => at + (seconds * 1000)));
 	const asked = getFleet(this).calls.filter(({askedAt}) => askedAt >= from && askedAt < until - settleMs);
 	const served = asked.filter(({isServed, tries}) => isServed && tries === 1);
 	assert.ok(asked.length > 100, `only ${asked.length} requests`);
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -277,7 +277,7 @@
 		},
 		tracker,
 		crashes: new CrashDetector({
-			check: async () => 'listens', health, isElected: () => true, onCrashFound: String, clock, log: String,
+			check: async () => 'listens', health, isElected: () => true, onCrash: String, onUrgentReport: () => undefined, onLoss: String, clock, log: String,
 		}),
 		inFlightCounts,
 		serviceBreaker: world.notes.get('serviceBreaker') as ServiceBreaker,
--- a/features/support/fleet-simulation.ts
+++ b/features/support/fleet-simulation.ts
@@ -8,7 +8,7 @@
 import {type Target} from '../../src/fleet/target.js';
 import {type AnswerMetadata} from '../../src/forward/answer-metadata.js';
 import {ForwardExchange} from '../../src/forward/forward-exchange.js';
-import {CrashRecords} from '../../src/forward/crash-records.js';
+import {makeCrashRecords} from '../../src/forward/make-crash-records.js';
 import {makeForwardPipeline} from '../../src/forward/make-forward-pipeline.js';
 import {type SendOutcome} from '../../src/forward/send-outcome.js';
 import {type TargetTransport} from '../../src/forward/target-transport.js';
@@ -129,7 +129,7 @@
 	readonly lines: string[] = [];
 	/** The store, which holds the requests that crash targets. */
 	readonly store = new MemoryStore(() => this.now);
-	private readonly crashRecords: CrashRecords[] = [];
+	private readonly crashRecords: Array<ReturnType<typeof makeCrashRecords>> = [];
 	/** Entries that do not run. */
 	private readonly downEntries = new Set<number>();
 	/** The callers that wait for an answer, by entry: called when the entry is killed. */
@@ -257,7 +257,9 @@
 		if (this.now % tickMs === 0) {
 			for (const index of this.listRunningEntries()) {
 				this.paths[index].tick();
-				void this.crashRecords[index].tick(this.now);
+				for (const records of this.crashRecords[index]) {
+					void records.tick(this.now);
+				}
 			}
 		}
 
@@ -408,7 +410,8 @@
 			onLoadChange: () => undefined,
 			onRetryRefusal: () => undefined,
 			onSend: () => undefined,
-			onCrashFound: () => {
+			onCrash: () => undefined,
+			onUrgentReport: () => {
 				this.after(latencyMs, () => {
 					this.report(entry);
 				});
@@ -431,15 +434,17 @@
 				close: () => undefined,
 			}),
 		});
-		this.crashRecords[entry] = new CrashRecords({suspects: path.crashSuspects, registry: this.store.createClient(`entry-${entry}`), log: line => this.lines.push(line)});
+		this.crashRecords[entry] = makeCrashRecords(path.crashes, {registry: this.store.createClient(`entry-${entry}`), log: line => this.lines.push(line)});
 		return path;
 	}
 
 	/* An entry reads the store as it starts, and writes there what it has found. */
 	private async readCrashRecords(entry: number): Promise<void> {
 		const answer = await this.store.createClient(`entry-${entry}`).list('');
-		const {items} = answer._unsafeUnwrap();
-		this.crashRecords[entry].read({list: prefix => items.filter(({key}) => key.startsWith(prefix))}, this.now);
+		const items = answer.isOk() ? answer.value.items : [];
+		for (const records of this.crashRecords[entry]) {
+			records.read({list: prefix => items.filter(({key}) => key.startsWith(prefix))}, this.now);
+		}
 	}
 
 	/* A process that was killed sends nothing more. */
@@ -487,7 +492,7 @@
 		});
 	}
 
-	private serve(target: SimulatedTarget, pair: EntryAndIncarnation, {target: meant, exchange, delivery, signal, onProgress}: SendOptions, {sentAt, listener, resolve}: Receiver): void {
+	private serve(target: SimulatedTarget, pair: EntryAndIncarnation, {target: meant, exchange, delivery, signal, onProgress, onAnswerPart}: SendOptions, {sentAt, listener, resolve}: Receiver): void {
 		if (target.isBreakingOff) {
 			this.after(latencyMs, () => {
 				resolve({kind: 'lost', reason: 'other side closed', isConnectionClosed: true});
@@ -544,6 +549,7 @@
 				if (!state.isLost) {
 					listener.onProgress(meant);
 					onProgress();
+					onAnswerPart();
 				}
 			});
 		}
--- a/features/support/make-simulated-entry.ts
+++ b/features/support/make-simulated-entry.ts
@@ -31,7 +31,8 @@
 		onLoadChange: () => undefined,
 		onRetryRefusal: () => undefined,
 		onSend: () => undefined,
-		onCrashFound: () => undefined,
+		onCrash: () => undefined,
+		onUrgentReport: () => undefined,
 		onRefusal: () => undefined,
 		onLeave(target, source) {
 			state.fleet.noteLeave(target, source, clock());
--- a/src/balance/crash-suspects.ts
+++ b/src/balance/crash-suspects.ts
@@ -1,5 +1,6 @@
 import {type CrashDigest} from './crash-digest.js';
-import {type CrashRecord} from './crash-record.js';
+import {CrashRecord} from './crash-record.js';
+import {evictOldest} from './evict-oldest.js';
 import {formatIncarnation} from './format-incarnation.js';
 import {type LostRequest} from './lost-request.js';
 
@@ -37,15 +38,6 @@
 /** Maximum number of incarnations kept for each suspect. */
 const maximumIncarnations = 8;
 
-const countEarlyCrashes = ({incarnations}: Pick<Suspect, 'incarnations'>): number => [...incarnations.values()].filter(Boolean).length;
-const isSuspected = (suspect: Pick<Suspect, 'incarnations'>): boolean => countEarlyCrashes(suspect) >= earlyCrashesToBlock || suspect.incarnations.size >= crashesToBlock;
-const evictOldest = (kept: Map<string, unknown> | Set<string>, maximum: number): void => {
-	const [oldest] = kept.keys();
-	if (kept.size > maximum) {
-		kept.delete(oldest);
-	}
-};
-
 /**
  * Detects requests that crash the targets that run them, and blocks them. Without it, such a request takes down one target after
  * the other when it is retried or sent again, and with each target all other requests that run there.
@@ -61,7 +53,8 @@
 	/** Requests whose records in the store are out of date. */
 	private readonly unsaved = new Set<string>();
 
-	constructor(private readonly log: (message: string) => void) {}
+	/** @param isExplained - whether something else is known to be the cause of an incarnation's crash */
+	constructor(private readonly isExplained: (incarnation: string) => boolean, private readonly log: (message: string) => void) {}
 
 	/**
 	 * Gets for how long a request is refused. When its block is over, one request is let through as a probe.
@@ -76,7 +69,7 @@
 		}
 
 		suspect.seenAt = now;
-		if (!isSuspected(suspect)) {
+		if (!this.isSuspected(suspect)) {
 			return 0;
 		}
 
@@ -128,11 +121,22 @@
 	/** Gets what the store is to hold of a request; undefined if nothing, since it is not refused. */
 	getRecord(fingerprint: string): CrashRecord | undefined {
 		const suspect = this.suspects.get(fingerprint);
-		return suspect && isSuspected(suspect)
+		return suspect && this.isSuspected(suspect)
 			? {incarnations: [...suspect.incarnations.keys()], met: [...suspect.incarnations].filter(([, hasJustBegun]) => !hasJustBegun).map(([name]) => name)}
 			: undefined;
 	}
 
+	/** Merges the record of a request that was read from the store. Throws if it is not valid. */
+	mergeRecord(fingerprint: string, document: unknown, now: number): void {
+		const {incarnations, met} = CrashRecord.parse(document);
+		this.merge({suspects: {[fingerprint]: incarnations}, met: {[fingerprint]: met}}, now);
+	}
+
+	/** Lists the requests of which lost records are written again: none, since most are blocked for less time than records are kept. */
+	listRecorded(): string[] {
+		return [];
+	}
+
 	/**
 	 * Gets the digest for peers.
 	 *
@@ -207,12 +211,21 @@
 		}
 	}
 
+	private countEarlyCrashes({incarnations}: Suspect): number {
+		return [...incarnations].filter(([incarnation, hasJustBegun]) => hasJustBegun && !this.isExplained(incarnation)).length;
+	}
+
+	private isSuspected(suspect: Suspect): boolean {
+		const unexplained = [...suspect.incarnations.keys()].filter(incarnation => !this.isExplained(incarnation)).length;
+		return this.countEarlyCrashes(suspect) >= earlyCrashesToBlock || unexplained >= crashesToBlock;
+	}
+
 	private block(fingerprint: string, suspect: Suspect, now: number): void {
-		if (!isSuspected(suspect)) {
+		if (!this.isSuspected(suspect)) {
 			return;
 		}
 
-		const extraCrashes = countEarlyCrashes(suspect) - earlyCrashesToBlock;
+		const extraCrashes = this.countEarlyCrashes(suspect) - earlyCrashesToBlock;
 		const blockMs = extraCrashes <= 0 ? firstBlockMs : Math.min(maximumBlockMs, secondBlockMs * (2 ** (extraCrashes - 1)));
 		suspect.blockedUntil = now + blockMs;
 		this.log(`request ${fingerprint} is refused for ${blockMs} ms: targets crashed while they ran it (${[...suspect.incarnations.keys()].join(', ')})`);
--- /dev/null
+++ b/src/balance/part-suspects.ts
@@ -0,0 +1,381 @@
+import {accuseParts} from './accuse-parts.js';
+import {evictOldest} from './evict-oldest.js';
+import {formatIncarnation} from './format-incarnation.js';
+import {type LostRequest} from './lost-request.js';
+import {PartCrashRecord} from './part-crash-record.js';
+import {type PartDigest} from './part-digest.js';
+import {PartTrials} from './part-trials.js';
+import {type PartVerdict} from './part-verdict.js';
+
+/** A part that is refused. Times in milliseconds. */
+type Block = {
+	/** Crashes that it explains. */
+	crashes: ReadonlySet<string>;
+	/** Other parts that explain the same crashes. */
+	rivals: readonly string[];
+	until: number;
+	seenAt: number;
+};
+
+/** A target that crashes under a part does so before it has answered for this time, milliseconds. */
+const crashWindowMs = 250;
+/** A part is sound once a target has been answering a request with it for this time, milliseconds. */
+const soundAfterMs = 400;
+/** Time for which a part counts as sound after the last such answer, milliseconds. */
+const soundRetentionMs = 600_000;
+/** Weight of the newest answer in the moving average of the share of requests with a part that was not known to be sound. */
+const newPartWeight = 0.1;
+/** Up to this share, a request with such a part hardly meets a crash by chance. */
+const rareNewPartShare = 0.25;
+/** A part is refused for this time, milliseconds, and with each further crash `blockGrowth` times as long: most do not change within a day. */
+const firstBlockMs = 120_000;
+const blockGrowth = 8;
+const maximumBlockMs = 86_400_000;
+/** When a request returns that meets the trial of another one, or a probe that a peer has to send, milliseconds. */
+const trialWaitMs = 500;
+const probeWaitMs = 10_000;
+/** Crashes that accuse no part are forgotten after this time, and parts that nobody asks for any more, milliseconds. */
+const crashRetentionMs = 600_000;
+const blockRetentionMs = 86_400_000;
+/** Time for which a change is included in reports to peers, milliseconds: more than twice the maximum interval between reports. */
+const digestRetentionMs = 3000;
+/** Characters of a request's fingerprint that tell requests apart. */
+const tagLength = 6;
+/** Maximum numbers kept, and in one report; beyond them the oldest are evicted. */
+const maximumSound = 16_384;
+const maximumCrashes = 256;
+const maximumSuspects = 2048;
+const maximumBlocks = 256;
+const maximumDigestItems = 40;
+const maximumDigestParts = 40;
+
+/**
+ * Detects parts of prompts that crash the targets that begin to answer requests with them, and blocks them.
+ *
+ * Every part of a request that is lost as it begins to run is a suspect, unless an answer has shown it to be sound. A suspect is sent
+ * with one request at a time, so that the next crash names it or an answer clears it. Entries exchange crashes, trials and sound parts.
+ */
+export class PartSuspects {
+	readonly trials = new PartTrials();
+	/** By part, the crashes in which a request with it was lost as it began to run, and a tag of that request. */
+	private readonly suspects = new Map<string, Map<string, string>>();
+	/** By crashed incarnation, when its crash was learned, milliseconds. */
+	private readonly crashTimes = new Map<string, number>();
+	/** By crashed incarnation, when the parts held against it last changed, milliseconds. */
+	private readonly changedAt = new Map<string, number>();
+	private readonly blocks = new Map<string, Block>();
+	/** When a part was last answered, milliseconds. */
+	private readonly sound = new Map<string, number>();
+	/** Moving average of the share of answered requests with a part that was not known to be sound. */
+	private newPartShare = 1;
+	/** Suspects that were found to be sound, and when, milliseconds. */
+	private readonly cleared = new Map<string, number>();
+	/** Parts that were refused by an entry, as the store says. */
+	private readonly recorded = new Set<string>();
+	/** Crashes whose records in the store are out of date. */
+	private readonly unsaved = new Set<string>();
+
+	constructor(private readonly log: (message: string) => void) {}
+
+	/** Number of parts that are refused. */
+	get size(): number {
+		return this.blocks.size;
+	}
+
+	/** Whether a crash is explained by a part that is refused. */
+	isExplained(crash: string): boolean {
+		return [...this.blocks.values()].some(({crashes}) => crashes.has(crash));
+	}
+
+	/**
+	 * Decides whether a request may be sent.
+	 *
+	 * @param request - identifies the request, which may have begun a trial already
+	 * @param mayProbe - whether this entry, rather than a peer, may send a request with a part whose block is over
+	 */
+	judge(request: unknown, parts: readonly string[], mayProbe: (part: string) => boolean, now: number): PartVerdict {
+		const suspected = parts.filter(part => this.suspects.has(part));
+		for (const part of suspected) {
+			const waitMs = this.getBlockMs(part, parts, mayProbe, now);
+			if (waitMs > 0) {
+				return {kind: 'blocked', part, waitMs};
+			}
+		}
+
+		const tried = suspected.find(part => this.trials.isTriedByOther(part, request, now));
+		if (tried !== undefined) {
+			return {kind: 'tried-elsewhere', part: tried, waitMs: trialWaitMs};
+		}
+
+		return suspected.length === 0 ? {kind: 'sound'} : {kind: 'trial', parts: suspected};
+	}
+
+	/** Notes that a target has been answering a request with these parts for `answeringMs`; returns whether that shows them to be sound. */
+	noteAnswering(parts: readonly string[], answeringMs: number, now: number): boolean {
+		if (answeringMs < soundAfterMs) {
+			return false;
+		}
+
+		const isNew = parts.some(part => !this.isSound(part, now));
+		this.newPartShare += newPartWeight * ((isNew ? 1 : 0) - this.newPartShare);
+		for (const part of parts) {
+			const block = this.blocks.get(part);
+			this.clear(part, now);
+			for (const crash of block?.crashes ?? []) {
+				this.noteUnsaved(crash);
+			}
+		}
+
+		return true;
+	}
+
+	/** Notes that a target has crashed while it ran these requests. */
+	noteCrash(lostRequests: readonly LostRequest[], now: number): void {
+		const blocked = new Set(this.blocks.keys());
+		for (const {incarnation, promptParts, fingerprint, answeringMs} of lostRequests) {
+			const hasJustBegun = answeringMs === undefined || answeringMs <= crashWindowMs;
+			const tag = fingerprint.slice(0, tagLength);
+			this.addCrash(formatIncarnation(incarnation), (hasJustBegun ? promptParts : []).map(part => [part, tag]), now);
+		}
+
+		this.accuse(now);
+		const crashes = lostRequests.map(({incarnation}) => formatIncarnation(incarnation));
+		const added = [...this.blocks].filter(([part]) => !blocked.has(part)).flatMap(([, block]) => [...block.crashes]);
+		for (const crash of [...crashes, ...added].filter(found => this.getRecord(found))) {
+			this.noteUnsaved(crash);
+		}
+	}
+
+	/** Gets the digest for peers; `isFull` includes all blocked parts, for a peer that may not have received any report yet. */
+	getDigest(isFull: boolean, now: number): PartDigest {
+		const isRecent = (at: number | undefined): boolean => at !== undefined && now - at <= digestRetentionMs;
+		const recent = [...this.crashTimes.keys()].filter(crash => isRecent(this.changedAt.get(crash)));
+		const explained = isFull ? [...this.blocks.values()].flatMap(({crashes}) => [...crashes]) : [];
+		const reported = [...new Set([...explained, ...recent])].slice(-maximumDigestItems);
+		const partCrashes = reported.map(crash => [crash, Object.fromEntries(this.listSuspects(crash, recent.includes(crash)))]);
+		const soundParts = [...this.cleared].filter(([, at]) => isRecent(at)).slice(-maximumDigestItems).map(([part]) => part);
+		const trialParts = this.trials.list(now).slice(-maximumDigestItems);
+		return {
+			...(partCrashes.length > 0 && {partCrashes: Object.fromEntries(partCrashes) as Record<string, Record<string, string>>}),
+			...(soundParts.length > 0 && {soundParts}),
+			...(trialParts.length > 0 && {trialParts}),
+		};
+	}
+
+	/** Merges a peer's digest. Suspects that this entry knows to be sound are reported back. */
+	merge({partCrashes, soundParts, trialParts}: PartDigest, now: number): void {
+		for (const part of soundParts ?? []) {
+			this.clear(part, now);
+		}
+
+		const hasChanged = Object.entries(partCrashes ?? {}).map(([crash, parts]) => this.addCrash(crash, Object.entries(parts), now)).some(Boolean);
+		if (hasChanged) {
+			this.accuse(now);
+		}
+
+		this.trials.notePeer(trialParts ?? [], now);
+	}
+
+	/** Takes a crash whose record in the store is out of date; undefined if there is none. */
+	takeUnsaved(): string | undefined {
+		const [crash] = this.unsaved;
+		this.unsaved.delete(crash);
+		return crash;
+	}
+
+	/** Notes that the record of a crash in the store is out of date. */
+	noteUnsaved(crash: string): void {
+		this.unsaved.add(crash);
+		evictOldest(this.unsaved, maximumCrashes);
+	}
+
+	/** Gets what the store is to hold of a crash; undefined if nothing, since no part is held against it. */
+	getRecord(crash: string): PartCrashRecord | undefined {
+		const parts = this.listSuspects(crash, true);
+		return parts.length === 0 ? undefined : {parts: Object.fromEntries(parts), refused: parts.map(([part]) => part).filter(part => this.blocks.has(part))};
+	}
+
+	/** Merges the record of a crash that was read from the store. Throws if it is not valid. */
+	mergeRecord(crash: string, document: unknown, now: number): void {
+		const {parts, refused} = PartCrashRecord.parse(document);
+		for (const part of refused.filter(found => !this.isSound(found, now))) {
+			this.recorded.add(part);
+			evictOldest(this.recorded, maximumBlocks);
+		}
+
+		this.merge({partCrashes: {[crash]: parts}}, now);
+	}
+
+	/** Lists the crashes that the store is to hold records of for as long as a part is refused. */
+	listRecorded(): string[] {
+		return [...new Set([...this.blocks.values()].flatMap(({crashes}) => [...crashes]))];
+	}
+
+	/** Evicts what has expired. */
+	tick(now: number): void {
+		this.trials.tick(now);
+		for (const [part, {seenAt}] of this.blocks) {
+			if (now - seenAt > blockRetentionMs) {
+				this.forget(part);
+			}
+		}
+
+		for (const [crash, at] of this.crashTimes) {
+			if (now - at > crashRetentionMs && !this.isExplained(crash)) {
+				this.forgetCrash(crash);
+			}
+		}
+
+		for (const [part, at] of this.cleared) {
+			if (now - at > digestRetentionMs) {
+				this.cleared.delete(part);
+			}
+		}
+	}
+
+	private isSound(part: string, now: number): boolean {
+		return now - (this.sound.get(part) ?? Number.NEGATIVE_INFINITY) <= soundRetentionMs;
+	}
+
+	/* A request with only one of several parts that explain the same crashes shows which of them is the cause. */
+	private getBlockMs(part: string, parts: readonly string[], mayProbe: (part: string) => boolean, now: number): number {
+		const block = this.blocks.get(part);
+		if (!block) {
+			return 0;
+		}
+
+		block.seenAt = now;
+		if (block.rivals.length > 0 && !block.rivals.some(rival => parts.includes(rival))) {
+			return 0;
+		}
+
+		if (now < block.until) {
+			return block.until - now;
+		}
+
+		return mayProbe(part) ? 0 : probeWaitMs;
+	}
+
+	/* Lists the parts that are held against a crash, each with the tag of its request. */
+	private listSuspects(crash: string, isRecent: boolean): Array<[string, string]> {
+		const parts = [...this.suspects].filter(([part, crashes]) => crashes.has(crash) && (isRecent || this.blocks.has(part)));
+		return parts.map(([part, crashes]): [string, string] => [part, crashes.get(crash)!]).slice(-maximumDigestParts);
+	}
+
+	/* Returns whether anything was not known. */
+	private addCrash(crash: string, parts: ReadonlyArray<readonly [string, string]>, now: number): boolean {
+		let hasChanged = !this.crashTimes.has(crash);
+		if (hasChanged) {
+			this.crashTimes.set(crash, now);
+			this.evictCrashes();
+		}
+
+		for (const [part, tag] of parts) {
+			if (this.isSound(part, now)) {
+				this.cleared.set(part, now);
+				continue;
+			}
+
+			const crashes = this.suspects.get(part) ?? new Map<string, string>();
+			hasChanged ||= !crashes.has(crash);
+			crashes.set(crash, crashes.get(crash) ?? tag);
+			this.suspects.set(part, crashes);
+		}
+
+		if (hasChanged) {
+			this.changedAt.set(crash, now);
+			this.evictSuspects();
+		}
+
+		return hasChanged;
+	}
+
+	private accuse(now: number): void {
+		const accusations = accuseParts({
+			suspects: this.suspects,
+			crashTimes: this.crashTimes,
+			isAccused: part => this.blocks.has(part) || this.recorded.has(part),
+			areOthersSound: this.newPartShare <= rareNewPartShare,
+		});
+		const accused = new Set(accusations.flatMap(({parts}) => parts));
+		for (const part of this.blocks.keys()) {
+			if (!accused.has(part)) {
+				this.blocks.delete(part);
+				this.log(`part ${part} is no longer refused: another part explains the crashes`);
+			}
+		}
+
+		for (const {parts, crashes} of accusations) {
+			for (const part of parts) {
+				this.block(part, crashes, parts.filter(other => other !== part), now);
+			}
+		}
+	}
+
+	private block(part: string, crashes: ReadonlySet<string>, rivals: readonly string[], now: number): void {
+		const known = this.blocks.get(part);
+		if (known?.crashes.size === crashes.size) {
+			known.rivals = rivals;
+			return;
+		}
+
+		const blockMs = Math.min(maximumBlockMs, firstBlockMs * (blockGrowth ** (crashes.size - 2)));
+		this.blocks.set(part, {
+			crashes, rivals, until: now + blockMs, seenAt: known?.seenAt ?? now,
+		});
+		this.trials.settle(part);
+		const doubt = rivals.length > 0 ? `, or it was ${rivals.join(' or ')}` : '';
+		this.log(`part ${part} is refused for ${blockMs} ms: targets crashed as they began to answer requests with it (${[...crashes].join(', ')})${doubt}`);
+		if (this.blocks.size > maximumBlocks) {
+			this.forget([...this.blocks.keys()][0]);
+		}
+	}
+
+	private clear(part: string, now: number): void {
+		this.sound.delete(part);
+		this.sound.set(part, now);
+		evictOldest(this.sound, maximumSound);
+		if (!this.suspects.delete(part)) {
+			return;
+		}
+
+		this.trials.settle(part);
+		this.recorded.delete(part);
+		this.cleared.set(part, now);
+		if (this.blocks.delete(part)) {
+			this.log(`part ${part} is no longer refused: a target has answered a request with it`);
+		}
+
+		this.accuse(now);
+	}
+
+	private forget(part: string): void {
+		this.blocks.delete(part);
+		this.suspects.delete(part);
+	}
+
+	private forgetCrash(crash: string): void {
+		this.crashTimes.delete(crash);
+		this.changedAt.delete(crash);
+		for (const [part, crashes] of this.suspects) {
+			crashes.delete(crash);
+			if (crashes.size === 0) {
+				this.suspects.delete(part);
+			}
+		}
+	}
+
+	private evictCrashes(): void {
+		if (this.crashTimes.size > maximumCrashes) {
+			const oldest = [...this.crashTimes.keys()].find(crash => !this.isExplained(crash));
+			this.forgetCrash(oldest ?? [...this.crashTimes.keys()][0]);
+		}
+	}
+
+	private evictSuspects(): void {
+		while (this.suspects.size > maximumSuspects) {
+			const oldest = [...this.suspects.keys()].find(part => !this.blocks.has(part));
+			this.forget(oldest ?? [...this.suspects.keys()][0]);
+		}
+	}
+}
--- a/src/forward/crash-detector.ts
+++ b/src/forward/crash-detector.ts
@@ -1,14 +1,23 @@
 import {CrashSuspects} from '../balance/crash-suspects.js';
+import {formatIncarnation} from '../balance/format-incarnation.js';
 import {type LostRequest} from '../balance/lost-request.js';
 import {LostRequests} from '../balance/lost-requests.js';
+import {PartSuspects} from '../balance/part-suspects.js';
 import {type TargetHealth} from '../balance/target-health.js';
 import {type Target} from '../fleet/target.js';
+import {type EntryDigest} from '../mesh/entry-digest.js';
 import {type ForwardExchange} from './forward-exchange.js';
+import {type Refusal} from './refusal.js';
+import {retrySpreads} from './retry-spreads.js';
 import {type SendOutcome} from './send-outcome.js';
 import {type TargetTransport} from './target-transport.js';
 
 /** Most requests that the log line on a crash names; a target runs few more. */
 const maximumDescribed = 12;
+/** A crash is reported to peers as new for this time, milliseconds; later its group may have been formed again. */
+const freshCrashMs = 500;
+/** Time for which a reported crash is known, milliseconds, so that each stops its group once. */
+const crashRetentionMs = 10_000;
 
 type Lost = Extract<SendOutcome, {kind: 'lost'}>;
 
@@ -16,10 +25,14 @@
 	/** Checks whether a process listens at a target's address. */
 	readonly check: TargetTransport['check'];
 	readonly health: TargetHealth;
-	/** Whether this entry is the one, among the live entries, that may send a request with this fingerprint as a probe. */
-	readonly isElected: (fingerprint: string, now: number) => boolean;
-	/** Called when a crash has been found that peers must be notified of at once. */
-	readonly onCrashFound: (target: string) => void;
+	/** Whether this entry is the one, among the live entries, that sends probes with this fingerprint or part and keeps its record. */
+	readonly isElected: (subject: string, now: number) => boolean;
+	/** Called with the id of a target that has just crashed, as seen by this entry or a peer. */
+	readonly onCrash: (target: string) => void;
+	/** Called when peers must be notified at once: of a crash, or that a request is sent as a trial. */
+	readonly onUrgentReport: () => void;
+	/** Called for each crash in which this entry has lost requests. */
+	readonly onLoss: (target: string) => void;
 	readonly clock: () => number;
 	readonly log: (message: string) => void;
 };
@@ -30,38 +43,106 @@
 };
 
 /**
- * Distinguishes crashed targets from lost connections, and blocks the requests that crash targets. A cut link, a frozen
- * VM or a target that breaks answers off is no crash: after a crash the VM refuses connections, or the target registers
+ * Distinguishes crashed targets from lost connections, and blocks the requests and the parts of prompts that crash targets. A cut
+ * link, a frozen VM or a target that breaks answers off is no crash: after a crash the VM refuses connections, or the target registers
  * again with a later time of birth.
  */
 export class CrashDetector {
 	readonly suspects: CrashSuspects;
+	readonly parts: PartSuspects;
 	private readonly lostRequests = new LostRequests();
 	/** Targets being checked. */
-	private readonly checking = new Set<string>();
+	private readonly checks = new Map<string, Promise<void>>();
+	/** Incarnations that have just crashed, as seen by this entry or a peer, and when, milliseconds. */
+	private readonly ownCrashes = new Map<string, number>();
+	private readonly peerCrashes = new Map<string, number>();
 
 	constructor(private readonly options: DetectorOptions) {
-		this.suspects = new CrashSuspects(options.log);
+		this.parts = new PartSuspects(options.log);
+		this.suspects = new CrashSuspects(incarnation => this.parts.isExplained(incarnation), options.log);
 	}
 
-	/** Time for which a request stays blocked because targets crashed while running it, milliseconds; 0 when it may be sent. */
-	getBlockMs({fingerprint}: ForwardExchange, now: number): number {
-		return this.suspects.getBlockMs(fingerprint, () => this.options.isElected(fingerprint, now), now);
+	/** Whether this entry is the one, among the live entries, that keeps the record of a fingerprint or part in the store. */
+	isElected(subject: string, now: number): boolean {
+		return this.options.isElected(subject, now);
 	}
 
-	/** Notes that a target has answered a request completely. */
-	noteAnswered({fingerprint}: ForwardExchange): void {
-		this.suspects.noteAnswered(fingerprint, this.options.clock());
+	/** Returns why a request is refused because of crashes; undefined when it may be sent. */
+	refuse(exchange: ForwardExchange, now: number): Refusal | undefined {
+		const {fingerprint, metadata: {promptParts}} = exchange;
+		const {isElected} = this.options;
+		const blockMs = this.suspects.getBlockMs(fingerprint, () => isElected(fingerprint, now), now);
+		if (blockMs > 0) {
+			return {spread: 0, unavailableMs: blockMs, detail: `targets crashed as they ran this request (${fingerprint}), which is refused for ${Math.round(blockMs)} ms more`};
+		}
+
+		const verdict = this.parts.judge(exchange, promptParts, part => isElected(part, now), now);
+		switch (verdict.kind) {
+			case 'blocked': {
+				const {part, waitMs} = verdict;
+				return {spread: 0, unavailableMs: waitMs, detail: `targets crashed as they ran requests with part ${part} in their prompts, which are refused for ${Math.round(waitMs)} ms more`};
+			}
+
+			case 'tried-elsewhere': {
+				const {part, waitMs} = verdict;
+				return {spread: retrySpreads.overload, unavailableMs: waitMs, detail: `a target crashed as it ran a request with part ${part} in its prompt; another request with it is being tried`};
+			}
+
+			default: {
+				return undefined;
+			}
+		}
+	}
+
+	/** Notes that a request is about to be sent: as a trial if parts of its prompt are suspected, until `endTrial`. */
+	beginTrial(exchange: ForwardExchange, now: number): void {
+		const verdict = this.parts.judge(exchange, exchange.metadata.promptParts, () => true, now);
+		if (verdict.kind === 'trial') {
+			exchange.noteDecision(`sent as the only request with part ${verdict.parts.join(', ')}, as a target crashed with it`);
+			this.parts.trials.begin(exchange, verdict.parts, now);
+			this.options.onUrgentReport();
+		}
+	}
+
+	/** Notes that a request is not sent any more. */
+	endTrial(exchange: ForwardExchange): void {
+		this.parts.trials.end(exchange);
 	}
 
-	/** Notes that a request was lost at a target, and checks the target if its connection was closed. */
-	noteLost({fingerprint, metadata: {id, promptParts}}: ForwardExchange, target: Target, {isConnectionClosed, answeringMs}: Lost): void {
+	/** Returns a callback for each part that a target sends of its answer to a request: what is answered for some time crashes no target. */
+	watchAnswer({metadata: {promptParts}}: ForwardExchange): () => void {
+		let beganAt: number | undefined;
+		let isSound = false;
+		return () => {
+			const now = this.options.clock();
+			beganAt ??= now;
+			if (!isSound && promptParts.length > 0) {
+				isSound = this.parts.noteAnswering(promptParts, now - beganAt, now);
+			}
+		};
+	}
+
+	/** Notes that a target has answered a request completely; `hasSucceeded` unless it answered with an error. */
+	noteAnswered({fingerprint, metadata: {promptParts}}: ForwardExchange, hasSucceeded: boolean): void {
+		const now = this.options.clock();
+		this.suspects.noteAnswered(fingerprint, now);
+		if (hasSucceeded) {
+			this.parts.noteAnswering(promptParts, Number.POSITIVE_INFINITY, now);
+		}
+	}
+
+	/** Notes that a request was lost at a target. If its connection was closed, resolves once it is known whether the target has crashed. */
+	async noteLost({fingerprint, metadata: {id, promptParts}}: ForwardExchange, target: Target, {isConnectionClosed, answeringMs}: Lost): Promise<void> {
 		this.lostRequests.add({
 			id, fingerprint, promptParts, incarnation: target, answeringMs,
 		}, this.options.clock());
-		if (isConnectionClosed && !this.checking.has(target.id)) {
-			void this.checkTarget(target);
+		if (!isConnectionClosed) {
+			return;
 		}
+
+		const check = this.checks.get(target.id) ?? this.checkTarget(target);
+		this.checks.set(target.id, check);
+		await check;
 	}
 
 	/** Notes that a target has restarted under its id. */
@@ -69,22 +150,63 @@
 		this.reportCrash(target);
 	}
 
+	/** Gets the digest for peers; `isFull` for a peer that may not have received any report yet. */
+	getDigest(isFull: boolean, now: number): Partial<EntryDigest> {
+		const crashed = [...this.ownCrashes].filter(([, at]) => now - at <= freshCrashMs).map(([incarnation]) => incarnation);
+		return {
+			...this.suspects.getDigest(isFull, now),
+			...this.parts.getDigest(isFull, now),
+			...(crashed.length > 0 && {crashed}),
+		};
+	}
+
+	/** Merges a peer's digest. */
+	merge(digest: EntryDigest, now: number): void {
+		this.parts.merge(digest, now);
+		this.suspects.merge(digest, now);
+		for (const incarnation of digest.crashed ?? []) {
+			if (!this.ownCrashes.has(incarnation) && !this.peerCrashes.has(incarnation)) {
+				this.peerCrashes.set(incarnation, now);
+				this.options.onCrash(incarnation.split(' ', 1)[0]);
+			}
+		}
+	}
+
+	/** Evicts what has expired. */
+	tick(now: number): void {
+		this.suspects.tick(now);
+		this.parts.tick(now);
+		for (const crashes of [this.ownCrashes, this.peerCrashes]) {
+			for (const [incarnation, at] of crashes) {
+				if (now - at > crashRetentionMs) {
+					crashes.delete(incarnation);
+				}
+			}
+		}
+	}
+
 	private async checkTarget(target: Target): Promise<void> {
-		const {check, health, clock, log} = this.options;
-		this.checking.add(target.id);
+		const {check, health, clock, log, onCrash} = this.options;
 		const listenerState = await check(target);
-		this.checking.delete(target.id);
+		this.checks.delete(target.id);
+		if (listenerState === 'listens') {
+			// Its process has survived: a crash that it has later did not lose this request.
+			this.lostRequests.take(target.id, clock());
+		}
+
 		if (listenerState !== 'refuses') {
 			return;
 		}
 
 		log(`target ${target.id} of ${target.service} has crashed: it closed its connections and no process listens at its address`);
 		health.noteUnreachable(target.id, clock());
+		this.ownCrashes.set(formatIncarnation(target), clock());
+		onCrash(target.id);
 		this.reportCrash(target.id);
 	}
 
 	private reportCrash(target: string): void {
-		const {clock, onCrashFound, log} = this.options;
+		const {clock, onUrgentReport, onLoss, log} = this.options;
 		const now = clock();
 		const lost = this.lostRequests.take(target, now);
 		if (lost.length === 0) {
@@ -93,7 +215,9 @@
 
 		const described = lost.slice(0, maximumDescribed).map(request => describe(request)).join(', ');
 		log(`crash of target ${target}: ${lost.length} requests lost: ${described}`);
+		this.parts.noteCrash(lost, now);
 		this.suspects.noteCrash(lost, now);
-		onCrashFound(target);
+		onLoss(target);
+		onUrgentReport();
 	}
 }
--- a/src/forward/crash-records.ts
+++ b/src/forward/crash-records.ts
@@ -1,10 +1,23 @@
-import {CrashRecord} from '../balance/crash-record.js';
-import {type CrashSuspects} from '../balance/crash-suspects.js';
 import {type Registry} from '../key-value/registry.js';
 import {type StoredValue} from '../key-value/stored-value.js';
 
+/** Keeps what is known of the causes of crashes, by fingerprint of a request or by crashed incarnation. */
+type RecordSource = {
+	takeUnsaved(): string | undefined;
+	noteUnsaved(subject: string): void;
+	getRecord(subject: string): unknown;
+	/** Throws if the record is not valid. */
+	mergeRecord(subject: string, record: unknown, now: number): void;
+	/** Lists the subjects that the store is to hold records of, again if they are lost there. */
+	listRecorded(): readonly string[];
+};
+
 type RecordsOptions = {
-	readonly suspects: CrashSuspects;
+	/** Prefix of the keys of these records in the store. */
+	readonly prefix: string;
+	readonly suspects: RecordSource;
+	/** Whether this entry is the one, among the live entries, that restores the record of a subject. */
+	readonly isElected: (subject: string, now: number) => boolean;
 	readonly registry: Registry;
 	readonly log: (message: string) => void;
 };
@@ -14,10 +27,7 @@
 /** Interval between two writes, and after a failed one, milliseconds, so that many crashes do not flood the store. */
 const writeIntervalMs = 1000;
 
-/** Prefix of the keys of these records in the store. */
-const recordsPrefix = 'wardswitch/crashes/';
-
-/** Keeps the requests that crash targets in the store, so that they are refused even after all entries have started again. */
+/** Keeps what is known of the causes of crashes in the store, so that they are refused even after all entries have started again. */
 export class CrashRecords {
 	/** Revisions of the records read last, by key. */
 	private readonly readRevisions = new Map<string, number>();
@@ -28,7 +38,8 @@
 
 	/** Reads the records that have changed in the store; `now` in milliseconds. */
 	read(view: {list(prefix: string): readonly StoredValue[]}, now: number): void {
-		const records = view.list(recordsPrefix);
+		const {prefix, suspects, isElected} = this.options;
+		const records = view.list(prefix);
 		for (const item of records.filter(({key, revision}) => this.readRevisions.get(key) !== revision)) {
 			this.readOne(item, now);
 		}
@@ -37,31 +48,37 @@
 		for (const {key, revision} of records) {
 			this.readRevisions.set(key, revision);
 		}
+
+		for (const subject of suspects.listRecorded()) {
+			if (!this.readRevisions.has(`${prefix}${subject}`) && isElected(subject, now)) {
+				suspects.noteUnsaved(subject);
+			}
+		}
 	}
 
 	/** Writes a record that has changed, if one is due; `now` in milliseconds. */
 	async tick(now: number): Promise<void> {
 		const {suspects, log} = this.options;
-		const fingerprint = now >= this.nextAt && !this.isBusy ? suspects.takeUnsaved() : undefined;
-		if (fingerprint === undefined) {
+		const subject = now >= this.nextAt && !this.isBusy ? suspects.takeUnsaved() : undefined;
+		if (subject === undefined) {
 			return;
 		}
 
 		this.isBusy = true;
 		this.nextAt = now + writeIntervalMs;
-		const problem = await this.write(fingerprint);
+		const problem = await this.write(subject);
 		this.isBusy = false;
 		if (problem !== undefined) {
-			suspects.noteUnsaved(fingerprint);
-			log(`record of request ${fingerprint}, which crashes targets, not written, will be retried: ${problem}`);
+			suspects.noteUnsaved(subject);
+			log(`crash record of ${subject} not written, will be retried: ${problem}`);
 		}
 	}
 
-	private async write(fingerprint: string): Promise<string | undefined> {
-		const {suspects, registry} = this.options;
-		const key = `${recordsPrefix}${fingerprint}`;
-		const record = suspects.getRecord(fingerprint);
-		if (!record) {
+	private async write(subject: string): Promise<string | undefined> {
+		const {prefix, suspects, registry} = this.options;
+		const key = `${prefix}${subject}`;
+		const record = suspects.getRecord(subject);
+		if (record === undefined) {
 			const removed = await registry.commit({conditions: [], puts: [], deletes: [key]});
 			return removed.isErr() ? removed.error.message : undefined;
 		}
@@ -76,12 +93,11 @@
 	}
 
 	private readOne({key, value}: StoredValue, now: number): void {
-		const fingerprint = key.slice(recordsPrefix.length);
+		const {prefix, suspects, log} = this.options;
 		try {
-			const {incarnations, met} = CrashRecord.parse(JSON.parse(value));
-			this.options.suspects.merge({suspects: {[fingerprint]: incarnations}, met: {[fingerprint]: met}}, now);
+			suspects.mergeRecord(key.slice(prefix.length), JSON.parse(value), now);
 		} catch (error) {
-			this.options.log(`record ${key} not accepted: ${(error as Error).message}`);
+			log(`record ${key} not accepted: ${(error as Error).message}`);
 		}
 	}
 }
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -30,6 +30,8 @@
 	readonly onSend: (service: string, isRetry: boolean) => void;
 };
 
+/** Lowest status of an answer that is no success. */
+const minimumClientError = 400;
 /** Lowest status that is retried at another target. */
 const minimumServerError = 500;
 
@@ -44,6 +46,14 @@
 
 	/** Serves a request to the end of its answer, or returns the problem to send to its caller. */
 	async run(exchange: ForwardExchange): Promise<Result<void, Problem>> {
+		try {
+			return await this.serve(exchange);
+		} finally {
+			this.options.crashes.endTrial(exchange);
+		}
+	}
+
+	private async serve(exchange: ForwardExchange): Promise<Result<void, Problem>> {
 		const route = exchange.route!;
 		exchange.service = pickService(route, this.options.random);
 		this.options.retryBudget.noteRequest(exchange.service, this.options.clock());
@@ -69,7 +79,7 @@
 			}
 
 			const outcome = await this.sendTo(target, exchange, progress);
-			const result = this.handleOutcome(outcome, target, exchange, progress);
+			const result = await this.handleOutcome(outcome, target, exchange, progress);
 			if (result) {
 				return result;
 			}
@@ -95,6 +105,7 @@
 		progress.isRetryCharged = false;
 		onSend(exchange.service, progress.sent > 0);
 		progress.attempts++;
+		const onAnswerPart = this.options.crashes.watchAnswer(exchange);
 		try {
 			return await sendWithTimeouts({
 				exchange,
@@ -103,7 +114,7 @@
 				stalls,
 				clock,
 				send: async (signal, callbacks) => send({
-					exchange, target, delivery: progress.delivery, signal, ...callbacks,
+					exchange, target, delivery: progress.delivery, signal, onAnswerPart, ...callbacks,
 				}),
 			});
 		} finally {
@@ -112,13 +123,13 @@
 	}
 
 	/* Records the outcome of one attempt; returns undefined to try another target. */
-	private handleOutcome(outcome: SendOutcome, target: Target, exchange: ForwardExchange, progress: SendProgress): Result<void, Problem> | undefined {
+	private async handleOutcome(outcome: SendOutcome, target: Target, exchange: ForwardExchange, progress: SendProgress): Promise<Result<void, Problem> | undefined> {
 		const now = this.options.clock();
 		const isOver = exchange.disconnection.signal.aborted || progress.isExpired;
 		switch (outcome.kind) {
 			case 'streamed': {
 				this.options.tracker.health.noteOutcome(target.id, false, now);
-				this.options.crashes.noteAnswered(exchange);
+				this.options.crashes.noteAnswered(exchange, true);
 				exchange.noteDecision(`streamed by ${target.id}`);
 				return ok();
 			}
@@ -143,10 +154,12 @@
 				// A connection that goes silent together with those to other targets is not the target's fault.
 				progress.hasLostConnection = outcome.reason === silentConnectionReason;
 				if (!isOver) {
-					this.options.crashes.noteLost(exchange, target, outcome);
 					if (!progress.hasLostConnection) {
 						this.options.tracker.health.noteOutcome(target.id, true, now);
 					}
+
+					// What the next attempt may be sent to, or whether it may be sent at all, depends on whether the target has crashed.
+					await this.options.crashes.noteLost(exchange, target, outcome);
 				}
 
 				const mayRetry = exchange.isRetryable && !isOver;
@@ -159,7 +172,7 @@
 		const now = this.options.clock();
 		const hasFailed = answer.status >= minimumServerError;
 		this.options.tracker.health.noteOutcome(target.id, hasFailed, now);
-		this.options.crashes.noteAnswered(exchange);
+		this.options.crashes.noteAnswered(exchange, answer.status < minimumClientError);
 		exchange.noteDecision(`${answer.status} by ${target.id}`);
 		if (progress.delivery.hasBegun) {
 			progress.isNotRun = false;
--- a/src/forward/make-forward-pipeline.ts
+++ b/src/forward/make-forward-pipeline.ts
@@ -1,4 +1,3 @@
-import {type CrashSuspects} from '../balance/crash-suspects.js';
 import {EntryCount} from '../balance/entry-count.js';
 import {InFlightCounts} from '../balance/in-flight-counts.js';
 import {ProbeBudget} from '../balance/probe-budget.js';
@@ -31,8 +30,10 @@
 	readonly isNewFleet: () => boolean;
 	/** Called when the number of this entry's requests in flight changes. */
 	readonly onLoadChange: () => void;
-	/** Called with the target when a crash has been found that peers must be notified of at once. */
-	readonly onCrashFound: (target: string) => void;
+	/** Called when there is something that peers must be notified of at once. */
+	readonly onUrgentReport: () => void;
+	/** Called with the target for each crash in which this entry has lost requests. */
+	readonly onCrash: (target: string) => void;
 	/** Called with each retry that the retry budget does not allow. */
 	readonly onRetryRefusal: (service: string) => void;
 	/** Called when connections to targets have gone silent: others of this process may be silent as well. */
@@ -47,7 +48,7 @@
 	readonly inFlightCounts: InFlightCounts;
 	readonly tracker: TargetTracker;
 	readonly dispatcher: ForwardDispatcher;
-	readonly crashSuspects: CrashSuspects;
+	readonly crashes: CrashDetector;
 	/** Returns the digest to send to peers; the whole one for a peer that may not have received any yet. */
 	getDigest(isFull: boolean, now: number): EntryDigest;
 	/** Merges a peer's digest; `isSameZone` says whether the peer is in the same availability zone. */
@@ -68,7 +69,7 @@
 /** Creates the components that send a request to a target: choice of target, admission, retry budget, transport, stall and crash detection. */
 export function makeForwardPipeline(options: PipelineOptions): ForwardPipeline {
 	const {availabilityZone, repeats, openTransport, clock, random, countRegistered, isNewFleet, getService, log, address, listPeers} = options;
-	const {onLoadChange, onCrashFound, onRetryRefusal, onSend, onSilence, getLastReportAt} = options;
+	const {onLoadChange, onUrgentReport, onCrash, onRetryRefusal, onSend, onSilence, getLastReportAt} = options;
 	const inFlightCounts = new InFlightCounts(onLoadChange);
 	const electEntry = (key: string, now: number): string => rankByRendezvous(key, [address, ...listPeers(now)])[0];
 	const tracker = new TargetTracker({...options, electEntry, countInFlight: target => inFlightCounts.count(target, clock())});
@@ -120,8 +121,16 @@
 	const crashes = new CrashDetector({
 		check: async target => transport.check(target),
 		health,
-		isElected: (key, now) => electEntry(key, now) === address,
-		onCrashFound,
+		isElected: (subject, now) => electEntry(subject, now) === address,
+		onCrash(id) {
+			// All ranks of a group stop with one of them; callers need not wait until their requests are given up.
+			const target = directory.get(id);
+			if (target?.group !== undefined) {
+				serviceBreaker.noteDown(getFailureDomain(target), clock(), `target ${id} has crashed`);
+			}
+		},
+		onUrgentReport,
+		onLoss: onCrash,
 		clock,
 		log,
 	});
@@ -154,19 +163,19 @@
 		inFlightCounts,
 		tracker,
 		dispatcher,
-		crashSuspects: crashes.suspects,
+		crashes,
 		getDigest(isFull, now) {
 			const active = stalls.listActive(now);
 			return {
 				...tracker.getDigest(now),
-				...crashes.suspects.getDigest(isFull, now),
+				...crashes.getDigest(isFull, now),
 				...(isFull && {entries: entryCount.getDigest(now)}),
 				...(active.length > 0 && {active}),
 			};
 		},
 		mergeDigest(peer, digest, isSameZone, now) {
 			tracker.mergeDigest(peer, digest, isSameZone, now);
-			crashes.suspects.merge(digest, now);
+			crashes.merge(digest, now);
 			stalls.notePeerActivity(digest.active ?? [], now);
 			if (digest.entries) {
 				entryCount.merge(digest.entries, now);
@@ -174,7 +183,7 @@
 		},
 		tick() {
 			const now = clock();
-			crashes.suspects.tick(now);
+			crashes.tick(now);
 			stalls.tick();
 			tracker.tick(now);
 			admission.tick(now);
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -9,7 +9,6 @@
 import {ForwardMetrics} from '../metrics/forward-metrics.js';
 import {registerViewGauges} from '../metrics/register-view-gauges.js';
 import {startAdminServer} from '../metrics/start-admin-server.js';
-import {CrashRecords} from './crash-records.js';
 import {describeRequest} from './describe-request.js';
 import {makeForwardFilter} from './filters/make-forward-filter.js';
 import {makeKeyFilter} from './filters/make-key-filter.js';
@@ -17,6 +16,7 @@
 import {makeRouteFilter} from './filters/make-route-filter.js';
 import {ForwardServer} from './forward-server.js';
 import {type ForwardDependencies} from './forward-dependencies.js';
+import {makeCrashRecords} from './make-crash-records.js';
 import {makeEntryState} from './make-entry-state.js';
 import {makeForwardPipeline} from './make-forward-pipeline.js';
 import {makeHttpTransport} from './make-http-transport.js';
@@ -75,8 +75,10 @@
 				mesh.reportSoon();
 			}
 		},
-		onCrashFound(target) {
+		onCrash(target) {
 			metrics.crashes.inc({service: tracker.directory.get(target)?.service ?? ''});
+		},
+		onUrgentReport() {
 			mesh.reportNow();
 		},
 		onRetryRefusal(service) {
@@ -93,9 +95,8 @@
 			requestLog.info(message);
 		},
 	});
-	const {inFlightCounts, tracker, dispatcher, crashSuspects} = pipeline;
-	const crashRecords = new CrashRecords({
-		suspects: crashSuspects,
+	const {inFlightCounts, tracker, dispatcher, crashes} = pipeline;
+	const crashRecords = makeCrashRecords(crashes, {
 		registry: dependencies.registry,
 		log(message) {
 			requestLog.info(message);
@@ -140,7 +141,9 @@
 			pipeline.resetTarget(target);
 		},
 		onChange(changed, now) {
-			crashRecords.read(changed, now);
+			for (const records of crashRecords) {
+				records.read(changed, now);
+			}
 		},
 		onSilentLink(since) {
 			pipeline.noteSilentLink(since);
@@ -235,7 +238,11 @@
 		const now = clock();
 		entryState.tick(now);
 		pipeline.tick();
-		void crashRecords.tick(now);
+		for (const records of crashRecords) {
+			void records.tick(now);
+		}
+
+		metrics.blockedParts.set(crashes.parts.size);
 		metrics.cooldownTargets.set(tracker.cooldowns.size);
 		metrics.rateLimitedTargets.set(tracker.limits.size);
 		metrics.silentLinks.set(mesh.countSilentLinks(now));
--- a/src/forward/target-picker.ts
+++ b/src/forward/target-picker.ts
@@ -70,9 +70,9 @@
 			return {spread: retrySpreads.overload, detail: progress.reason};
 		}
 
-		const blockMs = this.options.crashes.getBlockMs(exchange, now);
-		if (blockMs > 0) {
-			return {spread: 0, unavailableMs: blockMs, detail: `targets crashed as they ran this request (${exchange.fingerprint}), which is refused for ${Math.round(blockMs)} ms more`};
+		const crashRefusal = this.options.crashes.refuse(exchange, now);
+		if (crashRefusal) {
+			return crashRefusal;
 		}
 
 		const refusal = this.refuseIfUnavailable(exchange, now);
@@ -120,6 +120,7 @@
 		});
 		switch (choice.kind) {
 			case 'chosen': {
+				this.options.crashes.beginTrial(exchange, now);
 				return choice.target;
 			}
 
--- a/src/forward/target-sender.ts
+++ b/src/forward/target-sender.ts
@@ -165,6 +165,10 @@
 			this.noteProgress(this.options.target);
 		}
 
+		if (this.mode !== 'refused' && this.status < 300) {
+			this.options.onAnswerPart();
+		}
+
 		if (this.mode === 'stream') {
 			this.noteEvent();
 			return this.options.delivery.push(chunk);
--- a/src/forward/target-transport.ts
+++ b/src/forward/target-transport.ts
@@ -13,6 +13,8 @@
 	readonly onConnection: (aliveAt: number) => void;
 	/** Called for each part of the target's answer. */
 	readonly onProgress: () => void;
+	/** Called for each part of the body of a successful answer. */
+	readonly onAnswerPart: () => void;
 };
 
 /** Sends requests to targets, and owns the connections to them. */
--- a/src/mesh/entry-digest.ts
+++ b/src/mesh/entry-digest.ts
@@ -1,6 +1,7 @@
 import {z} from 'zod';
 import {EntryCountDigest} from '../balance/entry-count-digest.js';
 import {CrashDigest} from '../balance/crash-digest.js';
+import {PartDigest} from '../balance/part-digest.js';
 import {LimitDigest} from '../balance/limit-digest.js';
 import {Target} from '../fleet/target.js';
 
@@ -21,6 +22,7 @@
 	/** Groups, or services whose groups are not known, that have sent the sender something within the last moments; absent when there are none. */
 	active: z.array(z.string()).optional(),
 	...CrashDigest.shape,
+	...PartDigest.shape,
 });
 type EntryDigest = z.infer<typeof EntryDigest>;
 
--- a/src/metrics/forward-metrics.ts
+++ b/src/metrics/forward-metrics.ts
@@ -59,6 +59,13 @@
 		registers: [this.registry],
 	});
 
+	/** Parts of prompts that are refused. */
+	readonly blockedParts = new Gauge({
+		name: 'wardswitch_blocked_parts',
+		help: 'Parts of prompts that this process refuses, since they crash targets',
+		registers: [this.registry],
+	});
+
 	readonly crashes = new Counter({
 		name: 'wardswitch_target_crashes_total',
 		help: 'Crashes of targets in which this process lost requests, by service',
