Show that streams without a length reach callers whole

Only whole answers had scenarios, no stream.

Change: the stand-in target sends such streams that end after the last event, within an event, after a line without a blank one, or by a reset; five scenarios. The program needed no change. Ruled out: a reset after a whole event taken for the end (it is resumed). Not tried: one that goes silent.

--- a/features/forward.feature
+++ b/features/forward.feature
@@ -95,6 +95,27 @@
     When a caller gets "/stream/1"
     Then the caller gets events 1 to 6, each once and complete
 
+  # Guards against taking the end of a connection for the end of a stream, and against sending a complete stream again.
+  Scenario Outline: A stream without a length that ends with its connection reaches the caller whole: <manner>
+    Given an entry before 2 targets
+    And the next target answers "<manner>"
+    When a caller gets "/stream/1"
+    Then the caller gets events 1 to 6, each once and complete
+    And targets have run <runs> requests
+
+    Examples:
+      | manner         | runs |
+      | unframed       | 1    |
+      | unframed-cut   | 2    |
+      | unframed-line  | 2    |
+      | unframed-reset | 2    |
+
+  Scenario: A stream without a length that no target can resume is visibly broken
+    Given an entry before 1 target
+    And the next target answers "unframed-cut"
+    When a caller gets "/stream/1"
+    Then the answer is visibly broken after event 3
+
   Scenario: A stream that no target can resume is visibly broken
     Given an entry before 1 target
     And the next target answers "cut"
--- a/stand-ins/forward/http-target.ts
+++ b/stand-ins/forward/http-target.ts
@@ -1,7 +1,7 @@
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Target} from '../../src/fleet/target.js';
 
-type Behaviour = 'answer' | 'fail' | 'refuse' | 'unsigned' | 'wrong-id' | 'cut' | 'unframed' | 'unframed-reset' | 'extra' | 'late-refusal' | 'forget' | 'reset' | 'silent' | 'slow';
+type Behaviour = 'answer' | 'fail' | 'refuse' | 'unsigned' | 'wrong-id' | 'cut' | 'unframed' | 'unframed-reset' | 'unframed-cut' | 'unframed-line' | 'extra' | 'late-refusal' | 'forget' | 'reset' | 'silent' | 'slow';
 
 /** A running stand-in target. */
 export type HttpTarget = {
--- a/stand-ins/forward/start-http-target.ts
+++ b/stand-ins/forward/start-http-target.ts
@@ -2,7 +2,7 @@
 import {
 	createServer, type IncomingMessage, type ServerResponse,
 } from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {type AddressInfo, type Socket} from 'node:net';
 import {type Target} from '../../src/fleet/target.js';
 import {type HttpTarget} from './http-target.js';
 import {resetConnection} from './reset-connection.js';
@@ -193,6 +193,11 @@
 		return;
 	}
 
+	if (behaviour.startsWith('unframed')) {
+		streamUnframed(running, after, id, {socket: response.socket!, behaviour});
+		return;
+	}
+
 	response.writeHead(200, makeHeaders(running, id, 'text/event-stream'));
 	for (let event = after + 1; event <= eventsPerStream; event++) {
 		if (behaviour === 'cut' && event === 4) {
@@ -208,6 +213,24 @@
 	response.end();
 }
 
+/* Sends a stream with neither a length nor chunks, which ends with its connection: after the last event, within the fourth, or by a reset. */
+function streamUnframed(running: HttpTarget, after: number, id: string, {socket, behaviour}: {readonly socket: Socket; readonly behaviour: Behaviour}): void {
+	const makeEvent = (event: number): string => `id: ${event}\ndata: ${running.target.id} ${event}\n\n`;
+	const last = behaviour === 'unframed' ? eventsPerStream : 3;
+	const events = Array.from({length: last - after}, (_, index) => makeEvent(after + index + 1)).join('');
+	const head = `${makeRawHead(id).replace('text/plain', 'text/event-stream')}connection: close\r\n\r\n`;
+	const endings: Partial<Record<Behaviour, string>> = {'unframed-cut': 'id: 4\ndata: half of an ev', 'unframed-line': makeEvent(4).slice(0, -1)};
+	socket.write(`${head}${events}${endings[behaviour] ?? ''}`, () => {
+		setImmediate(() => {
+			if (behaviour === 'unframed-reset') {
+				resetConnection(socket);
+			} else {
+				socket.end();
+			}
+		});
+	});
+}
+
 /* Sends the first event, and the last one on `releaseAnswer`. */
 function startSlowStream(running: HttpTarget, id: string, response: ServerResponse): void {
 	response.writeHead(200, makeHeaders(running, id, 'text/event-stream'));
