Show that an entry with most new connections serves its callers as before

Cause: new on the users' pages; for some seconds most new connections may go to one entry, then to another one.

The program needed no change: retries, permits and limits follow the requests. Ruled out: equal shares of budget and permits that run out at the one entry. Not tried: an entry that gets more connections than its processor can accept.

--- a/features/support/fleet-simulation.ts
+++ b/features/support/fleet-simulation.ts
@@ -113,6 +113,8 @@
 	readonly partCrashes: Array<{readonly part: string; readonly at: number}> = [];
 	/** Draws the shared parts of the prompt of a caller's request. */
 	drawPrompt: (() => readonly string[]) | undefined;
+	/** An entry that gets a larger share of the requests, 0 to 1; undefined while all get the same. */
+	favoured: {readonly entry: number; readonly share: number} | undefined;
 	/** Entries whose links to the others are cut; empty when all are linked. */
 	cutOff: ReadonlySet<number> = new Set();
 	readonly paths: Path[] = [];
@@ -162,6 +164,11 @@
 		this.register();
 	}
 
+	/** Rate of the callers' requests. */
+	get requestsPerSecond(): number {
+		return this.options.requestsPerSecond;
+	}
+
 	/** Updates the registered targets at all entries. */
 	register(): void {
 		for (const path of this.paths) {
@@ -373,6 +380,10 @@
 
 	/* Draws a running entry; undefined when there is none. */
 	private drawEntry(): number | undefined {
+		if (this.favoured && this.random() < this.favoured.share) {
+			return this.favoured.entry;
+		}
+
 		const running = this.listRunningEntries();
 		return running.length === this.options.entries ? this.draw(running.length) : running[this.draw(Math.max(1, running.length))];
 	}
