Use a target again that was dropped and then written again

It had been dropped, as the restored store lacked it and it was not written again in time, and was then written late; the next restored store held it under a lower revision than the one dropped, and it was taken for the dropped one.

Cause: a drop was kept like a removal that was seen, and revisions of two eras were compared.

Change: a dropped item counts as written again if the store before held nothing of its key up to a lower revision; seen removals as before.

--- a/features/restored-store.feature
+++ b/features/restored-store.feature
@@ -232,3 +232,6 @@
       | 13094 |
       | 14351 |
       | 12993 |
+      | 20428 |
+      | 40678 |
+      | 60968 |
--- a/src/view/retained-items.ts
+++ b/src/view/retained-items.ts
@@ -26,6 +26,8 @@
 	/** The store's own items before the rollback, and the revision since which removals are recorded. */
 	readonly former: Items;
 	readonly recordedFrom: number;
+	/** Revision up to which the former items were complete. */
+	readonly formerRevision: number;
 };
 
 type PeerItems = Pick<ViewSnapshot, 'items' | 'retained' | 'presumed'>;
@@ -84,9 +86,7 @@
 		this.releaseRemoved(removed.values());
 
 		for (const [key, offered] of stored) {
-			const removedItem = before.has(key) ? undefined : removed.get(key)?.item;
-			const isFromBackup = removedItem !== undefined && offered.revision <= removedItem.revision;
-			if (isFromBackup && this.comparator.isSameIncarnation(removedItem, offered)) {
+			if (!before.has(key) && this.isFromBackup(offered, rollback)) {
 				this.entries.set(key, {item: undefined, until: now + registrationExpiryMs});
 			}
 		}
@@ -204,6 +204,20 @@
 		return unchanged.length > 0;
 	}
 
+	/*
+	 * Whether the restored store holds again what was removed. Revisions of different eras cannot be compared, so what was only dropped counts
+	 * as written again if the store before held nothing of the key up to a lower revision, and its contents are not older.
+	 */
+	private isFromBackup(offered: StoredItem, {removed, formerRevision}: Rollback): boolean {
+		const known = removed.get(offered.key);
+		if (!known || offered.revision > known.item.revision || !this.comparator.isSameIncarnation(known.item, offered)) {
+			return false;
+		}
+
+		const isWrittenAgain = offered.revision > formerRevision && this.comparator.isOlder(known.item, offered) !== true;
+		return !known.isDropped || !isWrittenAgain;
+	}
+
 	/* Keeps ignoring the keys that were ignored before and that the store holds unchanged: it may have been restored from the same copy. */
 	private keepRemovals(formerEntries: ReadonlyMap<string, Retained>, {stored, former}: Rollback, now: number): void {
 		for (const [key, retained] of formerEntries) {
--- a/src/view/store-view.ts
+++ b/src/view/store-view.ts
@@ -407,7 +407,7 @@
 
 	private replace(items: readonly StoredItem[], asOf: Revision, now: number): void {
 		const isRestored = this.isLoaded && (asOf.era !== this.revision.era || asOf.number < this.revision.number);
-		this.items.replace(items, {isRestored, recordedFrom: this.recordedFrom?.number ?? 0}, now);
+		this.items.replace(items, {isRestored, recordedFrom: this.recordedFrom?.number ?? 0, formerRevision: this.revision.number}, now);
 		if (isRestored) {
 			this.availability.noteRollback(now);
 			const retained = describeRetained(this.items.getSnapshot(now).retained ?? []);
--- a/src/view/view-items.ts
+++ b/src/view/view-items.ts
@@ -12,6 +12,8 @@
 	readonly isRestored: boolean;
 	/** Revision since which removals are recorded. */
 	readonly recordedFrom: number;
+	/** Revision up to which the former items were complete. */
+	readonly formerRevision: number;
 };
 
 /** The items of a view: those of the store, and those that override them after the store was restored from a backup. */
@@ -49,12 +51,12 @@
 	}
 
 	/** Replaces all stored items. */
-	replace(items: readonly StoredItem[], {isRestored, recordedFrom}: Replacement, now: number): void {
+	replace(items: readonly StoredItem[], {isRestored, recordedFrom, formerRevision}: Replacement, now: number): void {
 		const former = this.stored;
 		this.stored = new Map(items.map(item => [item.key, item]));
 		if (isRestored) {
 			this.retained.rebuild({
-				before: this.current, stored: this.stored, removed: this.removed, former, recordedFrom,
+				before: this.current, stored: this.stored, removed: this.removed, former, recordedFrom, formerRevision,
 			}, now);
 		} else {
 			this.detectChanges(former, now);
@@ -83,7 +85,7 @@
 		const dropped = ended.filter(({key}) => !this.stored.has(key));
 		for (const item of dropped) {
 			this.log(`${item.key} dropped: it was not written again in time`);
-			this.removed.note(item, now);
+			this.removed.noteDropped(item, now);
 		}
 
 		this.removed.prune(now);
--- a/src/view/view-snapshot.ts
+++ b/src/view/view-snapshot.ts
@@ -23,7 +23,12 @@
 		storedRevision: z.int().optional(),
 	})).optional(),
 	/** Recently removed items, to be ignored if a restored store holds them again; absent if there are none. */
-	removed: z.array(z.object({item, agoMs: z.number()})).optional(),
+	removed: z.array(z.object({
+		item,
+		agoMs: z.number(),
+		/** Whether no removal was seen: the item was missing after a restore, and not written again in time. */
+		isDropped: z.boolean().optional(),
+	})).optional(),
 	/** Keys that the sender ignores, though it does not know whether they were removed; absent if there are none. */
 	presumed: z.array(z.string()).optional(),
 	/** Revision since which the sender, or a peer before it, has recorded removals. */
