Send requests with a part that crashes workers in the soak

Cause: no soak had workers that crash, nor prompts; restarts, silences and a store that is away were not mixed with a part that is refused.

Change: workers crash under a part and are back after 1.5 s with a later birth; requests with it come to any entry through the whole soak, no two alike, and share their first parts with all others; the checker counts those that arrive later than 3 s after the fifth crash, and whether the others are served at the end while they still come. Seeds without it draw the same faults as before. Ruled out: adding it to the list of faults, which would change what the kept seeds draw.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -17,6 +17,7 @@
       | a worker gets a request 2.5 s after it has left           | departure     |
       | a request is cut by the planned stop of its entry         | stop          |
       | most requests fail after the last fault                   | return        |
+      | requests with a part that has crashed five workers go on arriving | part |
 
   Scenario Outline: Six entries, faults of eight seconds, seed <seed>
     When a soak with 6 entries runs for 8 seconds, seed <seed>
@@ -26,3 +27,8 @@
       | seed |
       | 1    |
       | 40   |
+
+  # Guards against a part of prompts that goes on crashing workers through restarts, silent connections and a store that is away.
+  Scenario: Six entries, faults of eight seconds and a part that crashes workers, seed 101
+    When a soak with 6 entries and a part that crashes workers runs for 8 seconds, seed 101
+    Then the soak has no violation
