--- a/src/balance/part-suspects.ts
+++ b/src/balance/part-suspects.ts
@@ -1,11 +1,12 @@
-import {accuseParts} from './accuse-parts.js';
 import {evictOldest} from './evict-oldest.js';
 import {formatIncarnation} from './format-incarnation.js';
 import {type LostRequest} from './lost-request.js';
 import {PartCrashRecord} from './part-crash-record.js';
 import {type PartDigest} from './part-digest.js';
+import {PartEvidence} from './part-evidence.js';
 import {PartTrials} from './part-trials.js';
 import {type PartVerdict} from './part-verdict.js';
+import {SoundParts} from './sound-parts.js';
 
 /** A part that is refused. Times in milliseconds. */
 type Block = {
@@ -21,12 +22,6 @@
 const crashWindowMs = 250;
 /** A part is sound once a target has been answering a request with it for this time, milliseconds. */
 const soundAfterMs = 400;
-/** Time for which a part counts as sound after the last such answer, milliseconds. */
-const soundRetentionMs = 600_000;
-/** Weight of the newest answer in the moving average of the share of requests with a part that was not known to be sound. */
-const newPartWeight = 0.1;
-/** Up to this share, a request with such a part hardly meets a crash by chance. */
-const rareNewPartShare = 0.25;
 /** A part is refused for this time, milliseconds, and with each further crash `blockGrowth` times as long: most do not change within a day. */
 const firstBlockMs = 120_000;
 const blockGrowth = 8;
@@ -34,18 +29,15 @@
 /** When a request returns that meets the trial of another one, or a probe that a peer has to send, milliseconds. */
 const trialWaitMs = 500;
 const probeWaitMs = 10_000;
-/** Crashes that accuse no part are forgotten after this time, and parts that nobody asks for any more, milliseconds. */
-const crashRetentionMs = 600_000;
+/** A refused part that nobody asks for any more is forgotten after this time, milliseconds. */
 const blockRetentionMs = 86_400_000;
 /** Time for which a change is included in reports to peers, milliseconds: more than twice the maximum interval between reports. */
 const digestRetentionMs = 3000;
 /** Characters of a request's fingerprint that tell requests apart. */
 const tagLength = 6;
 /** Maximum numbers kept, and in one report; beyond them the oldest are evicted. */
-const maximumSound = 16_384;
-const maximumCrashes = 256;
-const maximumSuspects = 2048;
 const maximumBlocks = 256;
+const maximumUnsaved = 256;
 const maximumDigestItems = 40;
 const maximumDigestParts = 40;
 
@@ -57,17 +49,9 @@
  */
 export class PartSuspects {
 	readonly trials = new PartTrials();
-	/** By part, the crashes in which a request with it was lost as it began to run, and a tag of that request. */
-	private readonly suspects = new Map<string, Map<string, string>>();
-	/** By crashed incarnation, when its crash was learned, milliseconds. */
-	private readonly crashTimes = new Map<string, number>();
-	/** By crashed incarnation, when the parts held against it last changed, milliseconds. */
-	private readonly changedAt = new Map<string, number>();
 	private readonly blocks = new Map<string, Block>();
-	/** When a part was last answered, milliseconds. */
-	private readonly sound = new Map<string, number>();
-	/** Moving average of the share of answered requests with a part that was not known to be sound. */
-	private newPartShare = 1;
+	private readonly evidence = new PartEvidence({hasPart: part => this.blocks.has(part), hasCrash: crash => this.isExplained(crash)});
+	private readonly sound = new SoundParts();
 	/** Suspects that were found to be sound, and when, milliseconds. */
 	private readonly cleared = new Map<string, number>();
 	/** Parts that were refused by an entry, as the store says. */
@@ -94,7 +78,7 @@
 	 * @param mayProbe - whether this entry, rather than a peer, may send a request with a part whose block is over
 	 */
 	judge(request: unknown, parts: readonly string[], mayProbe: (part: string) => boolean, now: number): PartVerdict {
-		const suspected = parts.filter(part => this.suspects.has(part));
+		const suspected = parts.filter(part => this.evidence.has(part));
 		for (const part of suspected) {
 			const waitMs = this.getBlockMs(part, parts, mayProbe, now);
 			if (waitMs > 0) {
@@ -116,8 +100,7 @@
 			return false;
 		}
 
-		const isNew = parts.some(part => !this.isSound(part, now));
-		this.newPartShare += newPartWeight * ((isNew ? 1 : 0) - this.newPartShare);
+		this.sound.countRequest(parts, now);
 		for (const part of parts) {
 			const block = this.blocks.get(part);
 			this.clear(part, now);
@@ -148,12 +131,11 @@
 
 	/** Gets the digest for peers; `isFull` includes all blocked parts, for a peer that may not have received any report yet. */
 	getDigest(isFull: boolean, now: number): PartDigest {
-		const isRecent = (at: number | undefined): boolean => at !== undefined && now - at <= digestRetentionMs;
-		const recent = [...this.crashTimes.keys()].filter(crash => isRecent(this.changedAt.get(crash)));
+		const recent = this.evidence.listChanged(now - digestRetentionMs);
 		const explained = isFull ? [...this.blocks.values()].flatMap(({crashes}) => [...crashes]) : [];
 		const reported = [...new Set([...explained, ...recent])].slice(-maximumDigestItems);
-		const partCrashes = reported.map(crash => [crash, Object.fromEntries(this.listSuspects(crash, recent.includes(crash)))]);
-		const soundParts = [...this.cleared].filter(([, at]) => isRecent(at)).slice(-maximumDigestItems).map(([part]) => part);
+		const partCrashes = reported.map(crash => [crash, Object.fromEntries(this.listReported(crash, recent.includes(crash)))]);
+		const soundParts = [...this.cleared].filter(([, at]) => now - at <= digestRetentionMs).slice(-maximumDigestItems).map(([part]) => part);
 		const trialParts = this.trials.list(now).slice(-maximumDigestItems);
 		return {
 			...(partCrashes.length > 0 && {partCrashes: Object.fromEntries(partCrashes) as Record<string, Record<string, string>>}),
@@ -186,19 +168,19 @@
 	/** Notes that the record of a crash in the store is out of date. */
 	noteUnsaved(crash: string): void {
 		this.unsaved.add(crash);
-		evictOldest(this.unsaved, maximumCrashes);
+		evictOldest(this.unsaved, maximumUnsaved);
 	}
 
 	/** Gets what the store is to hold of a crash; undefined if nothing, since no part is held against it. */
 	getRecord(crash: string): PartCrashRecord | undefined {
-		const parts = this.listSuspects(crash, true);
+		const parts = this.listReported(crash, true);
 		return parts.length === 0 ? undefined : {parts: Object.fromEntries(parts), refused: parts.map(([part]) => part).filter(part => this.blocks.has(part))};
 	}
 
 	/** Merges the record of a crash that was read from the store. Throws if it is not valid. */
 	mergeRecord(crash: string, document: unknown, now: number): void {
 		const {parts, refused} = PartCrashRecord.parse(document);
-		for (const part of refused.filter(found => !this.isSound(found, now))) {
+		for (const part of refused.filter(found => !this.sound.has(found, now))) {
 			this.recorded.add(part);
 			evictOldest(this.recorded, maximumBlocks);
 		}
@@ -220,12 +202,7 @@
 			}
 		}
 
-		for (const [crash, at] of this.crashTimes) {
-			if (now - at > crashRetentionMs && !this.isExplained(crash)) {
-				this.forgetCrash(crash);
-			}
-		}
-
+		this.evidence.prune(now);
 		for (const [part, at] of this.cleared) {
 			if (now - at > digestRetentionMs) {
 				this.cleared.delete(part);
@@ -233,10 +210,6 @@
 		}
 	}
 
-	private isSound(part: string, now: number): boolean {
-		return now - (this.sound.get(part) ?? Number.NEGATIVE_INFINITY) <= soundRetentionMs;
-	}
-
 	/* A request with only one of several parts that explain the same crashes shows which of them is the cause. */
 	private getBlockMs(part: string, parts: readonly string[], mayProbe: (part: string) => boolean, now: number): number {
 		const block = this.blocks.get(part);
@@ -256,46 +229,24 @@
 		return mayProbe(part) ? 0 : probeWaitMs;
 	}
 
-	/* Lists the parts that are held against a crash, each with the tag of its request. */
-	private listSuspects(crash: string, isRecent: boolean): Array<[string, string]> {
-		const parts = [...this.suspects].filter(([part, crashes]) => crashes.has(crash) && (isRecent || this.blocks.has(part)));
-		return parts.map(([part, crashes]): [string, string] => [part, crashes.get(crash)!]).slice(-maximumDigestParts);
+	/* Lists the parts that are held against a crash, each with the tag of its request; of old crashes only those that are refused. */
+	private listReported(crash: string, isRecent: boolean): Array<readonly [string, string]> {
+		return this.evidence.listSuspects(crash).filter(([part]) => isRecent || this.blocks.has(part)).slice(-maximumDigestParts);
 	}
 
 	/* Returns whether anything was not known. */
 	private addCrash(crash: string, parts: ReadonlyArray<readonly [string, string]>, now: number): boolean {
-		let hasChanged = !this.crashTimes.has(crash);
-		if (hasChanged) {
-			this.crashTimes.set(crash, now);
-			this.evictCrashes();
+		for (const [part] of parts.filter(([part]) => this.sound.has(part, now))) {
+			this.cleared.set(part, now);
 		}
 
-		for (const [part, tag] of parts) {
-			if (this.isSound(part, now)) {
-				this.cleared.set(part, now);
-				continue;
-			}
-
-			const crashes = this.suspects.get(part) ?? new Map<string, string>();
-			hasChanged ||= !crashes.has(crash);
-			crashes.set(crash, crashes.get(crash) ?? tag);
-			this.suspects.set(part, crashes);
-		}
-
-		if (hasChanged) {
-			this.changedAt.set(crash, now);
-			this.evictSuspects();
-		}
-
-		return hasChanged;
+		return this.evidence.add(crash, parts.filter(([part]) => !this.sound.has(part, now)), now);
 	}
 
 	private accuse(now: number): void {
-		const accusations = accuseParts({
-			suspects: this.suspects,
-			crashTimes: this.crashTimes,
+		const accusations = this.evidence.accuse({
 			isAccused: part => this.blocks.has(part) || this.recorded.has(part),
-			areOthersSound: this.newPartShare <= rareNewPartShare,
+			areOthersSound: this.sound.areCommon,
 		});
 		const accused = new Set(accusations.flatMap(({parts}) => parts));
 		for (const part of this.blocks.keys()) {
@@ -332,10 +283,8 @@
 	}
 
 	private clear(part: string, now: number): void {
-		this.sound.delete(part);
-		this.sound.set(part, now);
-		evictOldest(this.sound, maximumSound);
-		if (!this.suspects.delete(part)) {
+		this.sound.add(part, now);
+		if (!this.evidence.clear(part)) {
 			return;
 		}
 
@@ -351,31 +300,6 @@
 
 	private forget(part: string): void {
 		this.blocks.delete(part);
-		this.suspects.delete(part);
-	}
-
-	private forgetCrash(crash: string): void {
-		this.crashTimes.delete(crash);
-		this.changedAt.delete(crash);
-		for (const [part, crashes] of this.suspects) {
-			crashes.delete(crash);
-			if (crashes.size === 0) {
-				this.suspects.delete(part);
-			}
-		}
-	}
-
-	private evictCrashes(): void {
-		if (this.crashTimes.size > maximumCrashes) {
-			const oldest = [...this.crashTimes.keys()].find(crash => !this.isExplained(crash));
-			this.forgetCrash(oldest ?? [...this.crashTimes.keys()][0]);
-		}
-	}
-
-	private evictSuspects(): void {
-		while (this.suspects.size > maximumSuspects) {
-			const oldest = [...this.suspects.keys()].find(part => !this.blocks.has(part));
-			this.forget(oldest ?? [...this.suspects.keys()][0]);
-		}
+		this.evidence.clear(part);
 	}
 }
