--- a/features/crash-part.feature
+++ b/features/crash-part.feature
@@ -63,4 +63,7 @@
       | 700     | 100000    | 33   |
       | 400     | 100000    | 34   |
       | 400     | 100000    | 35   |
+      | 400     | 100000    | 8035 |
+      | 400     | 100000    | 18034 |
+      | 400     | 100000    | 20035 |
       | 1500    | 300       | 36   |
