--- a/src/balance/part-suspects.ts
+++ b/src/balance/part-suspects.ts
@@ -33,7 +33,7 @@
 const blockRetentionMs = 86_400_000;
 /** Time for which a change is included in reports to peers, milliseconds: more than twice the maximum interval between reports. */
 const digestRetentionMs = 3000;
-/** Characters of a request's fingerprint that tell requests apart. */
+/** Characters of a request's fingerprint that are kept to distinguish requests. */
 const tagLength = 6;
 /** Maximum numbers kept, and in one report; beyond them the oldest are evicted. */
 const maximumBlocks = 256;
