--- a/review/stand-ins/platform.js
+++ b/review/stand-ins/platform.js
@@ -1,7 +1,7 @@
 import {findPorts} from './programs.js';
 
 const zones = ['barre-hall', 'quincy-hall', 'stony-hall'];
-const bounds = {
+export const bounds = {
 	drainMs: 2000, graceS: 8, configApplyMs: 2000, settleWindowMs: 3000, retryBudgetRatio: 0.2, budgetWindowS: 10, retryBudgetSlack: 90,
 };
 const host = '127.0.0.1';
@@ -36,19 +36,3 @@
 		return false;
 	}
 }
-
-/** A configuration of the operator, with one route for each kind of request. */
-export function makeConfiguration({version, services, routes}) {
-	return {
-		version,
-		routes: routes.map(route => ({
-			host: 'desk.example', timeoutMs: 8000, targetLatencyMs: 401, priority: 1, maxAttempts: 1, public: true, ...route,
-		})),
-		services: services.map(service => ({
-			healthPath: '/health', maxConnections: 348, protocol: 'h1', tls: false, ...service,
-		})),
-		limits: {
-			maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-		},
-	};
-}
