--- a/review/1/main.js
+++ b/review/1/main.js
@@ -56,8 +56,9 @@
 	}
 };
 
+const findPlannerKey = () => store.findKey('wardswitch/planners/');
 const findPlanner = ranks => {
-	const key = store.findKey('wardswitch/planners/');
+	const key = findPlannerKey();
 	return key && ranks.find(({internalPorts: [port]}) => store.get(key) === `127.0.0.1:${port}`);
 };
 
@@ -122,9 +123,14 @@
 		}
 	}
 
+	const lastTerm = store.getRevision(findPlannerKey());
 	await killPlanner(ranks, restartMs);
+	if (!await waitUntil(() => findPlannerKey() !== undefined && store.getRevision(findPlannerKey()) > lastTerm, 8000)) {
+		fail('no process has become planner after the first');
+	}
+
 	// Little traffic, so that the group does not reach the pass of the hold before the next planner has planned.
-	await delay(1200);
+	await waitUntil(() => seen.isPreparing, 800);
 	for (let number = 0; number < 4 && !seen.isPreparing; number++) {
 		send(5);
 		await waitUntil(() => seen.isPreparing, 350);
@@ -137,7 +143,7 @@
 	const stopped = killPlanner(ranks, secondRestartMs);
 	// Work waits at the held pass as the next planner arms the ranks.
 	await delay(1650);
-	for (let number = 0; number < 80; number++) {
+	for (let number = 0; number < 100; number++) {
 		send();
 		await delay(50);
 	}
--- a/review/stand-ins/store.js
+++ b/review/stand-ins/store.js
@@ -67,6 +67,11 @@
 		return item && Buffer.from(item.value, 'base64').toString('utf8');
 	}
 
+	/** The revision of the last change of a key; 0 if it does not exist. */
+	getRevision(key) {
+		return this.#items.get(key)?.revision ?? 0;
+	}
+
 	/** The first key with this prefix. */
 	findKey(prefix) {
 		return [...this.#items.keys()].find(key => key.startsWith(prefix));
