--- a/review/3/main.js
+++ b/review/3/main.js
@@ -72,6 +72,16 @@
 	record.note('store: is back');
 };
 
+/* One line for each request: when it was sent, where and when it ran, and when and with what it was answered. */
+const noteAll = ended => {
+	const runs = new Map([staying, leaving].flatMap(worker => worker.arrivals.map(({id, at}) => [id, {at, worker: worker.id}])));
+	for (const {id, sentAt, endedAt, status, error, isWhole} of ended) {
+		const run = runs.get(id);
+		const where = run ? `run by ${run.worker} ${(run.at - sentAt).toFixed(1)} ms later` : 'not run';
+		record.noteAt(sentAt, `${id}: sent, ${where}, answered ${status ?? error}${isWhole ? '' : ', not whole,'} after ${(endedAt - sentAt).toFixed(1)} ms`);
+	}
+};
+
 const run = async callers => {
 	let stopBeating = keepBeating([staying, leaving]);
 	void sendAll(callers); // eslint-disable-line no-void
@@ -106,6 +116,7 @@
 	state.isOver = true;
 	const ended = await Promise.all(pending);
 	const answers = new Map(ended.map(answer => [answer.id, answer]));
+	noteAll(ended);
 	const late = leaving.arrivals.filter(({at}) => at > removedAt + bounds.drainMs);
 	record.note(`clients: ${ended.length} requests, ${ended.filter(({status, isWhole}) => status === 200 && isWhole).length} answered with 200`);
 	record.note(`${leaving.id}: ${leaving.arrivals.length} requests in all`);
--- a/review/stand-ins/record.js
+++ b/review/stand-ins/record.js
@@ -11,13 +11,19 @@
 	}
 
 	note(text) {
-		this.#lines.push(`${Math.round(performance.now() - this.#startedAt)} ms  ${text}`);
+		this.noteAt(performance.now(), text);
+	}
+
+	/** Notes what happened at a time of `performance.now`. */
+	noteAt(at, text) {
+		this.#lines.push({at, text: `${Math.round(at - this.#startedAt)} ms  ${text}`});
 	}
 
 	/** Writes the record with the verdict as its last line. */
 	end(verdict) {
 		this.note(verdict);
-		writeFileSync(this.file, this.#lines.join('\n') + '\n');
+		const lines = this.#lines.toSorted((one, other) => one.at - other.at).map(({text}) => text);
+		writeFileSync(this.file, lines.join('\n') + '\n');
 		process.stdout.write(`${verdict}\n`);
 	}
 }
