--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
 # Runs the case once; TROUBLE=0 runs it without the disruption. Exit: 1 the rule was broken, 0 it held, 2 the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-node review/1/main.js
+timeout 110 node review/1/main.js
 case $? in
 	0) exit 0 ;;
 	10) exit 1 ;;
--- a/review/stand-ins/programs.js
+++ b/review/stand-ins/programs.js
@@ -55,6 +55,22 @@
 	folder = mkdtempSync(path.join(tmpdir(), 'review-'));
 	#children = new Map();
 
+	constructor() {
+		const endAll = () => {
+			for (const child of this.#children.values()) {
+				child.kill('SIGKILL');
+			}
+		};
+
+		process.once('exit', endAll);
+		for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+			process.once(signal, () => {
+				endAll();
+				process.kill(process.pid, signal);
+			});
+		}
+	}
+
 	/**
 	 * Starts a process, or starts it again.
 	 *
