--- a/review/3/main.js
+++ b/review/3/main.js
@@ -17,7 +17,7 @@
 const entryCount = 2;
 const downMs = 4500;
 const heartbeatMs = 1200;
-const requestMs = 7;
+const requestMs = 5;
 /** Time that a worker takes for a request, milliseconds. */
 const workMs = 60;
 
