--- a/review/5/case.js
+++ b/review/5/case.js
@@ -7,9 +7,9 @@
 import {drainBody, startFleet} from '../stand-ins-2/fleet.js';
 
 const hasTrouble = process.env.TROUBLE !== '0';
-const answerBytes = 12 * 1024 * 1024;
-/** What a client's link takes, bytes per second, and how often it reads, milliseconds. The answer takes it three to four seconds. */
-const bytesPerSecond = 4_000_000;
+const answerBytes = 15 * 1024 * 1024;
+/** What a client's link takes, bytes per second, and how often it reads, milliseconds. The answer takes it five to six seconds. */
+const bytesPerSecond = 3_000_000;
 const readMs = 20;
 const deadlineMs = 8000;
 const clients = 5;
@@ -76,7 +76,7 @@
 	await delay(3000);
 	const [entry] = fleet.entries;
 	const answers = Array.from({length: clients}, async (_empty, index) => ask(entry, `9c41d07be2a35f6${index}`));
-	await delay(500);
+	await delay(300);
 	if (hasTrouble) {
 		record('platform: SIGTERM to entry 1');
 		entry.child.kill('SIGTERM');
--- a/review/stand-ins-2/fleet.js
+++ b/review/stand-ins-2/fleet.js
@@ -57,6 +57,11 @@
 	const recordStream = createWriteStream(recordFile);
 	const startedAt = performance.now();
 	const record = text => {
+		// Processes that `stop` has ended report after the end of the record.
+		if (recordStream.writableEnded) {
+			return;
+		}
+
 		recordStream.write(`${((performance.now() - startedAt) / 1000).toFixed(3)} ${text}\n`);
 	};
 
