Log and count the answers that an entry cuts itself

Cause of the change: a connection that the entry closes within an answer left no line, and wardswitch_requests_total counted the answer as given, so the logs could not tell the hypotheses of the incident apart. Change: one line for each such answer, with the decisions on the request, and a counter by who closed the connection; the line on an internal error has the decisions.

--- a/src/forward/forward-server.ts
+++ b/src/forward/forward-server.ts
@@ -18,6 +18,8 @@
 	readonly filters: ReadonlyArray<Filter<ForwardExchange>>;
 	/** Called at the end of each request; `problem` is what was sent to the caller, undefined after an answer. */
 	readonly onEnd: (exchange: ForwardExchange, problem: Problem | undefined) => void;
+	/** Called when the connection closes before the answer has been written completely, and by whom. */
+	readonly onCut: (exchange: ForwardExchange, closedBy: 'caller' | 'entry') => void;
 	readonly log: (message: string) => void;
 };
 
@@ -94,7 +96,7 @@
 	}
 
 	private async serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-		const {clock, dialect, filters, log} = this.options;
+		const {clock, dialect, filters, log, onCut} = this.options;
 		const exchange = new ForwardExchange({
 			incoming,
 			response,
@@ -102,7 +104,19 @@
 			metadata: dialect.readRequest(incoming.headers),
 			mayKeepAlive: () => !this.isStopping,
 		});
+		const {socket} = incoming;
+		let isWhole = false;
+		// Before Node's own listener. A connection that is destroyed with unwritten bytes also reports the answer as finished.
+		response.prependListener('finish', () => {
+			isWhole = !socket.destroyed;
+		});
 		response.on('close', () => {
+			if (!isWhole) {
+				// An error of the system comes from the caller's side, any other from this process.
+				const isReset = (socket.errored as NodeJS.ErrnoException | undefined)?.syscall !== undefined;
+				onCut(exchange, socket.readableEnded || isReset ? 'caller' : 'entry');
+			}
+
 			if (!response.writableFinished) {
 				exchange.disconnection.abort();
 			}
@@ -110,7 +124,7 @@
 		response.on('finish', () => {
 			// The head may have been sent with `connection: keep-alive` before the stop began.
 			if (this.isStopping) {
-				response.req.socket.destroySoon();
+				socket.destroySoon();
 			}
 		});
 		this.openCount++;
@@ -118,7 +132,7 @@
 			const result = await runFilters(filters, exchange);
 			this.finish(exchange, result);
 		} catch (error) {
-			log(`request ${exchange.metadata.id ?? '-'} failed with an internal error: ${(error as Error).stack ?? String(error)}`);
+			log(`${exchange.metadata.id ?? '-'} failed with an internal error after "${exchange.decisions.join('; ')}": ${(error as Error).stack ?? String(error)}`);
 			response.destroy();
 		} finally {
 			this.noteRequestEnd();
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -184,6 +184,12 @@
 				era: view.asOf.era, viewAgeMs: view.getAge(now), silentLinks: mesh.countSilentLinks(now), now,
 			}));
 		},
+		onCut(exchange, closedBy) {
+			metrics.cutAnswers.inc({service: exchange.service, by: closedBy});
+			if (closedBy === 'entry') {
+				requestLog.warn(`${exchange.metadata.id ?? '-'}: this entry closed the connection before the answer was complete; ${exchange.decisions.join('; ')}`);
+			}
+		},
 		log(message) {
 			requestLog.error(message);
 		},
--- a/src/metrics/forward-metrics.ts
+++ b/src/metrics/forward-metrics.ts
@@ -73,6 +73,14 @@
 		registers: [this.registry],
 	});
 
+	/** Answers whose connection closed before they were complete. */
+	readonly cutAnswers = new Counter({
+		name: 'wardswitch_cut_answers_total',
+		help: 'Answers that ended before they were complete, by service and by who closed the connection (caller, entry)',
+		labelNames: ['service', 'by'] as const,
+		registers: [this.registry],
+	});
+
 	readonly requestSeconds = new Histogram({
 		name: 'wardswitch_request_seconds',
 		help: 'Time from a request to the end of its answer, seconds',
