Failing scenarios: accepted requests that end without an answer

The stand-in target keeps its waiting answers in order, counts those that it has written, and has one of 14 MB.

--- a/features/support/forward-system.ts
+++ b/features/support/forward-system.ts
@@ -10,6 +10,7 @@
 import {plainDialect} from '../../stand-ins/forward/plain-dialect.js';
 import {plainSource} from '../../stand-ins/forward/plain-source.js';
 import {startHttpTarget} from '../../stand-ins/forward/start-http-target.js';
+import {RawCaller} from './raw-caller.js';
 
 type Entry = Awaited<ReturnType<typeof startForwardEntry>>;
 type Answer = {readonly status: number; readonly headers: IncomingMessage['headers']; readonly body: string; readonly isWhole: boolean};
@@ -65,6 +66,8 @@
 	readonly entries = new Map<string, Entry>();
 	readonly targets = new Map<string, HttpTarget>();
 	readonly configuration = structuredClone(firstConfiguration);
+	/** The header dialect of entries that are started from now on. */
+	dialect = plainDialect;
 	private readonly agent = new Agent({keepAlive: true, maxSockets: 1});
 	private readonly linkAddresses: string[] = [];
 	private calls = 0;
@@ -98,7 +101,7 @@
 			link: {key: linkKey},
 			stop: {graceMs: 4000, noticeMs: 100},
 		}), {
-			feed: store, registry: store, source: plainSource, dialect: plainDialect, clock: () => readMonotonicClock() + this.skippedMs, random: Math.random,
+			feed: store, registry: store, source: plainSource, dialect: this.dialect, clock: () => readMonotonicClock() + this.skippedMs, random: Math.random,
 		});
 		this.linkAddresses.push(`127.0.0.1:${linkPort}`);
 		this.entries.set(id, entry);
@@ -121,6 +124,11 @@
 		this.store.put('configuration', this.configuration);
 	}
 
+	/** Opens a connection to an entry on which a scenario writes bytes of its own. */
+	connect(entry = 'entry-1'): RawCaller {
+		return new RawCaller(this.entries.get(entry)!.httpPort);
+	}
+
 	/** Sends a request and reads the answer to its end; `isWhole` says whether it is complete. */
 	async call(call: Call): Promise<Answer> {
 		const incoming = await this.open(call);
--- a/stand-ins/forward/http-target.ts
+++ b/stand-ins/forward/http-target.ts
@@ -1,7 +1,7 @@
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Target} from '../../src/fleet/target.js';
 
-type Behaviour = 'answer' | 'fail' | 'refuse' | 'unsigned' | 'wrong-id' | 'cut' | 'unframed' | 'unframed-reset' | 'unframed-cut' | 'unframed-line' | 'extra' | 'late-refusal' | 'forget' | 'reset' | 'silent' | 'slow';
+type Behaviour = 'answer' | 'fail' | 'refuse' | 'unsigned' | 'wrong-id' | 'cut' | 'unframed' | 'unframed-reset' | 'unframed-cut' | 'unframed-line' | 'extra' | 'late-refusal' | 'forget' | 'reset' | 'silent' | 'slow' | 'large';
 
 /** A running stand-in target. */
 export type HttpTarget = {
@@ -14,6 +14,8 @@
 	readonly behaviours: Behaviour[];
 	/** Number of requests that arrived, whether they ran or not. */
 	arrivals: number;
+	/** Number of answers that have left the target completely. */
+	finishedAnswers: number;
 	/** The target crashes when it runs a request whose path contains this text; undefined for no crash. */
 	crashingPath: string | undefined;
 	hasCrashed: boolean;
@@ -21,7 +23,7 @@
 	refusal: {readonly status: number; readonly headers: Readonly<Record<string, string>>} | undefined;
 	/** Headers about the target itself, added to its answers. */
 	extraHeaders: Readonly<Record<string, string>>;
-	/** Sends the rest of the answer with behaviour `slow`. */
+	/** Sends the rest of the oldest answer with behaviour `slow`. */
 	releaseAnswer(): void;
 	close(): void;
 };
--- a/stand-ins/forward/start-http-target.ts
+++ b/stand-ins/forward/start-http-target.ts
@@ -10,8 +10,10 @@
 type Behaviour = HttpTarget['behaviours'][number];
 
 const eventsPerStream = 6;
-/** Continuations of the slow answers, run by `releaseAnswer`. */
-const slowAnswers = new Map<HttpTarget, () => void>();
+/** Size of the answers with behaviour `large`, bytes: more than the kernel buffers for a connection. */
+const largeAnswerBytes = 14_000_000;
+/** Continuations of the slow answers, the oldest first, run by `releaseAnswer`. */
+const slowAnswers = new Map<HttpTarget, Array<() => void>>();
 /** Connections whose state the target lost: the next request on them is not run, and the connection is reset. */
 const resetOnNextRequest = new WeakSet<object>();
 
@@ -35,12 +37,13 @@
 		abortedRequests: [],
 		behaviours: [],
 		arrivals: 0,
+		finishedAnswers: 0,
 		crashingPath: undefined,
 		hasCrashed: false,
 		refusal: undefined,
 		extraHeaders: {},
 		releaseAnswer() {
-			slowAnswers.get(running)?.();
+			slowAnswers.get(running)?.shift()?.();
 		},
 		close() {
 			server.close();
@@ -93,6 +96,9 @@
 		return;
 	}
 
+	response.on('finish', () => {
+		running.finishedAnswers++;
+	});
 	response.on('close', () => {
 		if (!response.writableFinished) {
 			running.abortedRequests.push(id);
@@ -107,6 +113,10 @@
 	}
 }
 
+function holdAnswer(running: HttpTarget, release: () => void): void {
+	slowAnswers.set(running, [...slowAnswers.get(running) ?? [], release]);
+}
+
 function answer(running: HttpTarget, id: string, response: ServerResponse, behaviour: Behaviour): void {
 	const body = `answer of ${running.target.id} to ${id}`;
 	const socket = response.socket!;
@@ -123,12 +133,17 @@
 		}
 
 		case 'slow': {
-			slowAnswers.set(running, () => {
+			holdAnswer(running, () => {
 				response.writeHead(200, makeHeaders(running, id, 'text/plain')).end(body);
 			});
 			break;
 		}
 
+		case 'large': {
+			response.writeHead(200, makeHeaders(running, id, 'text/plain')).end('x'.repeat(largeAnswerBytes));
+			break;
+		}
+
 		case 'fail': {
 			response.writeHead(500, makeHeaders(running, id, 'text/plain')).end('failed');
 			break;
@@ -235,7 +250,7 @@
 function startSlowStream(running: HttpTarget, id: string, response: ServerResponse): void {
 	response.writeHead(200, makeHeaders(running, id, 'text/event-stream'));
 	response.write('id: 1\ndata: first\n\n');
-	slowAnswers.set(running, () => {
+	holdAnswer(running, () => {
 		response.end('id: 2\ndata: last\n\n');
 	});
 }
