Serve the requests of a connection in order, and close it only when all are answered

Cause: the end of one answer closed the connection whatever else ran on it; a request counted as answered when its filters returned, not when its last byte was written; Node's own close of idle connections takes a connection for idle once its answer is ended. Change: each connection has its requests in order (CallerConnection) and serves one at a time, so that a cut answer takes no request with it that has reached a target; a request is open until its answer is written; the server closes idle connections by this count, not by Node's; a request whose connection closes before its turn is dropped with a line. Conclusion: the class is that who closes a connection did not look at what was accepted on it. Requests that a caller writes ahead wait for each other now.

--- /dev/null
+++ b/src/forward/caller-connection.ts
@@ -0,0 +1,91 @@
+import {type Socket} from 'node:net';
+
+/** A request on a connection, from its head until its answer has been written. */
+type OpenRequest = {
+	/** Serves the request; `finish` must be called at the end of its answer. */
+	readonly serve: () => void;
+	/** Called when the connection closes before the request is served: it has reached no target. */
+	readonly drop: () => void;
+};
+
+/**
+ * The requests on one connection of a caller. They are served one after the other, since whatever cuts an answer takes those of all
+ * later requests with it: these must not have reached a target yet.
+ */
+export class CallerConnection {
+	/** Requests without a complete answer, in order; the first is being served. */
+	private readonly open: OpenRequest[] = [];
+	/** Whether the caller has been told that the connection closes after the present answer, or nothing more can be read from it. */
+	private isEnding = false;
+	/** Bytes that had been read when the last request ended. */
+	private readBytes = 0;
+
+	constructor(private readonly socket: Socket) {
+		socket.once('close', () => {
+			this.dropWaiting();
+		});
+	}
+
+	/** Whether no request is open, and none has been received in part. */
+	get isIdle(): boolean {
+		return this.open.length === 0 && this.socket.bytesRead === this.readBytes;
+	}
+
+	/** Whether a request is open. */
+	get hasOpen(): boolean {
+		return this.open.length > 0;
+	}
+
+	/** Whether requests wait until the one being served has its answer. */
+	get hasWaiting(): boolean {
+		return this.open.length > 1;
+	}
+
+	/** Adds a request, which is served when the earlier ones have their answers; false if the connection closes before its turn. */
+	add(request: OpenRequest): boolean {
+		if (this.isEnding) {
+			return false;
+		}
+
+		this.open.push(request);
+		if (this.open.length === 1) {
+			request.serve();
+		}
+
+		return true;
+	}
+
+	/** Ends the request being served, and begins the next one unless its answer could not be written any more. */
+	finish(): void {
+		if (!this.socket.writable) {
+			this.dropWaiting();
+		}
+
+		this.open.shift();
+		this.readBytes = this.socket.bytesRead;
+		if (this.open.length > 0) {
+			this.open[0].serve();
+		} else if (this.isEnding) {
+			this.close();
+		}
+	}
+
+	/** Accepts no more requests, and closes the connection after the answers to those that are open. */
+	end(): void {
+		this.isEnding = true;
+		if (this.open.length === 0) {
+			this.close();
+		}
+	}
+
+	private dropWaiting(): void {
+		for (const {drop} of this.open.splice(1)) {
+			drop();
+		}
+	}
+
+	/* Closes the connection once all that was written has left the process. */
+	private close(): void {
+		this.socket.destroySoon();
+	}
+}
--- a/src/forward/forward-server.ts
+++ b/src/forward/forward-server.ts
@@ -1,12 +1,12 @@
 import {once} from 'node:events';
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type AddressInfo, type Socket} from 'node:net';
 import {type Result} from 'neverthrow';
 import {type Filter} from '../requests/filter.js';
 import {type Problem} from '../requests/problem.js';
 import {runFilters} from '../requests/run-filters.js';
+import {CallerConnection} from './caller-connection.js';
+import {CallerServer} from './caller-server.js';
 import {ForwardExchange} from './forward-exchange.js';
 import {type HeaderDialect} from './header-dialect.js';
 
@@ -32,19 +32,29 @@
 
 /** The HTTP server for callers: turns each request into an exchange and sends it through the filters. */
 export class ForwardServer {
-	private readonly server: Server;
+	private readonly server: CallerServer;
+	private readonly connections = new Map<Socket, CallerConnection>();
 	private openCount = 0;
 	private isStopping = false;
 	private onDrained: (() => void) | undefined;
 
 	constructor(private readonly options: ServerOptions) {
-		this.server = createServer({
+		this.server = new CallerServer({
 			maxHeaderSize: parserHeaderBytes,
 			connectionsCheckingInterval: connectionCheckMs,
 			requestTimeout: 0,
 			noDelay: true,
-		}, (request, response) => {
-			void this.serve(request, response);
+		}, () => {
+			this.endIdleConnections();
+		});
+		this.server.on('connection', socket => {
+			this.connections.set(socket, new CallerConnection(socket));
+			socket.once('close', () => {
+				this.connections.delete(socket);
+			});
+		});
+		this.server.on('request', (incoming, response) => {
+			this.accept(incoming, response);
 		});
 	}
 
@@ -53,7 +63,7 @@
 		return (this.server.address() as AddressInfo).port;
 	}
 
-	/** Requests that have not been answered completely. */
+	/** Requests whose answers have not been written completely, or that still run. */
 	get openRequests(): number {
 		return this.openCount;
 	}
@@ -79,14 +89,11 @@
 	async drain(): Promise<void> {
 		this.isStopping = true;
 		this.server.close();
-		this.server.closeIdleConnections();
 		if (this.openCount > 0) {
 			await new Promise<void>(resolve => {
 				this.onDrained = resolve;
 			});
 		}
-
-		this.server.closeIdleConnections();
 	}
 
 	/** Closes all connections at once. */
@@ -95,47 +102,88 @@
 		this.server.closeAllConnections();
 	}
 
-	private async serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-		const {clock, dialect, filters, log, onCut} = this.options;
+	private endIdleConnections(): void {
+		for (const connection of this.connections.values()) {
+			if (connection.isIdle) {
+				connection.end();
+			}
+		}
+	}
+
+	private accept(incoming: IncomingMessage, response: ServerResponse): void {
+		const connection = this.connections.get(incoming.socket)!;
+		const arrivedAt = this.options.clock();
+		const serve = (): void => {
+			void this.serve(incoming, response, connection, arrivedAt);
+		};
+
+		const drop = (): void => {
+			this.options.log(`${incoming.method} ${incoming.url} was not served: its connection closed before the earlier answers on it were complete`);
+			this.noteRequestEnd();
+		};
+
+		this.openCount++;
+		if (!connection.add({serve, drop})) {
+			drop();
+		}
+	}
+
+	private async serve(incoming: IncomingMessage, response: ServerResponse, connection: CallerConnection, arrivedAt: number): Promise<void> {
 		const exchange = new ForwardExchange({
 			incoming,
 			response,
-			arrivedAt: clock(),
-			metadata: dialect.readRequest(incoming.headers),
-			mayKeepAlive: () => !this.isStopping,
+			arrivedAt,
+			metadata: this.options.dialect.readRequest(incoming.headers),
+			mayKeepAlive: () => this.mayKeepAlive(connection),
 		});
-		const {socket} = incoming;
+		const answered = this.watchAnswer(exchange, connection);
+		await this.runFilters(exchange);
+		await answered;
+		this.noteRequestEnd();
+	}
+
+	private mayKeepAlive(connection: CallerConnection): boolean {
+		if (!this.isStopping || connection.hasWaiting) {
+			return true;
+		}
+
+		connection.end();
+		return false;
+	}
+
+	/* Resolves when the answer has been written, or its connection has closed. */
+	private async watchAnswer(exchange: ForwardExchange, connection: CallerConnection): Promise<void> {
+		const {incoming: {socket}, response, disconnection} = exchange;
 		let isWhole = false;
 		// Before Node's own listener. A connection that is destroyed with unwritten bytes also reports the answer as finished.
 		response.prependListener('finish', () => {
 			isWhole = !socket.destroyed;
 		});
-		response.on('close', () => {
-			if (!isWhole) {
-				// An error of the system comes from the caller's side, any other from this process.
-				const isReset = (socket.errored as NodeJS.ErrnoException | undefined)?.syscall !== undefined;
-				onCut(exchange, socket.readableEnded || isReset ? 'caller' : 'entry');
-			}
-
-			if (!response.writableFinished) {
-				exchange.disconnection.abort();
-			}
-		});
-		response.on('finish', () => {
-			// The head may have been sent with `connection: keep-alive` before the stop began.
-			if (this.isStopping) {
-				socket.destroySoon();
-			}
+		await new Promise<void>(resolve => {
+			response.once('close', resolve);
 		});
-		this.openCount++;
+		if (!isWhole) {
+			// An error of the system comes from the caller's side, any other from this process.
+			const isReset = (socket.errored as NodeJS.ErrnoException | undefined)?.syscall !== undefined;
+			this.options.onCut(exchange, socket.readableEnded || isReset ? 'caller' : 'entry');
+			disconnection.abort();
+		}
+
+		connection.finish();
+		// The head may have been sent with `connection: keep-alive` before the stop began.
+		if (this.isStopping && !connection.hasOpen) {
+			connection.end();
+		}
+	}
+
+	private async runFilters(exchange: ForwardExchange): Promise<void> {
+		const {filters, log} = this.options;
 		try {
 			const result = await runFilters(filters, exchange);
 			this.finish(exchange, result);
 		} catch (error) {
 			log(`${exchange.metadata.id ?? '-'} failed with an internal error after "${exchange.decisions.join('; ')}": ${(error as Error).stack ?? String(error)}`);
-			response.destroy();
-		} finally {
-			this.noteRequestEnd();
+			exchange.response.destroy();
 		}
 	}
 
