Answer running requests whatever follows them on their connection

What callers saw: 408 or 400 for a request that may run once and was running, when half of the next head or other bytes followed it on the connection (both statuses promise that it did not run); a CONNECT request whose connection closed without an answer. Cause: Node answers a parser error or a header timeout on the connection at once, whatever answer is due there; it closes a CONNECT that nobody handles. Ruled out: the targets, whose answers arrived. Change: the server handles both; with a request open the connection takes no more input and closes after its answers, a request whose body is still arriving gets 400; CONNECT gets 405 in its turn.

--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -311,6 +311,7 @@
 			id: 'the-request', deadlineMs: 5000, lastEventId: undefined, promptParts: [],
 		},
 		mayKeepAlive: () => true,
+		inputFailure: new AbortController().signal,
 	});
 	exchange.route = route;
 	exchange.deadline = 5000;
--- a/features/support/fleet-simulation.ts
+++ b/features/support/fleet-simulation.ts
@@ -347,6 +347,7 @@
 				id: 'request', deadlineMs, lastEventId: undefined, promptParts: call.promptParts,
 			},
 			mayKeepAlive: () => true,
+			inputFailure: new AbortController().signal,
 		});
 		exchange.route = makeRoute(this.options.maximumAttempts ?? 2);
 		exchange.deadline = call.askedAt + deadlineMs;
--- a/src/forward/caller-connection.ts
+++ b/src/forward/caller-connection.ts
@@ -1,4 +1,5 @@
 import {type Socket} from 'node:net';
+import {Problem} from '../requests/problem.js';
 
 /** A request on a connection, from its head until its answer has been written. */
 type OpenRequest = {
@@ -17,6 +18,7 @@
 	private readonly open: OpenRequest[] = [];
 	/** Whether the caller has been told that the connection closes after the present answer, or nothing more can be read from it. */
 	private isEnding = false;
+	private readonly input = new AbortController();
 	/** Bytes that had been read when the last request ended. */
 	private readBytes = 0;
 
@@ -26,6 +28,11 @@
 		});
 	}
 
+	/** Aborted with a problem when nothing more can be read. */
+	get inputFailure(): AbortSignal {
+		return this.input.signal;
+	}
+
 	/** Whether no request is open, and none has been received in part. */
 	get isIdle(): boolean {
 		return this.open.length === 0 && this.socket.bytesRead === this.readBytes;
@@ -78,6 +85,14 @@
 		}
 	}
 
+	/** Notes that what follows cannot be read: the open requests are answered, one whose body is still arriving with a problem. */
+	failInput(error: Error): void {
+		this.input.abort(new Problem({
+			status: 400, title: 'Bad request', detail: `the body cannot be read: ${error.message}`, outcome: 'not-run',
+		}));
+		this.end();
+	}
+
 	private dropWaiting(): void {
 		for (const {drop} of this.open.splice(1)) {
 			drop();
--- a/src/forward/forward-exchange.ts
+++ b/src/forward/forward-exchange.ts
@@ -3,7 +3,7 @@
 import {fingerprintRequest} from './fingerprint-request.js';
 import {type RequestMetadata} from './request-metadata.js';
 
-type Origin = Pick<ForwardExchange, 'incoming' | 'response' | 'arrivedAt' | 'metadata' | 'mayKeepAlive'>;
+type Origin = Pick<ForwardExchange, 'incoming' | 'response' | 'arrivedAt' | 'metadata' | 'mayKeepAlive' | 'inputFailure'>;
 
 /** A caller's request and its response, with the state that filters and the dispatcher add. */
 export class ForwardExchange {
@@ -28,6 +28,8 @@
 	readonly metadata: RequestMetadata;
 	/** Whether the caller's connection may stay open after the answer. */
 	readonly mayKeepAlive: () => boolean;
+	/** Aborted with a problem when nothing more can be read from the caller. */
+	readonly inputFailure: AbortSignal;
 	private cachedFingerprint: string | undefined;
 
 	constructor(origin: Origin) {
@@ -36,6 +38,7 @@
 		this.arrivedAt = origin.arrivedAt;
 		this.metadata = origin.metadata;
 		this.mayKeepAlive = origin.mayKeepAlive;
+		this.inputFailure = origin.inputFailure;
 	}
 
 	/** Whether the request may run more than once, so that it may be sent again. */
--- a/src/forward/forward-server.ts
+++ b/src/forward/forward-server.ts
@@ -7,6 +7,7 @@
 import {runFilters} from '../requests/run-filters.js';
 import {CallerConnection} from './caller-connection.js';
 import {CallerServer} from './caller-server.js';
+import {formatInputRefusal} from './format-input-refusal.js';
 import {ForwardExchange} from './forward-exchange.js';
 import {type HeaderDialect} from './header-dialect.js';
 
@@ -56,6 +57,12 @@
 		this.server.on('request', (incoming, response) => {
 			this.accept(incoming, response);
 		});
+		this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+			this.handleInputError(error, socket as Socket);
+		});
+		this.server.on('connect', (incoming, socket) => {
+			this.refuseTunnel(incoming, socket as Socket);
+		});
 	}
 
 	/** TCP port that the server listens on. */
@@ -128,6 +135,45 @@
 		}
 	}
 
+	/* Nothing more can be read from the caller. Its open requests are not affected, but for one whose body is still arriving. */
+	private handleInputError(error: NodeJS.ErrnoException, socket: Socket): void {
+		const connection = this.connections.get(socket);
+		if (!connection?.hasOpen) {
+			if (socket.writable) {
+				socket.write(formatInputRefusal(error));
+			}
+
+			socket.destroySoon();
+		} else if (socket.writable && !socket.readableEnded) {
+			this.options.log(`connection with an open request cannot be read any more: ${error.message}`);
+			connection.failInput(error);
+		} else {
+			socket.destroy();
+		}
+	}
+
+	/* Node hands over the connection of a CONNECT request, whose target is not a path. */
+	private refuseTunnel(incoming: IncomingMessage, socket: Socket): void {
+		const connection = this.connections.get(socket)!;
+		// Node has removed its own listeners.
+		socket.on('error', error => {
+			this.options.log(`connection of a caller failed: ${error.message}`);
+		});
+		socket.resume();
+		const serve = (): void => {
+			socket.end('HTTP/1.1 405 Method Not Allowed\r\nallow: GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
+			connection.end();
+		};
+
+		const drop = (): void => {
+			this.options.log(`${incoming.method} ${incoming.url} was not answered: its connection closed before`);
+		};
+
+		if (!connection.add({serve, drop})) {
+			drop();
+		}
+	}
+
 	private async serve(incoming: IncomingMessage, response: ServerResponse, connection: CallerConnection, arrivedAt: number): Promise<void> {
 		const exchange = new ForwardExchange({
 			incoming,
@@ -135,6 +181,7 @@
 			arrivedAt,
 			metadata: this.options.dialect.readRequest(incoming.headers),
 			mayKeepAlive: () => this.mayKeepAlive(connection),
+			inputFailure: connection.inputFailure,
 		});
 		const answered = this.watchAnswer(exchange, connection);
 		await this.runFilters(exchange);
@@ -143,7 +190,7 @@
 	}
 
 	private mayKeepAlive(connection: CallerConnection): boolean {
-		if (!this.isStopping || connection.hasWaiting) {
+		if (connection.hasWaiting || !(this.isStopping || connection.inputFailure.aborted)) {
 			return true;
 		}
 
