Answer a request whose body has not arrived at its deadline

Cause: the deadline is set before the body is read, but only looked at after it. Ruled out: targets, none had got the request. Change: the filter that reads the body gives up at the deadline with 408, which is a true promise there. Conclusion: a wait without an end on a request's way; the other waits of the entry (admission, targets, crash checks) end by the deadline already.

--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -174,7 +174,7 @@
 		filters: [
 			makeRouteFilter({getTable, defaultDeadlineMs: settings.requests.defaultDeadlineMs}),
 			makeKeyFilter(getTable),
-			makeReadFilter(getTable),
+			makeReadFilter({getTable, clock}),
 			makeForwardFilter(dispatcher),
 		],
 		onEnd(exchange, problem) {
