--- a/features/platform.feature
+++ b/features/platform.feature
@@ -103,6 +103,8 @@
       | service    | missing             |
       | address    | "10.0.0.1:99999"    |
       | address    | "10.0.1:80"         |
+      | address    | "999.1.1.1:80"      |
+      | address    | "0127.0.0.1:80"     |
       | address    | ["10.0.0.1:80"]     |
       | zone       | missing             |
       | version    | null                |
--- a/src/fleet/target.ts
+++ b/src/fleet/target.ts
@@ -6,7 +6,8 @@
 	/** Start time of this incarnation, Unix milliseconds; a target may restart under its id. Absent if targets do not publish it. */
 	bornAt: z.int().optional(),
 	service: z.string().min(1),
-	address: z.string().min(1),
+	/** IPv4 address; connections are opened to it as it is. */
+	address: z.ipv4('expected an IPv4 address, as 10.0.0.1'),
 	port: z.int().min(1).max(65_535),
 	availabilityZone: z.string(),
 	/** Number of requests that it runs concurrently. */
