Serve callers of both interfaces through one server for their connections

Ruled out: the links to targets (their scenarios passed). Change: src/callers holds the server, the connections, the reading of bodies and their answers for both interfaces; ForwardServer keeps only what makes exchanges (ExchangeRunner); what is thrown on a request's way of the own interface is answered 500 as well; its bodies have the default timeout.

--- a/features/drain.feature
+++ b/features/drain.feature
@@ -67,3 +67,39 @@
     And the target that runs it crashes
     And the engines run 60 steps
     Then the reply has status 200
+
+  # Guards against a running request being answered for, or cut by, what follows it on its connection.
+  Scenario Outline: The reply to a running request is not affected by <bytes> after it
+    Given a running system whose engines advance step by step
+    When a caller asks "stone-drafts" for 6 tokens on a connection of its own
+    And <bytes> follow while an engine runs the request
+    And the engines run 10 steps
+    Then the connection carries 1 whole reply with status 200
+    And it is closed
+
+    Examples:
+      | bytes               |
+      | a tunnel request    |
+      | bytes of no request |
+
+  # Guards against a planned stop that cuts requests which callers have written ahead.
+  Scenario: An entry that is told to stop replies to requests written ahead
+    Given a running system whose engines advance step by step
+    When a caller asks "stone-drafts" for 6 tokens twice at once on a connection of its own
+    And an engine runs the request
+    And the entry is told to stop
+    And the engines run until the connection carries 2 replies
+    Then the connection carries 2 whole replies with status 200
+    And it is closed
+
+  # Guards against a connection that is closed without an answer to a method that is not served.
+  Scenario: A request to open a tunnel is refused with a reply
+    Given a running system whose engines advance step by step
+    When a caller asks for a tunnel
+    Then the connection carries 1 whole reply with status 405
+
+  # Guards against a request that has no answer, and a connection held for good, since its body never arrives.
+  Scenario: A request whose body does not arrive is answered at the timeout
+    Given a running system with a request timeout of 300 ms
+    When a caller asks "stone-drafts" without sending the body
+    Then the connection carries 1 whole reply with status 408
--- a/features/steps/drain-steps.ts
+++ b/features/steps/drain-steps.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
 import {setTimeout as delay} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {RawCaller} from '../support/raw-caller.js';
 import {type Reply} from '../support/reply.js';
 import {sendRequest} from '../support/send-request.js';
 import {type SystemWorld} from '../support/system-world.js';
+import {tokens} from '../support/tokens.js';
 
 /** Pause between two steps of the engines, milliseconds, in which messages are delivered; the scenarios hold with a step more or less. */
 const stepPauseMs = 5;
@@ -118,3 +120,67 @@
 	assert.equal(reply.isComplete, false);
 	assert.ok(!reply.text.includes('[DONE]'));
 });
+
+const connectRaw = (world: SystemWorld): RawCaller => {
+	const [entry] = world.system.entries.values();
+	const caller = new RawCaller(entry.httpPort, tokens.granite);
+	world.notes.set('caller', caller);
+	world.onClose(() => {
+		caller.close();
+	});
+	return caller;
+};
+
+const getCaller = (world: SystemWorld): RawCaller => world.notes.get('caller') as RawCaller;
+
+const writeChats = (world: SystemWorld, model: string, count: number, maximumTokens: number): void => {
+	const caller = connectRaw(world);
+	const body = JSON.stringify({model, max_tokens: maximumTokens, messages: [{role: 'user', content: 'granite'}]});
+	for (let number = 1; number <= count; number++) {
+		caller.request('POST', '/v1/chat/completions', {id: `chat-${number}`, body});
+	}
+};
+
+Given('a running system with a request timeout of {int} ms', async function (this: SystemWorld, ms: number) {
+	await this.startSystem({isPaced: true, entrySettings: {requests: {defaultTimeoutMs: ms}}});
+});
+
+When('a caller asks {string} for {int} tokens on a connection of its own', function (this: SystemWorld, model: string, maximumTokens: number) {
+	writeChats(this, model, 1, maximumTokens);
+});
+
+When('a caller asks {string} for {int} tokens twice at once on a connection of its own', function (this: SystemWorld, model: string, maximumTokens: number) {
+	writeChats(this, model, 2, maximumTokens);
+});
+
+When('{} follow while an engine runs the request', async function (this: SystemWorld, bytes: string) {
+	await findRunning(this);
+	getCaller(this).write(bytes === 'a tunnel request' ? 'CONNECT yard:80 HTTP/1.1\r\nhost: yard\r\n\r\n' : '\u0000 no request\r\n\r\n');
+});
+
+When('a caller asks for a tunnel', function (this: SystemWorld) {
+	connectRaw(this).write('CONNECT yard:80 HTTP/1.1\r\nhost: yard\r\n\r\n');
+});
+
+When('a caller asks {string} without sending the body', function (this: SystemWorld, model: string) {
+	connectRaw(this).write(`POST /v1/chat/completions HTTP/1.1\r\nhost: yard\r\nauthorization: Bearer ${tokens.granite}\r\nx-model: ${model}\r\ncontent-length: 80\r\n\r\n`);
+});
+
+When('the engines run until the connection carries {int} replies', async function (this: SystemWorld, count: number) {
+	const caller = getCaller(this);
+	await this.system.waitUntil(`${count} replies`, () => {
+		this.system.group.advance();
+		return caller.isClosed || caller.wholeCount >= count;
+	});
+});
+
+Then('the connection carries {int} whole reply/replies with status {int}', async function (this: SystemWorld, count: number, status: number) {
+	const caller = getCaller(this);
+	await this.system.waitUntil('the replies', () => caller.isClosed || caller.wholeCount >= count);
+	// What follows a running request may be refused after its reply.
+	assert.deepEqual(caller.answers.slice(0, count).map(answer => [answer.status, answer.isWhole]), Array.from({length: count}, () => [status, true]), caller.text);
+});
+
+Then('it is closed', async function (this: SystemWorld) {
+	await this.system.waitUntil('the connection closes', () => getCaller(this).isClosed);
+});
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -313,6 +313,7 @@
 		},
 		mayKeepAlive: () => true,
 		inputFailure: new AbortController().signal,
+		disconnection: new AbortController(),
 	});
 	exchange.route = route;
 	exchange.deadline = 5000;
--- a/features/support/fleet-simulation.ts
+++ b/features/support/fleet-simulation.ts
@@ -348,6 +348,7 @@
 			},
 			mayKeepAlive: () => true,
 			inputFailure: new AbortController().signal,
+			disconnection: new AbortController(),
 		});
 		exchange.route = makeRoute(this.options.maximumAttempts ?? 2);
 		exchange.deadline = call.askedAt + deadlineMs;
--- a/features/support/forward-system.ts
+++ b/features/support/forward-system.ts
@@ -126,7 +126,7 @@
 
 	/** Opens a connection to an entry on which a scenario writes bytes of its own. */
 	connect(entry = 'entry-1'): RawCaller {
-		return new RawCaller(this.entries.get(entry)!.httpPort);
+		return new RawCaller(this.entries.get(entry)!.httpPort, key);
 	}
 
 	/** Sends a request and reads the answer to its end; `isWhole` says whether it is complete. */
--- a/features/support/raw-caller.ts
+++ b/features/support/raw-caller.ts
@@ -3,8 +3,6 @@
 
 type Answer = {readonly status: number; readonly head: string; readonly body: string; readonly isWhole: boolean};
 
-const key = 'key-of-barre';
-
 const readChunks = (text: string): {readonly body: string; readonly isWhole: boolean; readonly length: number} => {
 	let body = '';
 	let position = 0;
@@ -41,7 +39,8 @@
 	isClosed = false;
 	private readonly socket: Socket;
 
-	constructor(port: number) {
+	/** @param key - key of an organisation, sent with each request */
+	constructor(port: number, private readonly key: string) {
 		this.socket = connect(port, '127.0.0.1');
 		this.socket.setEncoding('latin1');
 		this.socket.on('data', chunk => {
@@ -77,7 +76,7 @@
 
 	/** Writes a request with the key of an organisation; `more` are further lines of its head, each with its line end. */
 	request(method: string, path: string, {id, body = '', more = ''}: {readonly id: string; readonly body?: string; readonly more?: string}): void {
-		this.write(`${method} ${path} HTTP/1.1\r\nhost: desk.example\r\nauthorization: Bearer ${key}\r\nx-request: ${id}\r\n${more}content-length: ${body.length}\r\n\r\n${body}`);
+		this.write(`${method} ${path} HTTP/1.1\r\nhost: desk.example\r\nauthorization: Bearer ${this.key}\r\nx-request: ${id}\r\n${more}content-length: ${body.length}\r\n\r\n${body}`);
 	}
 
 	/** Writes bytes. */
--- a/src/forward/forward-server.ts
+++ b/src/callers/caller-server.ts
@@ -1,52 +1,39 @@
 import {once} from 'node:events';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
-import {err, ok, type Result} from 'neverthrow';
-import {type Filter} from '../requests/filter.js';
-import {Problem} from '../requests/problem.js';
-import {runFilters} from '../requests/run-filters.js';
 import {CallerConnection} from './caller-connection.js';
-import {CallerServer} from './caller-server.js';
+import {type CallerRequest} from './caller-request.js';
 import {formatInputRefusal} from './format-input-refusal.js';
-import {ForwardExchange} from './forward-exchange.js';
-import {type HeaderDialect} from './header-dialect.js';
-import {type RequestMetadata} from './request-metadata.js';
-import {sendProblem} from './send-problem.js';
+import {IdleAwareServer} from './idle-aware-server.js';
 
 type ServerOptions = {
 	readonly address: string;
+	/** 0 for any free port. */
 	readonly port: number;
+	/** Limit of Node's parser on headers, bytes. */
+	readonly maximumHeaderBytes?: number;
 	readonly clock: () => number;
-	readonly dialect: HeaderDialect;
-	readonly filters: ReadonlyArray<Filter<ForwardExchange>>;
-	/** Called at the end of each request; `problem` is what was sent to the caller, undefined after an answer. */
-	readonly onEnd: (exchange: ForwardExchange, problem: Problem | undefined) => void;
-	/** Called when the connection closes before the answer has been written completely, and by whom. */
-	readonly onCut: (exchange: ForwardExchange, closedBy: 'caller' | 'entry') => void;
+	/** Serves a request; resolves when nothing runs for it any more. */
+	readonly serve: (request: CallerRequest) => Promise<void>;
 	readonly log: (message: string) => void;
 };
 
-/** Limit of Node's parser on headers, bytes; the configured limit is checked by a filter. */
-const parserHeaderBytes = 65_536;
 /** Interval of the check for connections that exceed the header or idle timeout, milliseconds. */
 const connectionCheckMs = 500;
+/** Answer to CONNECT: the server opens no tunnels. */
+const tunnelRefusal = 'HTTP/1.1 405 Method Not Allowed\r\nallow: GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
 
-/** Stands for the metadata of a request whose headers cannot be read. */
-const unreadMetadata: RequestMetadata = {
-	id: undefined, deadlineMs: undefined, lastEventId: undefined, promptParts: [],
-};
-
-/** The HTTP server for callers: turns each request into an exchange and sends it through the filters. */
-export class ForwardServer {
-	private readonly server: CallerServer;
+/** The HTTP server for callers: whatever ends a connection, each request accepted on it is answered or has not been served. */
+export class CallerServer {
+	private readonly server: IdleAwareServer;
 	private readonly connections = new Map<Socket, CallerConnection>();
 	private openCount = 0;
 	private isStopping = false;
 	private onDrained: (() => void) | undefined;
 
 	constructor(private readonly options: ServerOptions) {
-		this.server = new CallerServer({
-			maxHeaderSize: parserHeaderBytes,
+		this.server = new IdleAwareServer({
+			maxHeaderSize: options.maximumHeaderBytes,
 			connectionsCheckingInterval: connectionCheckMs,
 			requestTimeout: 0,
 			noDelay: true,
@@ -124,54 +111,28 @@
 
 	private accept(incoming: IncomingMessage, response: ServerResponse): void {
 		const connection = this.connections.get(incoming.socket)!;
-		const arrivedAt = this.options.clock();
-		const serve = (): void => {
-			void this.serve(incoming, response, connection, arrivedAt);
+		const request: CallerRequest = {
+			incoming,
+			response,
+			arrivedAt: this.options.clock(),
+			mayKeepAlive: () => this.mayKeepAlive(connection),
+			inputFailure: connection.inputFailure,
+			disconnection: new AbortController(),
 		};
-
-		const drop = (): void => {
-			this.options.log(`${incoming.method} ${incoming.url} was not served: its connection closed before the earlier answers on it were complete`);
-			this.noteRequestEnd();
+		const serve = (): void => {
+			void this.serve(request, connection);
 		};
 
 		this.openCount++;
-		if (!connection.add({serve, drop})) {
-			drop();
-		}
-	}
-
-	/* Nothing more can be read from the caller. Its open requests are not affected, but for one whose body is still arriving. */
-	private handleInputError(error: NodeJS.ErrnoException, socket: Socket): void {
-		const connection = this.connections.get(socket);
-		if (!connection?.hasOpen) {
-			if (socket.writable) {
-				socket.write(formatInputRefusal(error));
-			}
-
-			socket.destroySoon();
-		} else if (socket.writable && !socket.readableEnded) {
-			this.options.log(`connection with an open request cannot be read any more: ${error.message}`);
-			connection.failInput(error);
-		} else {
-			socket.destroy();
-		}
-	}
-
-	/* Node hands over the connection of a CONNECT request, whose target is not a path. */
-	private refuseTunnel(incoming: IncomingMessage, socket: Socket): void {
-		const connection = this.connections.get(socket)!;
-		// Node has removed its own listeners.
-		socket.on('error', error => {
-			this.options.log(`connection of a caller failed: ${error.message}`);
+		this.add(connection, incoming, serve, () => {
+			this.noteRequestEnd();
 		});
-		socket.resume();
-		const serve = (): void => {
-			socket.end('HTTP/1.1 405 Method Not Allowed\r\nallow: GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
-			connection.end();
-		};
+	}
 
+	private add(connection: CallerConnection, {method, url}: IncomingMessage, serve: () => void, onDrop: () => void): void {
 		const drop = (): void => {
-			this.options.log(`${incoming.method} ${incoming.url} was not answered: its connection closed before`);
+			this.options.log(`${method} ${url} was not served: its connection closed before the earlier answers on it were complete`);
+			onDrop();
 		};
 
 		if (!connection.add({serve, drop})) {
@@ -179,47 +140,21 @@
 		}
 	}
 
-	private async serve(incoming: IncomingMessage, response: ServerResponse, connection: CallerConnection, arrivedAt: number): Promise<void> {
-		const metadata = this.readMetadata(incoming);
-		const exchange = new ForwardExchange({
-			incoming,
-			response,
-			arrivedAt,
-			metadata: metadata.unwrapOr(unreadMetadata),
-			mayKeepAlive: () => this.mayKeepAlive(connection),
-			inputFailure: connection.inputFailure,
-		});
-		const answered = this.watchAnswer(exchange, connection);
-		if (metadata.isErr()) {
-			this.fail(exchange, metadata.error);
-		} else {
-			await this.runFilters(exchange);
-		}
-
-		await answered;
-		this.noteRequestEnd();
-	}
-
-	private readMetadata({headers}: IncomingMessage): Result<RequestMetadata, unknown> {
+	private async serve(request: CallerRequest, connection: CallerConnection): Promise<void> {
+		const answered = this.watchAnswer(request, connection);
 		try {
-			return ok(this.options.dialect.readRequest(headers));
+			await this.options.serve(request);
 		} catch (error) {
-			return err(error);
+			this.options.log(`request failed with an internal error: ${(error as Error).stack ?? String(error)}`);
+			request.response.destroy();
 		}
-	}
 
-	private mayKeepAlive(connection: CallerConnection): boolean {
-		if (connection.hasWaiting || !(this.isStopping || connection.inputFailure.aborted)) {
-			return true;
-		}
-
-		connection.end();
-		return false;
+		await answered;
+		this.noteRequestEnd();
 	}
 
 	/* Resolves when the answer has been written, or its connection has closed. */
-	private async watchAnswer(exchange: ForwardExchange, connection: CallerConnection): Promise<void> {
-		const {incoming: {socket}, response, disconnection} = exchange;
+	private async watchAnswer({incoming: {socket}, response, disconnection}: CallerRequest, connection: CallerConnection): Promise<void> {
 		let isWhole = false;
 		// Before Node's own listener. A connection that is destroyed with unwritten bytes also reports the answer as finished.
 		response.prependListener('finish', () => {
@@ -231,8 +166,7 @@
 		if (!isWhole) {
 			// An error of the system comes from the caller's side, any other from this process.
 			const isReset = (socket.errored as NodeJS.ErrnoException | undefined)?.syscall !== undefined;
-			this.options.onCut(exchange, socket.readableEnded || isReset ? 'caller' : 'entry');
-			disconnection.abort();
+			disconnection.abort(socket.readableEnded || isReset ? 'caller' : 'entry');
 		}
 
 		connection.finish();
@@ -242,41 +176,44 @@
 		}
 	}
 
-	private async runFilters(exchange: ForwardExchange): Promise<void> {
-		try {
-			const result = await runFilters(this.options.filters, exchange);
-			this.finish(exchange, result);
-		} catch (error) {
-			this.fail(exchange, error);
+	private mayKeepAlive(connection: CallerConnection): boolean {
+		if (connection.hasWaiting || !(this.isStopping || connection.inputFailure.aborted)) {
+			return true;
 		}
+
+		connection.end();
+		return false;
 	}
 
-	/* Answers a request on whose way something was thrown; it is not known how far the request had come. */
-	private fail(exchange: ForwardExchange, error: unknown): void {
-		const {metadata, decisions, response} = exchange;
-		this.options.log(`${metadata.id ?? '-'} failed with an internal error after "${decisions.join('; ')}": ${(error as Error).stack ?? String(error)}`);
-		if (response.writableEnded) {
-			return;
-		}
+	/* Nothing more can be read from the caller. Its open requests are not affected, but for one whose body is still arriving. */
+	private handleInputError(error: NodeJS.ErrnoException, socket: Socket): void {
+		const connection = this.connections.get(socket);
+		if (!connection?.hasOpen) {
+			if (socket.writable) {
+				socket.write(formatInputRefusal(error));
+			}
 
-		if (response.headersSent) {
-			// The caller must not take the partial answer for a complete one.
-			response.destroy();
-			return;
+			socket.destroySoon();
+		} else if (socket.writable && !socket.readableEnded) {
+			this.options.log(`connection with an open request cannot be read any more: ${error.message}`);
+			connection.failInput(error);
+		} else {
+			socket.destroy();
 		}
-
-		sendProblem(exchange, new Problem({
-			status: 500, title: 'Internal error', detail: 'the request failed within the entry', outcome: 'unknown',
-		}));
 	}
 
-	private finish(exchange: ForwardExchange, result: Result<void, Problem>): void {
-		const problem = result.isErr() ? result.error : undefined;
-		if (problem) {
-			sendProblem(exchange, problem);
-		}
-
-		this.options.onEnd(exchange, problem);
+	/* Node hands over the connection of a CONNECT request, whose target is not a path. */
+	private refuseTunnel(incoming: IncomingMessage, socket: Socket): void {
+		const connection = this.connections.get(socket)!;
+		// Node has removed its own listeners.
+		socket.on('error', error => {
+			this.options.log(`connection of a caller failed: ${error.message}`);
+		});
+		socket.resume();
+		this.add(connection, incoming, () => {
+			socket.end(tunnelRefusal);
+			connection.end();
+		}, () => undefined);
 	}
 
 	private noteRequestEnd(): void {
--- a/src/forward/read-body.ts
+++ b/src/callers/read-body.ts
@@ -1,21 +1,25 @@
 import {Buffer} from 'node:buffer';
-import {type IncomingMessage} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import {Problem} from '../requests/problem.js';
+import {runAt} from './run-at.js';
+import {type CallerRequest} from './caller-request.js';
 
+type Input = Pick<CallerRequest, 'incoming' | 'inputFailure'>;
 type ReadOptions = {
 	readonly maximumBytes: number;
-	/** Ends the reading; its reason is the problem to send to the caller. */
-	readonly signal: AbortSignal;
+	/** Time by which the body must have arrived, milliseconds on `clock`. */
+	readonly deadline: number;
+	readonly clock: () => number;
 };
 
-/** Reads the whole body of a request; returns the problem to send to its caller when it is too large, breaks off or is given up. */
-export async function readBody(incoming: IncomingMessage, {maximumBytes, signal}: ReadOptions): Promise<Result<Uint8Array<ArrayBuffer>, Problem>> {
+/** Reads the whole body of a request; returns the problem to send to its caller when it is too large, too late or breaks off. */
+export async function readBody({incoming, inputFailure}: Input, {maximumBytes, deadline, clock}: ReadOptions): Promise<Result<Uint8Array<ArrayBuffer>, Problem>> {
 	const chunks: Buffer[] = [];
 	let bytes = 0;
 	return new Promise(resolve => {
 		const settle = (result: Result<Uint8Array<ArrayBuffer>, Problem>): void => {
-			signal.removeEventListener('abort', handleAbort);
+			cancel();
+			inputFailure.removeEventListener('abort', handleFailure);
 			incoming.off('data', handleData).off('end', handleEnd).off('error', handleError).off('close', handleClose);
 			// The rest is discarded.
 			incoming.resume();
@@ -28,8 +32,8 @@
 			})));
 		};
 
-		const handleAbort = (): void => {
-			settle(err(signal.reason as Problem));
+		const handleFailure = (): void => {
+			settle(err(inputFailure.reason as Problem));
 		};
 
 		const handleData = (chunk: Buffer): void => {
@@ -52,11 +56,13 @@
 			fail(400, 'Bad request', 'the body broke off');
 		};
 
+		const cancel = runAt(deadline, clock, () => {
+			fail(408, 'Body too late', 'the body had not arrived at the deadline');
+		});
 		incoming.on('data', handleData).on('end', handleEnd).on('error', handleError).on('close', handleClose);
-		if (signal.aborted && !incoming.complete) {
-			handleAbort();
-		} else {
-			signal.addEventListener('abort', handleAbort);
+		inputFailure.addEventListener('abort', handleFailure);
+		if (inputFailure.aborted && !incoming.complete) {
+			handleFailure();
 		}
 	});
 }
--- a/src/entry/request-server.ts
+++ b/src/entry/request-server.ts
@@ -1,18 +1,14 @@
 import {randomUUID} from 'node:crypto';
-import {once} from 'node:events';
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
-import {type AddressInfo} from 'node:net';
-import {type Span, type Tracer} from '@opentelemetry/api';
+import {type Tracer} from '@opentelemetry/api';
 import {type Result} from 'neverthrow';
-import polka from 'polka';
+import {type CallerRequest} from '../callers/caller-request.js';
+import {CallerServer} from '../callers/caller-server.js';
 import {type ProcessMetrics} from '../metrics/process-metrics.js';
 import {Exchange} from '../requests/exchange.js';
 import {type Explanations} from '../requests/explanations.js';
 import {type Filter} from '../requests/filter.js';
 import {makeBodyFilter} from '../requests/filters/make-body-filter.js';
-import {type Problem} from '../requests/problem.js';
+import {Problem} from '../requests/problem.js';
 import {runFilters} from '../requests/run-filters.js';
 import {writeProblem} from '../requests/write-problem.js';
 import {startSpan} from '../tracing/start-span.js';
@@ -22,6 +18,8 @@
 	readonly address: string;
 	readonly port: number;
 	readonly maximumBodyBytes: number;
+	/** Time from a request's head within which its body must arrive, milliseconds. */
+	readonly bodyTimeoutMs: number;
 	readonly clock: () => number;
 	readonly tracer: Tracer;
 	readonly metrics: ProcessMetrics;
@@ -31,83 +29,82 @@
 	readonly filters: readonly Filter[];
 	/** Filters for `POST /tickets`. */
 	readonly ticketFilters: readonly Filter[];
+	readonly log: (message: string) => void;
 };
 
-/** The HTTP server for callers: makes an exchange of each request and runs it through the filters. */
+/** Makes an exchange of each request of a caller and runs it through the filters. */
 export class RequestServer {
-	private readonly server: Server;
-	private openCount = 0;
-	private onIdle: (() => void) | undefined;
+	private readonly server: CallerServer;
 
 	constructor(private readonly options: ServerOptions) {
-		this.server = createServer();
-		const app = polka({server: this.server});
-		app.post('/tickets', (request, response) => {
-			void this.serve(request, response, options.ticketFilters);
-		});
-		app.all('*', (request, response) => {
-			void this.serve(request, response, options.filters);
-		});
-		this.server.on('request', app.handler);
+		this.server = new CallerServer({...options, serve: async request => this.serve(request)});
 	}
 
 	/** TCP port in use, also when port 0 was asked for. */
 	get port(): number {
-		return (this.server.address() as AddressInfo).port;
+		return this.server.port;
 	}
 
 	/** Number of requests that are still being handled. */
 	get openRequests(): number {
-		return this.openCount;
+		return this.server.openRequests;
 	}
 
 	/** Starts to accept connections. */
 	async listen(): Promise<void> {
-		this.server.listen(this.options.port, this.options.address);
-		await once(this.server, 'listening');
+		await this.server.listen();
 	}
 
-	/** Accepts no more connections, and waits until every open request has ended. */
+	/** Accepts no more connections, and waits until every open request has been answered. */
 	async drain(): Promise<void> {
-		this.server.close();
-		if (this.openCount > 0) {
-			await new Promise<void>(resolve => {
-				this.onIdle = resolve;
-			});
-		}
-
-		this.server.closeIdleConnections();
+		await this.server.drain();
 	}
 
 	/** Closes every connection at once. */
 	close(): void {
 		this.server.close();
-		this.server.closeAllConnections();
 	}
 
-	private async serve(request: IncomingMessage, response: ServerResponse, filters: readonly Filter[]): Promise<void> {
-		const {clock, tracer, maximumBodyBytes} = this.options;
+	private async serve(request: CallerRequest): Promise<void> {
+		const {clock, tracer, maximumBodyBytes, bodyTimeoutMs} = this.options;
+		const {incoming, response, arrivedAt, disconnection, mayKeepAlive} = request;
 		const id = randomUUID();
-		const span = startSpan(tracer, 'entry', request.headers);
+		const span = startSpan(tracer, 'entry', incoming.headers);
 		const exchange = new Exchange({
-			id, method: request.method ?? 'GET', url: request.url ?? '/', headers: request.headers, response, arrivedAt: clock(), span, tracer,
+			id, method: incoming.method ?? 'GET', url: incoming.url ?? '/', headers: incoming.headers, response, arrivedAt, span, tracer, callerAbort: disconnection,
 		});
 		writeTraceParent(span, exchange.headers);
 		response.setHeader('wardswitch-request-id', id);
-		response.on('close', () => {
-			if (!response.writableFinished) {
-				exchange.callerAbort.abort();
-			}
-		});
-		this.openCount++;
+		response.shouldKeepAlive &&= mayKeepAlive();
+		const readBody = makeBodyFilter(request, {maximumBytes: maximumBodyBytes, deadline: arrivedAt + bodyTimeoutMs, clock});
 		try {
-			const result = await runFilters([makeBodyFilter(request, maximumBodyBytes), ...filters], exchange);
-			this.finishExchange(exchange, result);
+			this.finishExchange(exchange, await runFilters([readBody, ...this.listFilters(request)], exchange));
 		} catch (error) {
-			response.destroy(error as Error);
+			this.fail(exchange, error);
 		} finally {
-			this.noteEnd(span);
+			span.end();
+		}
+	}
+
+	private listFilters({incoming: {method, url = '/'}}: CallerRequest): readonly Filter[] {
+		const [path] = url.split('?', 1);
+		return method === 'POST' && path === '/tickets' ? this.options.ticketFilters : this.options.filters;
+	}
+
+	/* Answers a request on whose way something was thrown; it is not known how far the request had come. */
+	private fail(exchange: Exchange, error: unknown): void {
+		this.options.log(`request ${exchange.id} failed with an internal error: ${(error as Error).stack ?? String(error)}`);
+		if (exchange.response.headersSent) {
+			if (!exchange.response.writableEnded) {
+				exchange.response.destroy();
+			}
+
+			return;
 		}
+
+		writeProblem(new Problem({
+			status: 500, title: 'Internal error', detail: 'the request failed within the entry', outcome: 'unknown',
+		}), exchange.id, exchange.response);
 	}
 
 	private finishExchange(exchange: Exchange, result: Result<void, Problem>): void {
@@ -135,12 +132,4 @@
 			decisions: exchange.decisions,
 		});
 	}
-
-	private noteEnd(span: Span): void {
-		span.end();
-		this.openCount--;
-		if (this.openCount === 0) {
-			this.onIdle?.();
-		}
-	}
 }
--- a/src/entry/start-entry.ts
+++ b/src/entry/start-entry.ts
@@ -152,6 +152,7 @@
 		address: settings.address,
 		port: settings.httpPort,
 		maximumBodyBytes: settings.requests.maximumBodyBytes,
+		bodyTimeoutMs: settings.requests.defaultTimeoutMs,
 		clock,
 		tracer: createTracer(settings.tracing.otlpUrl),
 		metrics,
@@ -169,6 +170,9 @@
 		ticketFilters: [authenticate, makeTicketFilter({
 			pool: targets, linkKey: settings.link.key, clock, random,
 		})],
+		log(message) {
+			logger.warn(message);
+		},
 	});
 
 	const accept = (connection: LinkConnection): void => {
--- a/src/forward/forward-exchange.ts
+++ b/src/forward/forward-exchange.ts
@@ -3,7 +3,7 @@
 import {fingerprintRequest} from './fingerprint-request.js';
 import {type RequestMetadata} from './request-metadata.js';
 
-type Origin = Pick<ForwardExchange, 'incoming' | 'response' | 'arrivedAt' | 'metadata' | 'mayKeepAlive' | 'inputFailure'>;
+type Origin = Pick<ForwardExchange, 'incoming' | 'response' | 'arrivedAt' | 'metadata' | 'mayKeepAlive' | 'inputFailure' | 'disconnection'>;
 
 /** A caller's request and its response, with the state that filters and the dispatcher add. */
 export class ForwardExchange {
@@ -18,8 +18,6 @@
 	service = '';
 	/** Decisions and their reasons, for the log line on the request. */
 	readonly decisions: string[] = [];
-	/** Aborted when the connection to the caller closes before the answer is complete. */
-	readonly disconnection = new AbortController();
 
 	readonly incoming: IncomingMessage;
 	readonly response: ServerResponse;
@@ -30,6 +28,8 @@
 	readonly mayKeepAlive: () => boolean;
 	/** Aborted with a problem when nothing more can be read from the caller. */
 	readonly inputFailure: AbortSignal;
+	/** Aborted when the connection to the caller closes before the answer is complete. */
+	readonly disconnection: AbortController;
 	private cachedFingerprint: string | undefined;
 
 	constructor(origin: Origin) {
@@ -39,6 +39,7 @@
 		this.metadata = origin.metadata;
 		this.mayKeepAlive = origin.mayKeepAlive;
 		this.inputFailure = origin.inputFailure;
+		this.disconnection = origin.disconnection;
 	}
 
 	/** Whether the request may run more than once, so that it may be sent again. */
--- a/src/forward/send-with-timeouts.ts
+++ b/src/forward/send-with-timeouts.ts
@@ -1,6 +1,6 @@
+import {runAt} from '../callers/run-at.js';
 import {type Target} from '../fleet/target.js';
 import {type ForwardExchange} from './forward-exchange.js';
-import {runAt} from './run-at.js';
 import {type SendOutcome} from './send-outcome.js';
 import {type SendProgress} from './send-progress.js';
 import {type StallDetector} from './stall-detector.js';
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -1,4 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import {CallerServer} from '../callers/caller-server.js';
 import {type ForwardEntrySettings} from '../config/forward-entry-settings.js';
 import {connectLink} from '../link/connect-link.js';
 import {type LinkConnection} from '../link/link-connection.js';
@@ -10,11 +11,11 @@
 import {registerViewGauges} from '../metrics/register-view-gauges.js';
 import {startAdminServer} from '../metrics/start-admin-server.js';
 import {describeRequest} from './describe-request.js';
+import {ExchangeRunner} from './exchange-runner.js';
 import {makeForwardFilter} from './filters/make-forward-filter.js';
 import {makeKeyFilter} from './filters/make-key-filter.js';
 import {makeReadFilter} from './filters/make-read-filter.js';
 import {makeRouteFilter} from './filters/make-route-filter.js';
-import {ForwardServer} from './forward-server.js';
 import {type ForwardDependencies} from './forward-dependencies.js';
 import {makeCrashRecords} from './make-crash-records.js';
 import {makeEntryState} from './make-entry-state.js';
@@ -42,6 +43,8 @@
 
 /** Interval of the checks of peers, stalls and registrations, milliseconds. */
 const tickMs = 100;
+/** Limit of the HTTP parser on headers, bytes; the configured limit is checked by a filter. */
+const parserHeaderBytes = 65_536;
 /** Timeout for opening a link to a peer, milliseconds. */
 const linkTimeoutMs = 1000;
 /** The process ends this long before the grace period is over and it would be killed, milliseconds. */
@@ -166,10 +169,7 @@
 	const {view, fleet, mesh} = entryState;
 	registerViewGauges(metrics.registry, () => view, clock);
 	const getTable = () => entryState.getTable(clock());
-	const server = new ForwardServer({
-		address,
-		port: httpPort,
-		clock,
+	const runner = new ExchangeRunner({
 		dialect,
 		filters: [
 			makeRouteFilter({getTable, defaultDeadlineMs: settings.requests.defaultDeadlineMs}),
@@ -194,6 +194,16 @@
 			requestLog.error(message);
 		},
 	});
+	const server = new CallerServer({
+		address,
+		port: httpPort,
+		maximumHeaderBytes: parserHeaderBytes,
+		clock,
+		serve: async request => runner.serve(request),
+		log(message) {
+			requestLog.warn(message);
+		},
+	});
 
 	const passOrder = async ({number, engineAddress, order}: MessageOf<'engine-order'>, connection: LinkConnection): Promise<void> => {
 		const outcome = openEngine ? await openEngine(engineAddress).order(order) : 'refused';
--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -3,7 +3,7 @@
 import {traceHop} from '../tracing/trace-hop.js';
 import {type Row} from '../table/row.js';
 
-type ExchangeOptions = Pick<Exchange, 'id' | 'method' | 'url' | 'headers' | 'response' | 'arrivedAt' | 'span' | 'tracer'>;
+type ExchangeOptions = Pick<Exchange, 'id' | 'method' | 'url' | 'headers' | 'response' | 'arrivedAt' | 'span' | 'tracer' | 'callerAbort'>;
 
 /** One request of a caller and its response, passed along the chain of filters; each filter sets the fields that it determines. */
 export class Exchange {
@@ -29,8 +29,6 @@
 	prefixHash: number | undefined;
 	/** Estimated tokens of prompt and answer, for limits on tokens. */
 	tokens = 0;
-	/** Aborted when the caller disconnects before its response is complete. */
-	readonly callerAbort = new AbortController();
 	/** Decisions on this request and their reasons, for `/explain`. */
 	readonly decisions: string[] = [];
 
@@ -43,6 +41,8 @@
 	readonly arrivedAt: number;
 	readonly span: Span;
 	readonly tracer: Tracer;
+	/** Aborted when the caller disconnects before its response is complete. */
+	readonly callerAbort: AbortController;
 
 	constructor(options: ExchangeOptions) {
 		this.id = options.id;
@@ -53,6 +53,7 @@
 		this.arrivedAt = options.arrivedAt;
 		this.span = options.span;
 		this.tracer = options.tracer;
+		this.callerAbort = options.callerAbort;
 	}
 
 	/** Runs `work` within a child span called `name`. */
--- a/src/requests/filters/make-body-filter.ts
+++ b/src/requests/filters/make-body-filter.ts
@@ -1,31 +1,19 @@
-import {Buffer} from 'node:buffer';
-import {type IncomingMessage} from 'node:http';
 import {err} from 'neverthrow';
+import {readBody} from '../../callers/read-body.js';
+import {type CallerRequest} from '../../callers/caller-request.js';
 import {type Filter} from '../filter.js';
-import {Problem} from '../problem.js';
 
-/** Reads the body of a request; one of more than `maximumBytes` is refused with status 413. */
-export function makeBodyFilter(incoming: IncomingMessage, maximumBytes: number): Filter {
+type BodyOptions = Pick<Parameters<typeof readBody>[1], 'maximumBytes' | 'deadline' | 'clock'>;
+
+/** Creates the filter that reads the body of a request; one that is too large, late or incomplete is refused. */
+export function makeBodyFilter(request: CallerRequest, options: BodyOptions): Filter {
 	return async (exchange, next) => {
-		const chunks: Buffer[] = [];
-		let bytes = 0;
-		try {
-			for await (const chunk of incoming) {
-				chunks.push(chunk as Buffer);
-				bytes += (chunk as Buffer).length;
-				if (bytes > maximumBytes) {
-					return err(new Problem({
-						status: 413, title: 'Body too large', detail: `at most ${maximumBytes} bytes are accepted`, outcome: 'not-run',
-					}));
-				}
-			}
-		} catch {
-			return err(new Problem({
-				status: 400, title: 'Bad request', detail: 'the body broke off', outcome: 'not-run',
-			}));
+		const body = await readBody(request, options);
+		if (body.isErr()) {
+			return err(body.error);
 		}
 
-		exchange.body = new Uint8Array(Buffer.concat(chunks));
+		exchange.body = body.value;
 		return next();
 	};
 }
