Send on what can be sent though one target's id cannot, and tell errors of the bundled client apart

Ruled out: the order of requests on connections (the error has no such frames). Change: the client's errors are told apart by their codes; a target's id has visible ASCII characters only; a request that could not be written goes on to the next target, and is refused with 400 only if none takes it.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -118,6 +118,18 @@
       | born       | 1.5                 |
       | whole      | not to be read      |
 
+  # Guards against requests that cannot be sent to a target, since its id is no value of a header.
+  Scenario Outline: A registration under an invalid key is ignored without affecting the others: <key>
+    Given a store with a registration under the key "<key>", and a valid one
+    Then only the valid one is read, and the other is reported
+
+    Examples:
+      | key              |
+      | other\\r\\nx: y    |
+      | other\\u0000      |
+      | other\\ud83d\\ude00 |
+      | other a          |
+
   Scenario: A worker that can restart under its id publishes its start time
     Given a store with a registration whose born is '1792771280159', and a valid one
     Then both are read, and one was started at 1792771280159
--- a/src/fleet/target.ts
+++ b/src/fleet/target.ts
@@ -2,7 +2,8 @@
 
 /** A target, as registered in the store. */
 const Target = z.object({
-	id: z.string().min(1),
+	/** Sent in a header of each request, so that only the intended target runs it. */
+	id: z.string().regex(/^[!-~]+$/v, 'expected an id of visible ASCII characters'),
 	/** Start time of this incarnation, Unix milliseconds; a target may restart under its id. Absent if targets do not publish it. */
 	bornAt: z.int().optional(),
 	service: z.string().min(1),
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -66,6 +66,7 @@
 			misdirected: 0,
 			attempts: 0,
 			isNotRun: true,
+			isUnsendable: false,
 			isRetryCharged: false,
 			reason: 'no target is registered, or all leave',
 			failure: undefined,
@@ -131,6 +132,7 @@
 	/* Records the outcome of one attempt; returns undefined to try another target. */
 	private async handleOutcome(outcome: SendOutcome, target: Target, exchange: ForwardExchange, progress: SendProgress): Promise<Result<void, Problem> | undefined> {
 		const now = this.options.clock();
+		progress.isUnsendable = outcome.kind === 'not-run' && outcome.cause === 'invalid';
 		const isOver = exchange.disconnection.signal.aborted || progress.isExpired;
 		switch (outcome.kind) {
 			case 'streamed': {
@@ -146,12 +148,6 @@
 			}
 
 			case 'not-run': {
-				if (outcome.cause === 'invalid') {
-					return err(new Problem({
-						status: 400, title: 'Bad request', detail: `the request cannot be sent on: ${outcome.reason}`, outcome: 'not-run',
-					}));
-				}
-
 				progress.sent += outcome.wasSent ? 1 : 0;
 				progress.misdirected += outcome.cause === 'gone' ? 1 : 0;
 				this.noteFailure(target, outcome.reason, progress, exchange);
@@ -213,7 +209,7 @@
 		} else if (cause === 'gone') {
 			directory.markGone(target);
 			serviceBreaker.allowNextProbe(getFailureDomain(target), now);
-		} else if (!wasSent && !isOver) {
+		} else if (!wasSent && !isOver && cause !== 'invalid') {
 			health.noteUnreachable(target.id, now);
 		}
 	}
@@ -225,6 +221,12 @@
 	}
 
 	private conclude(exchange: ForwardExchange, progress: SendProgress, {detail, spread, unavailableMs}: Refusal): Result<void, Problem> {
+		if (progress.isUnsendable && progress.isNotRun) {
+			return err(new Problem({
+				status: 400, title: 'Bad request', detail: `the request cannot be sent on: ${progress.reason}`, outcome: 'not-run',
+			}));
+		}
+
 		const {clock, random} = this.options;
 		const leftMs = exchange.deadline - clock();
 		const reservedMs = unavailableMs === undefined ? undefined : this.reserveRetry(exchange.service, leftMs, unavailableMs);
--- a/src/forward/send-progress.ts
+++ b/src/forward/send-progress.ts
@@ -14,6 +14,8 @@
 	attempts: number;
 	/** Whether the request is known not to have run in any attempt so far. */
 	isNotRun: boolean;
+	/** Whether the request could not be written to the target that was tried last. */
+	isUnsendable: boolean;
 	/** Whether the next attempt has already been charged to the retry budget. */
 	isRetryCharged: boolean;
 	/** Whether the last attempt was lost with a connection that went silent together with others, through no fault of its target. */
--- a/src/forward/target-sender.ts
+++ b/src/forward/target-sender.ts
@@ -1,5 +1,4 @@
 import {Buffer} from 'node:buffer';
-import {errors} from 'undici';
 import {type Target} from '../fleet/target.js';
 import {type ConnectionPool} from './connection-pool.js';
 import {dropHopHeaders} from './drop-hop-headers.js';
@@ -27,8 +26,10 @@
  */
 const maximumIdleOnceMs = 500;
 
-/* The client raises these while it builds a request, before it writes anything. */
-const isUnsendable = (error: Error): boolean => error instanceof errors.InvalidArgumentError || error instanceof errors.NotSupportedError;
+/** Codes of the errors that the client raises while it builds a request, before it writes anything. */
+const unsendableCodes: ReadonlySet<string | undefined> = new Set(['UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED']);
+
+const isUnsendable = ({code}: NodeJS.ErrnoException): boolean => unsendableCodes.has(code);
 
 /** How the body of an answer is handled: before the head, discarded after a refusal, buffered, or relayed as it arrives. */
 type Mode = 'awaiting-head' | 'refused' | 'buffer' | 'stream';
