End an attempt at once when a stream of its target makes no progress

What callers saw: a target that sends a stream without a line end, lines without a blank line, or events without (new) ids kept the request until its deadline, for 504 or a cut answer, though another target was there.

Cause: `EventSplitter` joined and scanned all that was pending with each chunk, so the time grew with its square, and nothing bounded an event, or the bytes of a stream that bring a resumable request no further. Class: bytes of a target that are read without a limit, by a cost that grows with them.

Ruled out: another way of splitting events.

Change: the splitter looks at each byte once and keeps small chunks in blocks. An event has a limit of 1 MB; events without a new id in a row one of 256 KB beyond what the caller was sent (a target may repeat that), on resumable streams only. Events that arrive together are written at once.

Large correct answers stay whole.

--- /dev/null
+++ b/features/endless-answers.feature
@@ -0,0 +1,38 @@
+Feature: Answers without end cost a target its request, and nobody else
+
+  # Guards against keeping and scanning an event that never ends, and against streams without progress.
+  Scenario Outline: A stream that makes no progress resumes at another target: <what>
+    Given an entry before 2 targets
+    And the next target answers "endless <what>"
+    When a caller gets "/stream/1"
+    Then the caller gets events 1 to 6, each once and complete
+
+    Examples:
+      | what               |
+      | one event          |
+      | lines of one event |
+      | events without ids |
+      | repeated events    |
+
+  # Guards against trying a target without end again with the next requests.
+  Scenario: A target that has sent an answer without end gets none of the next requests
+    Given an entry before 2 targets
+    And the next target answers "endless one event"
+    When a caller gets "/stream/1"
+    Then the caller gets events 1 to 6, each once and complete
+    When 8 callers wait for answers at once
+    Then one target has got 1 request, the other one 9
+
+  # Guards against limits that cut large answers off.
+  Scenario Outline: A large answer reaches a slow caller whole: <what>
+    Given an entry before 1 target
+    And the next target answers "large <what>"
+    When a caller that reads slowly gets "<path>"
+    Then the caller gets every byte of the large answer
+
+    Examples:
+      | what                           | path       |
+      | a body with a length           | /read/1    |
+      | a body in chunks of one byte   | /release/1 |
+      | a stream with a large event    | /stream/1  |
+      | a stream of events without ids | /talk/1    |
--- a/features/support/forward-system.ts
+++ b/features/support/forward-system.ts
@@ -20,6 +20,8 @@
 	readonly body?: string;
 	readonly headers?: Record<string, string>;
 	readonly id?: string;
+	/** Whether the call has a connection of its own, so that it waits for no other one. */
+	readonly isSeparate?: boolean;
 };
 
 const linkKey = '00'.repeat(32);
@@ -50,6 +52,7 @@
 		route('read', '/read/', 'idempotent'),
 		route('release', '/release/', 'once'),
 		route('draft', '/stream/', 'stream'),
+		route('talk', '/talk/', 'stream', {isResumable: false}),
 		route('short', '/short/', 'once', {timeoutMs: 300}),
 	],
 	services: [{name: 'desk', maximumConnections: 100}, {name: 'yard', maximumConnections: 100}],
@@ -139,12 +142,12 @@
 	}
 
 	/** Sends a request, and returns the answer when its head has arrived. */
-	async open({entry = 'entry-1', path, method = 'GET', body, headers, id}: Call): Promise<IncomingMessage> {
+	async open({entry = 'entry-1', path, method = 'GET', body, headers, id, isSeparate}: Call): Promise<IncomingMessage> {
 		this.calls++;
 		const request = httpRequest({
 			host: '127.0.0.1',
 			port: this.entries.get(entry)!.httpPort,
-			agent: this.agent,
+			agent: isSeparate ? false : this.agent,
 			path,
 			method,
 			headers: {
--- a/src/balance/target-health.ts
+++ b/src/balance/target-health.ts
@@ -36,6 +36,11 @@
 		record.backoffUntil = now + Math.min(maximumBackoffMs, initialBackoffMs * (2 ** (record.unreachableCount - 1)));
 	}
 
+	/** Notes that a target has sent more than any answer may have, which costs far more than an attempt that fails: it is in backoff for the maximum time. */
+	noteExcess(target: string, now: number): void {
+		this.read(target, now).backoffUntil = now + maximumBackoffMs;
+	}
+
 	/** Whether a target is in backoff. */
 	isAvoided(target: string, now: number): boolean {
 		return now < (this.records.get(target)?.backoffUntil ?? 0);
--- a/src/forward/event-splitter.ts
+++ b/src/forward/event-splitter.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {ChunkList} from './chunk-list.js';
 
 type StreamEvent = {
 	readonly bytes: Buffer;
@@ -10,9 +11,12 @@
 const carriageReturn = 13;
 const idLine = /(?:^|\n)id: ?(?<id>\d+)/v;
 
-/** Splits the bytes of an event stream (server-sent events) into complete events; a blank line ends an event. */
+/** Splits the bytes of an event stream (server-sent events) into complete events; a blank line ends an event. Looks at each byte once. */
 export class EventSplitter {
-	private pending: Buffer = Buffer.alloc(0);
+	/** Bytes of an incomplete event. */
+	private readonly pending = new ChunkList();
+	/** The last two of the pending bytes, or fewer. */
+	private pendingEnd = Buffer.alloc(0);
 
 	/** Bytes buffered of an incomplete event. */
 	get pendingBytes(): number {
@@ -21,29 +25,39 @@
 
 	/** Adds bytes and returns the events that are now complete. */
 	push(chunk: Buffer): StreamEvent[] {
-		this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
 		const events: StreamEvent[] = [];
 		let start = 0;
-		for (let end = this.findEnd(start); end !== -1; end = this.findEnd(start)) {
-			const bytes = this.pending.subarray(start, end);
-			const id = idLine.exec(bytes.toString('latin1'))?.groups?.id;
-			events.push({bytes, id: id === undefined ? undefined : Number(id)});
-			start = end;
+		for (let position = chunk.indexOf(lineFeed); position !== -1; position = chunk.indexOf(lineFeed, position + 1)) {
+			if (this.isBlankLine(chunk, start, position)) {
+				events.push(this.complete(chunk.subarray(start, position + 1)));
+				start = position + 1;
+			}
 		}
 
-		this.pending = this.pending.subarray(start);
+		this.keep(chunk.subarray(start));
 		return events;
 	}
 
-	/* Position after the blank line that ends the event beginning at `start`; -1 when it has not arrived. */
-	private findEnd(start: number): number {
-		for (let position = this.pending.indexOf(lineFeed, start); position !== -1; position = this.pending.indexOf(lineFeed, position + 1)) {
-			const next = this.pending[position + 1] === carriageReturn ? position + 2 : position + 1;
-			if (this.pending[next] === lineFeed) {
-				return next + 1;
-			}
-		}
+	/* Whether the line feed at `position` ends a line without characters; the event's bytes in the chunk begin at `start`. */
+	private isBlankLine(chunk: Buffer, start: number, position: number): boolean {
+		const getByteBefore = (distance: number): number | undefined => position - distance >= start
+			? chunk[position - distance]
+			: this.pendingEnd.at(position - distance - start);
+		const before = getByteBefore(1);
+		return before === lineFeed || (before === carriageReturn && getByteBefore(2) === lineFeed);
+	}
 
-		return -1;
+	private complete(end: Buffer): StreamEvent {
+		const bytes = this.pending.length === 0 ? end : Buffer.concat([...this.pending.take(), end]);
+		this.pendingEnd = Buffer.alloc(0);
+		const id = idLine.exec(bytes.toString('latin1'))?.groups?.id;
+		return {bytes, id: id === undefined ? undefined : Number(id)};
+	}
+
+	private keep(rest: Buffer): void {
+		if (rest.length > 0) {
+			this.pending.push(rest);
+			this.pendingEnd = Buffer.concat([this.pendingEnd, rest.subarray(-2)]).subarray(-2);
+		}
 	}
 }
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -158,6 +158,10 @@
 						this.options.tracker.health.noteOutcome(target.id, true, now);
 					}
 
+					if (outcome.isExcessive) {
+						this.options.tracker.health.noteExcess(target.id, now);
+					}
+
 					// What the next attempt may be sent to, or whether it may be sent at all, depends on whether the target has crashed.
 					await this.options.crashes.noteLost(exchange, target, outcome);
 				}
--- a/src/forward/send-outcome.ts
+++ b/src/forward/send-outcome.ts
@@ -18,6 +18,8 @@
 	readonly reason: string;
 	/** Whether the other side closed or reset the connection, as a target that crashes does. */
 	readonly isConnectionClosed?: boolean;
+	/** Whether the target has sent more than any answer may have, possibly without end. */
+	readonly isExcessive?: boolean;
 	/** Time since the target began to answer, milliseconds; absent when it had not begun. */
 	readonly answeringMs?: number;
 };
--- a/src/forward/stream-delivery.ts
+++ b/src/forward/stream-delivery.ts
@@ -1,4 +1,4 @@
-import {type Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import {dropHopHeaders} from './drop-hop-headers.js';
 import {EventSplitter} from './event-splitter.js';
 import {type ForwardExchange} from './forward-exchange.js';
@@ -6,6 +6,14 @@
 
 const none: ReadonlySet<string> = new Set();
 
+/** Limit on one event of a stream, bytes. */
+const maximumEventBytes = 1024 * 1024;
+/**
+ * Limit on events without a new id that arrive in a row on a resumable stream, bytes, beyond as many as events with ids
+ * were sent to the caller: a target may repeat those, and may send some others to keep the connection alive.
+ */
+const maximumUnnumberedBytes = 256 * 1024;
+
 /**
  * Relays a stream to one caller, possibly from several targets in turn. The caller gets complete events only, each id
  * once and in order, under the headers of the first target.
@@ -14,6 +22,10 @@
 	private splitter = new EventSplitter();
 	private lastId: number | undefined;
 	private head: {readonly status: number; readonly headers: RawHeaders} | undefined;
+	/** Bytes of the events with ids that were sent to the caller. */
+	private numberedBytes = 0;
+	/** Bytes of the events since the last one with a new id. */
+	private unnumberedBytes = 0;
 
 	constructor(private readonly exchange: ForwardExchange) {
 		this.lastId = exchange.metadata.lastEventId;
@@ -29,10 +41,27 @@
 		return this.lastId;
 	}
 
+	/** Bytes kept of an incomplete event. */
+	get pendingBytes(): number {
+		return this.splitter.pendingBytes;
+	}
+
+	/** Which limit the present target has exceeded; undefined for none. */
+	get excess(): string | undefined {
+		if (this.splitter.pendingBytes > maximumEventBytes) {
+			return `an event has more than ${maximumEventBytes} bytes`;
+		}
+
+		return this.exchange.route?.isResumable && this.unnumberedBytes > maximumUnnumberedBytes + this.numberedBytes
+			? `the stream has no event with a new id in ${this.unnumberedBytes} bytes`
+			: undefined;
+	}
+
 	/** Starts to relay the answer of a target; an incomplete event of the previous target is dropped. */
 	start(status: number, headers: RawHeaders): void {
 		this.head ??= {status, headers};
 		this.splitter = new EventSplitter();
+		this.unnumberedBytes = 0;
 	}
 
 	/**
@@ -41,18 +70,24 @@
 	 * @returns false when the caller's connection is congested
 	 */
 	push(chunk: Buffer): boolean {
-		let isFlowing = true;
-		for (const event of this.splitter.push(chunk)) {
+		const accepted: Buffer[] = [];
+		for (const {id, bytes} of this.splitter.push(chunk)) {
 			// A target that resumes from an earlier event repeats events that the caller has.
-			if (event.id !== undefined && this.lastId !== undefined && event.id <= this.lastId) {
-				continue;
+			const isRepeated = id !== undefined && this.lastId !== undefined && id <= this.lastId;
+			if (id === undefined || isRepeated) {
+				this.unnumberedBytes += bytes.length;
+			} else {
+				this.lastId = id;
+				this.numberedBytes += bytes.length;
+				this.unnumberedBytes = 0;
 			}
 
-			this.lastId = event.id ?? this.lastId;
-			isFlowing = this.write(event.bytes);
+			if (!isRepeated) {
+				accepted.push(bytes);
+			}
 		}
 
-		return isFlowing;
+		return accepted.length === 0 || this.write(accepted.length === 1 ? accepted[0] : Buffer.concat(accepted));
 	}
 
 	/** Ends the answer; returns false when the last event is incomplete, so that the answer is not ended. */
--- a/src/forward/target-sender.ts
+++ b/src/forward/target-sender.ts
@@ -29,6 +29,13 @@
 /** How the body of an answer is handled: before the head, discarded after a refusal, buffered, or relayed as it arrives. */
 type Mode = 'awaiting-head' | 'refused' | 'buffer' | 'stream';
 
+type Failure = {
+	/** Whether the other side has closed the connection. */
+	readonly isCut?: boolean;
+	/** Whether the target has sent more than any answer may have. */
+	readonly isExcessive?: boolean;
+};
+
 /** One attempt to send a request to a target over HTTP. */
 class Attempt {
 	private mode: Mode = 'awaiting-head';
@@ -95,7 +102,7 @@
 					this.handleEnd();
 				},
 				onError: error => {
-					this.fail(error.message, true);
+					this.fail(error.message, {isCut: true});
 				},
 			});
 		} catch (error) {
@@ -171,12 +178,12 @@
 
 		if (this.mode === 'stream') {
 			this.noteEvent();
-			return this.options.delivery.push(chunk);
+			return this.relay(chunk);
 		}
 
 		this.bytes += chunk.length;
 		if (this.bytes > maximumAnswerBytes) {
-			this.fail('the answer is too large');
+			this.fail('the answer is too large', {isExcessive: true});
 		} else if (this.mode === 'buffer') {
 			this.chunks.push(chunk);
 		}
@@ -184,6 +191,17 @@
 		return true;
 	}
 
+	private relay(chunk: Buffer): boolean {
+		const {delivery} = this.options;
+		const isFlowing = delivery.push(chunk);
+		const {excess} = delivery;
+		if (excess !== undefined) {
+			this.fail(excess, {isExcessive: true});
+		}
+
+		return isFlowing;
+	}
+
 	private noteEvent(): void {
 		const now = this.sender.clock();
 		if (this.eventAt !== undefined && !this.options.exchange.response.writableNeedDrain) {
@@ -214,26 +232,26 @@
 				if (this.options.delivery.finish()) {
 					this.settle({kind: 'streamed'}, true);
 				} else {
-					this.fail('the stream ended within an event', true);
+					this.fail('the stream ended within an event', {isCut: true});
 				}
 
 				break;
 			}
 
 			default: {
-				this.fail('the connection ended without an answer', true);
+				this.fail('the connection ended without an answer', {isCut: true});
 			}
 		}
 	}
 
-	private fail(reason: string, isCut = false): void {
+	private fail(reason: string, {isCut = false, isExcessive = false}: Failure = {}): void {
 		// The head of a refusal proves that the request did not run, however its body ends.
 		if (this.mode === 'refused') {
 			this.settle(this.makeRefusal(), false);
 		} else if (this.connection.hasOpened) {
 			const answeringMs = this.answeredAt === undefined ? undefined : this.sender.clock() - this.answeredAt;
 			this.settle({
-				kind: 'lost', reason, isConnectionClosed: isCut, answeringMs,
+				kind: 'lost', reason, isConnectionClosed: isCut, isExcessive, answeringMs,
 			}, false);
 		} else {
 			this.settle({kind: 'not-run', reason: `not sent: ${reason}`, wasSent: false}, false);
--- a/stand-ins/forward/http-target.ts
+++ b/stand-ins/forward/http-target.ts
@@ -1,7 +1,10 @@
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Target} from '../../src/fleet/target.js';
+import {type writeEndlessAnswer} from './write-endless-answer.js';
+import {type writeLargeAnswer} from './write-large-answer.js';
 
-type Behaviour = 'answer' | 'fail' | 'refuse' | 'unsigned' | 'wrong-id' | 'cut' | 'unframed' | 'unframed-reset' | 'unframed-cut' | 'unframed-line' | 'extra' | 'late-refusal' | 'forget' | 'reset' | 'silent' | 'slow';
+type Behaviour = 'answer' | 'fail' | 'refuse' | 'unsigned' | 'wrong-id' | 'cut' | 'unframed' | 'unframed-reset' | 'unframed-cut' | 'unframed-line'
+	| 'extra' | 'late-refusal' | 'forget' | 'reset' | 'silent' | 'slow' | `endless ${Parameters<typeof writeEndlessAnswer>[1]}` | `large ${Parameters<typeof writeLargeAnswer>[1]}`;
 
 /** A running stand-in target. */
 export type HttpTarget = {
@@ -21,6 +24,8 @@
 	refusal: {readonly status: number; readonly headers: Readonly<Record<string, string>>} | undefined;
 	/** Headers about the target itself, added to its answers. */
 	extraHeaders: Readonly<Record<string, string>>;
+	/** Body of the latest answer with behaviour `large`. */
+	largeBody: string;
 	/** Sends the rest of the answer with behaviour `slow`. */
 	releaseAnswer(): void;
 	close(): void;
--- a/stand-ins/forward/start-http-target.ts
+++ b/stand-ins/forward/start-http-target.ts
@@ -6,6 +6,8 @@
 import {type Target} from '../../src/fleet/target.js';
 import {type HttpTarget} from './http-target.js';
 import {resetConnection} from './reset-connection.js';
+import {writeEndlessAnswer} from './write-endless-answer.js';
+import {writeLargeAnswer} from './write-large-answer.js';
 
 type Behaviour = HttpTarget['behaviours'][number];
 
@@ -39,6 +41,7 @@
 		hasCrashed: false,
 		refusal: undefined,
 		extraHeaders: {},
+		largeBody: '',
 		releaseAnswer() {
 			slowAnswers.get(running)?.();
 		},
@@ -98,7 +101,11 @@
 			running.abortedRequests.push(id);
 		}
 	});
-	if (request.url!.includes('/stream/') && behaviour === 'slow') {
+	if (behaviour.startsWith('endless ')) {
+		writeEndlessAnswer(response.socket!, behaviour.slice('endless '.length) as Parameters<typeof writeEndlessAnswer>[1], makeRawHead(id));
+	} else if (behaviour.startsWith('large ')) {
+		running.largeBody = writeLargeAnswer(response, behaviour.slice('large '.length) as Parameters<typeof writeLargeAnswer>[1], makeHeaders(running, id, ''));
+	} else if (request.url!.includes('/stream/') && behaviour === 'slow') {
 		startSlowStream(running, id, response);
 	} else if (request.url!.includes('/stream/')) {
 		streamEvents(running, Number(request.headers['last-event-id'] ?? 0), id, response, behaviour);
