Keep the process alive when an answer without a length ends while it is paused

What callers saw: all requests of an entry ended with their connections, and its process with exit code 1, when a target closed the connection of a stream without a length while the caller's connection was congested.

Cause: undici's parser asserts in `finish` that it is not paused, and calls it from the listeners of `end`, `error` (ECONNRESET) and `close` of the socket for an answer that ends with its connection. An answer is paused while its caller reads slowly; the assertion is an uncaught exception then. Class: an exception of the HTTP client in an event handler, which no `try` of a request encloses.

Change: listeners that come before undici's own resume the answer when the target has closed its side (all bytes were read by then, and none pauses it any more), and give a reset a code of its own, so that undici takes it for an error and not for the end of the answer.

--- a/features/endless-answers.feature
+++ b/features/endless-answers.feature
@@ -36,3 +36,13 @@
       | a body in chunks of one byte   | /release/1 |
       | a stream with a large event    | /stream/1  |
       | a stream of events without ids | /talk/1    |
+
+  # Guards against an assertion of the HTTP client, which ends the process with all its requests.
+  Scenario Outline: An answer without a length ends while it waits for its caller: the target <ending> its connection
+    When a target <ending> its connection while its answer without a length is paused
+    Then the paused answer is "<outcome>"
+
+    Examples:
+      | ending | outcome    |
+      | ends   | part whole |
+      | resets | part cut   |
--- a/src/forward/target-connection.ts
+++ b/src/forward/target-connection.ts
@@ -30,6 +30,8 @@
 const idleMs = 2000;
 /** A connection is closed this long before the target would close it, milliseconds. */
 const idleMarginMs = 500;
+/** Code of the error of a connection that its target has reset. */
+const resetCode = 'ERR_TARGET_RESET';
 /** Limit on the headers of an answer, bytes. */
 const maximumHeaderBytes = 65_536;
 
@@ -42,6 +44,8 @@
 	private socket: Socket | undefined;
 	private controller: Dispatcher.DispatchController | undefined;
 	private hasSocketError = false;
+	/** Whether the target has closed its side, and everything it sent before was read. */
+	private hasEnded = false;
 
 	constructor(target: Target) {
 		this.client = new Client(`http://${target.address}:${target.port}`, {
@@ -87,8 +91,8 @@
 				isFramed = index.has('content-length') || index.has('transfer-encoding');
 				receiver.onHead(status, headers);
 			},
-			onResponseData(controller, chunk) {
-				if (!receiver.onData(chunk)) {
+			onResponseData: (controller, chunk) => {
+				if (!receiver.onData(chunk) && !this.hasEnded) {
 					controller.pause();
 				}
 			},
@@ -140,6 +144,24 @@
 		});
 	}
 
+	/*
+	 * The HTTP client asserts that an answer without a length is not paused when its connection ends, which would end the process. These
+	 * listeners are added before its own.
+	 */
+	private prepareEnd(socket: Socket): void {
+		socket.on('end', () => {
+			this.hasEnded = true;
+			this.resume();
+		});
+		socket.on('error', (error: NodeJS.ErrnoException) => {
+			this.hasSocketError = true;
+			// With its own code, the HTTP client would take a reset for the end of such an answer.
+			if (error.code === 'ECONNRESET') {
+				error.code = resetCode;
+			}
+		});
+	}
+
 	private open(target: Target, callback: (...result: [Error, null] | [null, Socket]) => void): void {
 		const socket = connect({host: target.address, port: target.port, noDelay: true});
 		const timer = setTimeout(() => {
@@ -154,10 +176,7 @@
 		socket.once('connect', () => {
 			clearTimeout(timer);
 			socket.off('error', fail);
-			// Added before undici's own listener, so that a reset is known when the end of the answer is handled.
-			socket.on('error', () => {
-				this.hasSocketError = true;
-			});
+			this.prepareEnd(socket);
 			this.socket = socket;
 			callback(null, socket);
 		});
