Bound the bytes of an answer that belong to no body

What callers saw: a target that sends interim answers, a status line, a chunk extension or a chunk size without end kept the request until its deadline, for 504, at full processor time (6.1 to 7.6 s in 6 s); many small fields of a head cost another service 1,177 ms.

Cause: the limit of the HTTP client counts names and values of fields only; nothing bounded interim answers, status lines or the framing of chunks. Once beyond its limit, the client's parser creates an error for each further field of what was read. The body of a refusal was read up to 16 MB.

Ruled out: the deadline's timers; the request ends at its deadline to the millisecond, and the log names no other attempt.

Change: the bytes read on a connection that are neither of a body nor of an earlier answer are compared with a limit before they are parsed: 128 KB up to the end of the head, then 256 KB and 16 for each byte of the body. Beyond it the connection is closed, the attempt is lost at once, and the target in backoff. The body of a refusal is read up to 64 KB; an answer that announces more than 16 MB is not read at all.

--- a/features/endless-answers.feature
+++ b/features/endless-answers.feature
@@ -46,3 +46,20 @@
       | ending | outcome    |
       | ends   | part whole |
       | resets | part cut   |
+
+  # Guards against reading until the deadline what brings an answer no further.
+  Scenario Outline: An answer without end ends the attempt at once: <what>
+    Given an entry before 2 targets
+    And the next target answers "endless <what>"
+    When a caller posts "a block" to "/release/7"
+    Then the caller gets status <status> with outcome "<outcome>"
+
+    Examples:
+      | what                    | status | outcome |
+      | interim answers         | 502    | unknown |
+      | a status line           | 502    | unknown |
+      | header fields           | 502    | unknown |
+      | a chunk extension       | 502    | unknown |
+      | a chunk size            | 502    | unknown |
+      | a body without a length | 502    | unknown |
+      | the body of a refusal   | 503    | not-run |
--- a/src/forward/target-connection.ts
+++ b/src/forward/target-connection.ts
@@ -2,6 +2,8 @@
 import {connect, type Socket} from 'node:net';
 import {Client, type Dispatcher} from 'undici';
 import {type Target} from '../fleet/target.js';
+import {ExcessError} from './excess-error.js';
+import {FramingMeter} from './framing-meter.js';
 import {indexHeaders} from './index-headers.js';
 import {type RawHeaders} from './raw-headers.js';
 
@@ -12,7 +14,7 @@
 	readonly body: Uint8Array<ArrayBuffer>;
 };
 
-/** Receives an answer as it arrives. Exactly one of `onEnd` and `onError` is called, last. */
+/** Receives an answer as it arrives. Exactly one of `onEnd` and `onError` is called, last; with an `ExcessError` if the target has sent too much. */
 type Receiver = {
 	onHead(status: number, headers: string[]): void;
 	/** @returns false to pause the answer until `resume` is called */
@@ -32,8 +34,10 @@
 const idleMarginMs = 500;
 /** Code of the error of a connection that its target has reset. */
 const resetCode = 'ERR_TARGET_RESET';
-/** Limit on the headers of an answer, bytes. */
-const maximumHeaderBytes = 65_536;
+/** Lowest status of an answer that is not an interim one. */
+const minimumFinalStatus = 200;
+/** Limit of the HTTP client's parser on the fields of a head or trailer, bytes; a head that is too large is noticed before it is parsed. */
+const parserHeaderBytes = 256 * 1024;
 
 /* Undici passes raw headers as bytes. */
 const toStrings = (headers: readonly unknown[]): string[] => headers.map(item => Buffer.isBuffer(item) ? item.toString('latin1') : String(item));
@@ -46,13 +50,14 @@
 	private hasSocketError = false;
 	/** Whether the target has closed its side, and everything it sent before was read. */
 	private hasEnded = false;
+	private framing = new FramingMeter(0);
 
 	constructor(target: Target) {
 		this.client = new Client(`http://${target.address}:${target.port}`, {
 			pipelining: 1,
 			headersTimeout: 0,
 			bodyTimeout: 0,
-			maxHeaderSize: maximumHeaderBytes,
+			maxHeaderSize: parserHeaderBytes,
 			keepAliveTimeout: idleMs,
 			keepAliveTimeoutThreshold: idleMarginMs,
 			connect: (_options, callback) => {
@@ -74,6 +79,7 @@
 	/** Sends a request; the receiver is called with the answer. */
 	send(request: OutgoingRequest, receiver: Receiver): void {
 		let isFramed = true;
+		this.framing = new FramingMeter(this.socket?.bytesRead ?? 0);
 		this.client.dispatch({
 			method: request.method,
 			path: request.path,
@@ -84,7 +90,11 @@
 			onRequestStart: controller => {
 				this.controller = controller;
 			},
-			onResponseStart(controller, status) {
+			onResponseStart: (controller, status) => {
+				if (status >= minimumFinalStatus) {
+					this.framing.noteHead();
+				}
+
 				const {rawHeaders} = controller;
 				const headers = Array.isArray(rawHeaders) ? toStrings(rawHeaders) : [];
 				const index = indexHeaders(headers);
@@ -92,6 +102,7 @@
 				receiver.onHead(status, headers);
 			},
 			onResponseData: (controller, chunk) => {
+				this.framing.noteBody(chunk.length);
 				if (!receiver.onData(chunk) && !this.hasEnded) {
 					controller.pause();
 				}
@@ -177,6 +188,11 @@
 			clearTimeout(timer);
 			socket.off('error', fail);
 			this.prepareEnd(socket);
+			socket.on('readable', () => {
+				if (this.framing.isExceeded(socket.bytesRead)) {
+					socket.destroy(new ExcessError('the target sends bytes without end that belong to no body'));
+				}
+			});
 			this.socket = socket;
 			callback(null, socket);
 		});
--- a/src/forward/target-sender.ts
+++ b/src/forward/target-sender.ts
@@ -2,6 +2,7 @@
 import {type Target} from '../fleet/target.js';
 import {type ConnectionPool} from './connection-pool.js';
 import {dropHopHeaders} from './drop-hop-headers.js';
+import {ExcessError} from './excess-error.js';
 import {type HeaderDialect} from './header-dialect.js';
 import {indexHeaders} from './index-headers.js';
 import {type SendOutcome} from './send-outcome.js';
@@ -20,6 +21,9 @@
 /** Answers that are not streams are buffered up to this size, bytes; larger ones are not relayed. */
 const maximumAnswerBytes = 16 * 1024 * 1024;
 
+/** The body of a refusal is discarded, up to this size, so that its connection can be used again. Bytes. */
+const maximumRefusalBytes = 64 * 1024;
+
 /**
  * Longest idle time of a connection reused for a request that runs at most once, milliseconds: such a request cannot be
  * retried if the connection turns out to be lost. Opening a new one costs one round trip.
@@ -102,7 +106,8 @@
 					this.handleEnd();
 				},
 				onError: error => {
-					this.fail(error.message, {isCut: true});
+					const isExcessive = error instanceof ExcessError;
+					this.fail(error.message, {isCut: !isExcessive, isExcessive});
 				},
 			});
 		} catch (error) {
@@ -160,6 +165,8 @@
 		this.mode = isStream ? 'stream' : 'buffer';
 		if (isStream) {
 			delivery.start(status, headers);
+		} else if (exchange.incoming.method !== 'HEAD' && Number(index.get('content-length') ?? 0) > maximumAnswerBytes) {
+			this.fail('the answer is too large');
 		}
 	}
 
@@ -182,7 +189,7 @@
 		}
 
 		this.bytes += chunk.length;
-		if (this.bytes > maximumAnswerBytes) {
+		if (this.bytes > (this.mode === 'refused' ? maximumRefusalBytes : maximumAnswerBytes)) {
 			this.fail('the answer is too large', {isExcessive: true});
 		} else if (this.mode === 'buffer') {
 			this.chunks.push(chunk);
--- a/stand-ins/forward/write-endless-answer.ts
+++ b/stand-ins/forward/write-endless-answer.ts
@@ -14,6 +14,8 @@
 const forms = {
 	'interim answers': {start: undefined, filling: 'HTTP/1.1 102 Processing\r\n\r\n'},
 	'a status line': {start: undefined, filling: 'HTTP/1.1 200 x'},
+	'header fields': {start: '', filling: 'x-a: y\r\n'},
+	'the body of a refusal': {start: 'x-not-run: 1\r\n\r\n', filling: 'x'},
 	'a chunk extension': {start: 'transfer-encoding: chunked\r\n\r\n5;', filling: 'x'},
 	'a chunk size': {start: 'transfer-encoding: chunked\r\n\r\n', filling: '0'},
 	'a body without a length': {start: '\r\n', filling: 'x'},
