Bound the memory in which all answers of a process are buffered

What callers saw: 20 answers without a length at once took an entry from 111 to 422 MB, over the 350 MB of its VM, which ends the process with all its requests.

Cause: 16 MB for each buffered answer, and the whole of it once more when its chunks are joined, but no sum over all requests. Class: a limit for each request that nothing multiplies by the number of requests. Each part of a body of one byte was kept as a buffer of its own.

Change: all answers share 48 MB; each may have 64 KB beyond that, so that large ones never keep small ones out. An answer that finds no room is lost at once. The memory is kept until the caller has read the answer. The body is written in its parts, not joined; small parts are copied into blocks.

--- a/features/endless-answers.feature
+++ b/features/endless-answers.feature
@@ -63,3 +63,13 @@
       | a chunk size            | 502    | unknown |
       | a body without a length | 502    | unknown |
       | the body of a refusal   | 503    | not-run |
+
+  # Guards against buffering more answers at once than the VM has memory for, and against keeping that memory.
+  Scenario: Large answers that callers do not read yet take a bounded part of the memory
+    Given an entry before 1 target
+    When 5 callers get large answers at once and read nothing yet
+    And a caller gets "/read/1"
+    Then the caller gets the complete answer to that request
+    And 3 of them get their whole answers as they read, and the others get status 502
+    When 3 callers get large answers at once and read nothing yet
+    Then 3 of them get their whole answers as they read, and the others get status 502
--- a/features/steps/answer-bytes-steps.ts
+++ b/features/steps/answer-bytes-steps.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {type IncomingMessage} from 'node:http';
 import {setImmediate as yieldToOthers} from 'node:timers/promises';
 import {Then, When} from '@cucumber/cucumber';
 import {type ForwardSystem} from '../support/forward-system.js';
@@ -33,6 +35,25 @@
 	await system.until(() => countArrivals() === before + count);
 });
 
+When('{int} callers get large answers at once and read nothing yet', async function (this: SystemWorld, count: number) {
+	const system = getSystem(this);
+	for (const target of system.targets.values()) {
+		target.behaviours.push(...Array.from({length: count}, () => 'large a body with a length' as const));
+	}
+
+	this.notes.set('unread', await Promise.all(Array.from({length: count}, async () => system.open({path: '/release/1', method: 'POST', isSeparate: true}))));
+});
+
+Then('{int} of them get their whole answers as they read, and the others get status {int}', async function (this: SystemWorld, whole: number, status: number) {
+	const answers = this.notes.get('unread') as IncomingMessage[];
+	assert.deepEqual(answers.filter(({statusCode}) => statusCode !== 200).map(({statusCode}) => statusCode), Array.from({length: answers.length - whole}, () => status));
+	for (const answer of answers.filter(({statusCode}) => statusCode === 200)) {
+		answer.resume();
+		await once(answer, 'end');
+		assert.ok(answer.complete);
+	}
+});
+
 Then('one target has got {int} request(s), the other one {int}', function (this: SystemWorld, fewer: number, more: number) {
 	const arrivals = [...getSystem(this).targets.values()].map(target => target.arrivals);
 	assert.deepEqual(arrivals.toSorted((one, other) => one - other), [fewer, more]);
--- a/src/forward/answer.ts
+++ b/src/forward/answer.ts
@@ -5,5 +5,6 @@
 export type Answer = {
 	readonly status: number;
 	readonly headers: RawHeaders;
-	readonly body: Buffer;
+	/** Parts of the body, in order; not joined, which would take twice the memory. */
+	readonly body: readonly Buffer[];
 };
--- a/src/forward/make-http-transport.ts
+++ b/src/forward/make-http-transport.ts
@@ -1,3 +1,4 @@
+import {AnswerBudget} from './answer-budget.js';
 import {checkListener} from './check-listener.js';
 import {ConnectionPool} from './connection-pool.js';
 import {type HeaderDialect} from './header-dialect.js';
@@ -15,7 +16,7 @@
 export function makeHttpTransport({dialect, clock}: TransportOptions, listener: TransportListener): TargetTransport {
 	const pool = new ConnectionPool(clock);
 	const sender = new TargetSender({
-		...listener, pool, dialect, clock,
+		...listener, pool, budget: new AnswerBudget(), dialect, clock,
 	});
 	return {
 		send: async options => sender.send(options),
--- a/src/forward/relay-buffered-answer.ts
+++ b/src/forward/relay-buffered-answer.ts
@@ -9,6 +9,11 @@
 	const {response} = exchange;
 	response.shouldKeepAlive &&= exchange.mayKeepAlive();
 	const headers = dropHopHeaders(answer.headers, none);
-	response.writeHead(answer.status, [...headers, 'content-length', String(answer.body.length)]);
-	response.end(answer.body);
+	const length = answer.body.reduce((sum, chunk) => sum + chunk.length, 0);
+	response.writeHead(answer.status, [...headers, 'content-length', String(length)]);
+	for (const chunk of answer.body.slice(0, -1)) {
+		response.write(chunk);
+	}
+
+	response.end(answer.body.at(-1));
 }
--- a/src/forward/target-sender.ts
+++ b/src/forward/target-sender.ts
@@ -1,5 +1,7 @@
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {type Target} from '../fleet/target.js';
+import {type AnswerBudget} from './answer-budget.js';
+import {ChunkList} from './chunk-list.js';
 import {type ConnectionPool} from './connection-pool.js';
 import {dropHopHeaders} from './drop-hop-headers.js';
 import {ExcessError} from './excess-error.js';
@@ -12,6 +14,7 @@
 
 type SenderOptions = TransportListener & {
 	readonly pool: ConnectionPool;
+	readonly budget: AnswerBudget;
 	readonly dialect: HeaderDialect;
 	readonly clock: () => number;
 };
@@ -45,8 +48,10 @@
 	private mode: Mode = 'awaiting-head';
 	private status = 0;
 	private headers: string[] = [];
-	private readonly chunks: Buffer[] = [];
-	private bytes = 0;
+	private readonly chunks = new ChunkList();
+	private discardedBytes = 0;
+	/** Bytes of the answer that count against the budget. */
+	private bufferedBytes = 0;
 	private cause: 'busy' | 'group-down' | 'gone' = 'busy';
 	private retryAfter: string | undefined;
 	private isSettled = false;
@@ -188,21 +193,50 @@
 			return this.relay(chunk);
 		}
 
-		this.bytes += chunk.length;
-		if (this.bytes > (this.mode === 'refused' ? maximumRefusalBytes : maximumAnswerBytes)) {
+		if (this.mode === 'buffer') {
+			this.buffer(chunk);
+		} else {
+			this.discardedBytes += chunk.length;
+			if (this.discardedBytes > maximumRefusalBytes) {
+				this.fail('the refusal is too large');
+			}
+		}
+
+		return true;
+	}
+
+	private buffer(chunk: Buffer): void {
+		if (this.chunks.length + chunk.length > maximumAnswerBytes) {
 			this.fail('the answer is too large', {isExcessive: true});
-		} else if (this.mode === 'buffer') {
+		} else if (this.resizeBuffer(this.chunks.length + chunk.length)) {
 			this.chunks.push(chunk);
 		}
+	}
 
-		return true;
+	/* Fails when all answers together buffer too much. */
+	private resizeBuffer(bytes: number): boolean {
+		const isWithinBudget = this.sender.budget.resize(this.bufferedBytes, bytes);
+		if (isWithinBudget) {
+			this.bufferedBytes = bytes;
+		} else {
+			this.fail('no memory is left to buffer the answer');
+		}
+
+		return isWithinBudget;
+	}
+
+	private releaseBuffer(): void {
+		this.sender.budget.resize(this.bufferedBytes, 0);
+		this.bufferedBytes = 0;
 	}
 
 	private relay(chunk: Buffer): boolean {
 		const {delivery} = this.options;
 		const isFlowing = delivery.push(chunk);
-		const {excess} = delivery;
-		if (excess !== undefined) {
+		const {excess, pendingBytes} = delivery;
+		if (excess === undefined) {
+			this.resizeBuffer(pendingBytes);
+		} else {
 			this.fail(excess, {isExcessive: true});
 		}
 
@@ -231,7 +265,7 @@
 			}
 
 			case 'buffer': {
-				this.settle({kind: 'answered', answer: {status: this.status, headers: this.headers, body: Buffer.concat(this.chunks)}}, true);
+				this.settle({kind: 'answered', answer: {status: this.status, headers: this.headers, body: this.chunks.take()}}, true);
 				break;
 			}
 
@@ -278,6 +312,16 @@
 		}
 
 		this.isSettled = true;
+		const {response} = this.options.exchange;
+		if (outcome.kind === 'answered' && !response.closed) {
+			// The answer stays in memory until the caller has read it.
+			response.once('close', () => {
+				this.releaseBuffer();
+			});
+		} else {
+			this.releaseBuffer();
+		}
+
 		if (isReusable) {
 			// Deferred, since undici's parser must first finish this answer.
 			setImmediate(() => {
