Silence moves a request only where another attempt is possible

Cause: StallDetector aborted an attempt whether or not the request could still be sent anywhere; sendWithTimeouts watched the last attempt like any other, and its attempt timeout ("no answer in time to be useful") looked at the number of attempts alone; concludeRequest then ended the answer. A target that decides to let a request wait cannot be told from a silent connection by its bytes, so that the silence of a last attempt must not end anything.

Ruled out: longer timeouts (severed connections would be noticed later, and a longer wait would be cut all the same); no watch over the last attempt that the route allows (the retry budget or a lack of targets ends requests as well).

Change: who finds an attempt silent asks for another one first. TargetPicker.reserve chooses its target, takes the retry from the budget, admits it at the breakers and requests a permit where the target has a rate limit; only then the attempt is ended, and the reserved target gets the request. Where none is possible, the attempt goes on until the target, the deadline or the caller ends it, and each check tries again. Requests that are held so say nothing of their group or target any more (they would show a stopped service, or take new requests there for silent). A request that has been moved is the newest at its next target, which lets it wait again: it is moved again by the progress of others only after 1.5 s, at once where other evidence shows silent connections. Silence is noticed as fast as before. The same for the attempt timeout of idempotent requests.

Tests: "Requests that their targets let wait are answered" (6 rows on real entries and targets: streams and an idempotent request, one and several, with and without a planned stop, two attempts, one attempt, one target) and "... ends at its deadline" (2 rows): 8 of 8 failed on the code before, in full or with 502; 8 of 8 pass. Unchanged and passing: silent-connections, rest, crash, crash-part, forward, retry-budget, limit, overload. The harness of stall-steps.ts passes `move` where it passed an AbortController; its checks are the same.

Conclusion: no silence ends an answer any more. A connection that is dead in a last attempt now holds its request until its deadline (504, or a cut stream) instead of 502 after 0.35 to 1 s.

--- a/features/stall.feature
+++ b/features/stall.feature
@@ -121,3 +121,59 @@
     Then the next isn't admitted
     When the first has reached a target that is gone
     Then the next is admitted
+
+  # Guards against ending a request for silence although it can be sent to no other target, as its attempts are used.
+  Scenario Outline: Requests that their targets let wait are answered: <requests> to <path> before <targets> targets, with <attempts> attempts, while the entry <stop>
+    Given an entry before <targets> paced targets, with <attempts> attempts for a request and a timeout of 6000 ms
+    When <requests> requests to "<path>" wait for <events> events of others, and the entry "<stop>"
+    Then all of them are answered completely, after <runs> runs each
+
+    Examples:
+      | requests | path      | targets | attempts | events | stop            | runs |
+      | 3        | /stream/1 | 3       | 2        | 60     | is told to stop | 2    |
+      | 3        | /stream/1 | 3       | 2        | 60     | serves          | 2    |
+      | 1        | /stream/1 | 2       | 2        | 90     | is told to stop | 2    |
+      | 1        | /stream/1 | 1       | 2        | 90     | serves          | 1    |
+      | 3        | /stream/1 | 3       | 1        | 60     | is told to stop | 1    |
+      | 1        | /read/1   | 1       | 2        | 120    | serves          | 1    |
+
+  # Guards against ending a request that the retry budget does not allow to be sent again.
+  Scenario: Streams that their targets let wait are answered although the retry budget is spent
+    Given a retry budget of none
+    And an entry before 3 paced targets, with 2 attempts for a request and a timeout of 6000 ms
+    When 3 requests to "/stream/1" wait for 60 events of others, and the entry "is told to stop"
+    Then all of them are answered completely, after 1 run each
+
+  # Guards against a request that is never moved from a silent connection since that was not possible at first.
+  Scenario: A silent stream is moved as soon as another attempt is possible
+    Given two streams at one target, both with their first event
+    And no other attempt is possible
+    When one gets an event each 50 ms and the other none, for 2000 ms
+    Then 0 of them are aborted
+    And its connection has been reported as silent once
+    When another attempt is possible
+    And one gets an event each 50 ms and the other none, for 50 ms
+    Then 1 of them is aborted
+
+  # Guards against moving a request from target to target, each of which lets its newest request wait.
+  Scenario Outline: A stream that was moved because of silence is moved again only after a longer one: <ms> ms
+    Given two streams at one target, both with their first event
+    And two more streams there that were moved from a silent target
+    When one gets an event each 50 ms and the other none, for <ms> ms
+    Then <aborted> of them are aborted
+
+    Examples:
+      | ms   | aborted |
+      | 1400 | 1       |
+      | 1700 | 3       |
+
+  # Guards against a request that waits for good once its silence ends it no more.
+  Scenario Outline: A request to <path> on a connection that stays silent, with no other attempt, ends at its deadline
+    Given an entry before 1 paced target, with 2 attempts for a request and a timeout of 2000 ms
+    When 1 request to "<path>" waits for 1000 events of others, and the entry "serves"
+    Then none of them is answered, and each ends at its deadline
+
+    Examples:
+      | path      |
+      | /stream/1 |
+      | /read/1   |
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -46,6 +46,10 @@
 	timesStopped = 0;
 	readonly aborts: AbortController[] = [];
 	readonly waitingForCaller: boolean[] = [];
+	/** Whether requests can be sent to another target. */
+	isMovable = true;
+	/** Whether the streams were moved here from silent targets. */
+	hasMoved = false;
 	/** Time before which idle connections are to be closed, milliseconds. */
 	retiredBefore = Number.NEGATIVE_INFINITY;
 	/** When a report of a peer last arrived, milliseconds; undefined without peers. */
@@ -87,7 +91,9 @@
 		this.aborts.push(abort);
 		this.waitingForCaller.push(false);
 		this.inFlightCounts.noteStart(to.id, this.now);
-		const watch = this.detector.watch({target: to, abort, isWaitingForCaller: () => this.waitingForCaller[index]});
+		const watch = this.detector.watch({
+			target: to, move: reason => this.move(abort, reason), hasMoved: this.hasMoved, isWaitingForCaller: () => this.waitingForCaller[index],
+		});
 		watch.noteConnection(this.now);
 		this.watches.push(watch);
 	}
@@ -107,6 +113,14 @@
 		}
 	}
 
+	private move(abort: AbortController, reason: string): boolean {
+		if (this.isMovable) {
+			abort.abort(reason);
+		}
+
+		return this.isMovable;
+	}
+
 	private getTarget(index: number): Target {
 		return this.targets[index % this.targets.length];
 	}
@@ -124,6 +138,27 @@
 	this.notes.set('streams', streams);
 });
 
+Given('no other attempt is possible', function (this: SystemWorld) {
+	getStreams(this).isMovable = false;
+});
+
+When('another attempt is possible', function (this: SystemWorld) {
+	getStreams(this).isMovable = true;
+});
+
+Then('its connection has been reported as silent once', function (this: SystemWorld) {
+	assert.deepEqual(getStreams(this).dropped, [target.id]);
+});
+
+Given('two more streams there that were moved from a silent target', function (this: SystemWorld) {
+	const streams = getStreams(this);
+	streams.hasMoved = true;
+	for (const index of [2, 3]) {
+		streams.start(index);
+		streams.progress(index);
+	}
+});
+
 Given('{int} streams at one target, all with their first event', function (this: SystemWorld, count: number) {
 	const streams = new Streams(count);
 	for (let index = 0; index < count; index++) {
--- a/features/support/forward-system.ts
+++ b/features/support/forward-system.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {request as httpRequest, Agent, type IncomingMessage} from 'node:http';
 import {connect} from 'node:net';
+import {type z} from 'zod';
 import {findFreePorts} from '../../bench/support/find-free-ports.js';
 import {ForwardEntrySettings} from '../../src/config/forward-entry-settings.js';
 import {readMonotonicClock} from '../../src/config/read-monotonic-clock.js';
@@ -82,8 +83,8 @@
 		return target;
 	}
 
-	/** Starts an entry; `isWaiting` says whether to wait until it is ready. */
-	async addEntry(id: string, isWaiting = true): Promise<Entry> {
+	/** Starts an entry; `isWaiting` says whether to wait until it is ready, `more` sets further settings. */
+	async addEntry(id: string, isWaiting = true, more: Partial<z.input<typeof ForwardEntrySettings>> = {}): Promise<Entry> {
 		const [httpPort, linkPort, readyPort, metricsPort] = await findFreePorts(4);
 		const store = this.store.createClient(id);
 		const entry = await startForwardEntry(ForwardEntrySettings.parse({
@@ -97,6 +98,7 @@
 			store: {address: 'in-memory'},
 			link: {key: linkKey},
 			stop: {graceMs: 4000, noticeMs: 100},
+			...more,
 		}), {
 			feed: store, registry: store, source: plainSource, dialect: plainDialect, clock: () => readMonotonicClock() + this.skippedMs, random: Math.random,
 		});
--- a/src/balance/shared-retry-budget.ts
+++ b/src/balance/shared-retry-budget.ts
@@ -57,9 +57,8 @@
 	/** Takes one retry at a service; false when this entry's part of the budget is used up. */
 	takeRetry(service: string, now: number): boolean {
 		const ledger = this.getLedger(service, now);
-		const credit = ledger.remainder + sum(this.listEarning(ledger, now), 'credit');
-		const slack = this.getSlack(now) - sum(ledger.buckets, 'slackUsed');
-		if (credit + slack < 1) {
+		const credit = this.getCredit(ledger, now);
+		if (!this.mayRetry(service, now)) {
 			this.noteRefusal(service, credit, now);
 			return false;
 		}
@@ -70,6 +69,16 @@
 		return true;
 	}
 
+	/** Whether a retry at a service may be taken now. */
+	mayRetry(service: string, now: number): boolean {
+		const ledger = this.getLedger(service, now);
+		return this.getCredit(ledger, now) + this.getSlack(now) - sum(ledger.buckets, 'slackUsed') >= 1;
+	}
+
+	private getCredit(ledger: Ledger, now: number): number {
+		return ledger.remainder + sum(this.listEarning(ledger, now), 'credit');
+	}
+
 	/* This entry's part of the slack in a window. */
 	private getSlack(now: number): number {
 		const {slack, countEntries} = this.options;
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -69,9 +69,19 @@
 			reason: 'no target is registered, or all leave',
 			failure: undefined,
 			isExpired: false,
+			reservation: undefined,
+			hasMoved: false,
 			hasLostConnection: false,
 			inFlight: 0,
 		};
+		try {
+			return await this.sendUntilAnswered(exchange, progress);
+		} finally {
+			this.picker.release(progress);
+		}
+	}
+
+	private async sendUntilAnswered(exchange: ForwardExchange, progress: SendProgress): Promise<Result<void, Problem>> {
 		for (;;) {
 			const target = await this.picker.pick(exchange, progress);
 			if ('detail' in target) {
@@ -113,6 +123,7 @@
 				progress,
 				stalls,
 				clock,
+				reserve: reason => this.picker.reserve(exchange, progress, {target, reason}),
 				send: async (signal, callbacks) => send({
 					exchange, target, delivery: progress.delivery, signal, onAnswerPart, ...callbacks,
 				}),
--- a/src/forward/send-progress.ts
+++ b/src/forward/send-progress.ts
@@ -1,6 +1,10 @@
+import {type Target} from '../fleet/target.js';
 import {type Answer} from './answer.js';
 import {type StreamDelivery} from './stream-delivery.js';
 
+/** The target of the next attempt, chosen while the present one is in flight; `pending` until a rate-limited target has granted a permit. */
+type Reservation = {readonly target: Target; state: 'pending' | 'granted' | 'used'};
+
 /** The state of one request across its attempts. */
 export type SendProgress = {
 	readonly delivery: StreamDelivery;
@@ -16,6 +20,10 @@
 	isNotRun: boolean;
 	/** Whether the next attempt has already been charged to the retry budget. */
 	isRetryCharged: boolean;
+	/** The next attempt, if one has been reserved. */
+	reservation: Reservation | undefined;
+	/** Whether an earlier attempt was ended since its target was silent. */
+	hasMoved: boolean;
 	/** Whether the last attempt was lost with a connection that went silent together with others, through no fault of its target. */
 	hasLostConnection: boolean;
 	/** Why the last attempt gave no answer; may be sent to the caller. */
--- a/src/forward/send-with-timeouts.ts
+++ b/src/forward/send-with-timeouts.ts
@@ -13,26 +13,56 @@
 	readonly stalls: StallDetector;
 	/** The present time, milliseconds; the request's deadline is on the same clock. */
 	readonly clock: () => number;
+	/** Reserves another attempt, at another target; returns why none is possible now, undefined once it is reserved. */
+	readonly reserve: (reason: string) => string | undefined;
 	/** Sends the request; aborted by the signal. */
 	readonly send: (signal: AbortSignal, callbacks: Pick<Parameters<TargetTransport['send']>[0], 'onConnection' | 'onProgress'>) => Promise<SendOutcome>;
 };
 
 /** Timeout of one attempt of an idempotent request, as a multiple of its route's target latency; it is then retried elsewhere. */
 const attemptTimeoutFactor = 2.5;
+/** After the attempt timeout, another attempt is tried to be reserved at this interval, milliseconds. */
+const reserveIntervalMs = 200;
 
-/** Sends a request to one target; aborts at the deadline or attempt timeout, when the caller disconnects, or when the target stalls. */
-export async function sendWithTimeouts({exchange, target, progress, stalls, clock, send}: SendOptions): Promise<SendOutcome> {
+/**
+ * Sends a request to one target; aborts at the deadline, and when the caller disconnects. After the attempt timeout, or when the target
+ * stalls, the attempt ends only if another one is possible: a target that lets a request wait may still answer it.
+ */
+export async function sendWithTimeouts({exchange, target, progress, stalls, clock, reserve, send}: SendOptions): Promise<SendOutcome> {
 	const route = exchange.route!;
 	const abort = new AbortController();
-	const cancels = [runAt(exchange.deadline, clock, () => {
+	let isHeld = false;
+	const move = (reason: string): boolean => {
+		const obstacle = reserve(reason);
+		if (obstacle === undefined) {
+			abort.abort(reason);
+			return true;
+		}
+
+		if (!isHeld) {
+			isHeld = true;
+			exchange.noteDecision(`${target.id}: ${reason}; the attempt goes on, since ${obstacle}`);
+		}
+
+		return false;
+	};
+
+	let cancelMove = (): void => undefined;
+	const moveAt = (time: number): void => {
+		cancelMove = runAt(time, clock, () => {
+			if (!move('no answer in time to be useful')) {
+				moveAt(clock() + reserveIntervalMs);
+			}
+		});
+	};
+
+	const cancelDeadline = runAt(exchange.deadline, clock, () => {
 		progress.isExpired = true;
 		abort.abort('the deadline passed');
-	})];
+	});
 	const attemptDeadline = clock() + (attemptTimeoutFactor * route.targetLatencyMs);
 	if (route.kind === 'idempotent' && progress.sent + 1 < route.maximumAttempts && attemptDeadline < exchange.deadline) {
-		cancels.push(runAt(attemptDeadline, clock, () => {
-			abort.abort('no answer in time to be useful');
-		}));
+		moveAt(attemptDeadline);
 	}
 
 	const handleDisconnect = (): void => {
@@ -43,7 +73,10 @@
 	};
 
 	exchange.disconnection.signal.addEventListener('abort', handleDisconnect, {once: true});
-	const watch = exchange.isRetryable ? stalls.watch({target, abort, isWaitingForCaller: () => exchange.response.writableNeedDrain}) : undefined;
+	const watched = {
+		target, move, hasMoved: progress.hasMoved, isWaitingForCaller: () => exchange.response.writableNeedDrain,
+	};
+	const watch = exchange.isRetryable ? stalls.watch(watched) : undefined;
 	try {
 		return await send(abort.signal, {
 			onConnection(aliveAt) {
@@ -56,8 +89,7 @@
 	} finally {
 		watch?.stop();
 		exchange.disconnection.signal.removeEventListener('abort', handleDisconnect);
-		for (const cancel of cancels) {
-			cancel();
-		}
+		cancelDeadline();
+		cancelMove();
 	}
 }
--- a/src/forward/stall-detector.ts
+++ b/src/forward/stall-detector.ts
@@ -27,7 +27,10 @@
 /** A request in flight at a target. */
 type WatchedRequest = {
 	readonly target: Target;
-	readonly abort: AbortController;
+	/** Ends the attempt if the request can be sent to another target now; returns false otherwise, and the attempt goes on. */
+	readonly move: (reason: string) => boolean;
+	/** Whether the request was moved to this target because an earlier one was silent. */
+	readonly hasMoved: boolean;
 	/** Whether the caller has yet to read what was sent (backpressure), so that nothing is read from the target meanwhile. */
 	readonly isWaitingForCaller: () => boolean;
 	readonly startedAt: number;
@@ -35,6 +38,8 @@
 	progressAt: number | undefined;
 	/** When its connection last proved to work, milliseconds; undefined before it has one. */
 	aliveAt: number | undefined;
+	/** Why the request is to be moved as soon as that is possible; undefined unless its target or connection has gone silent. */
+	silence: string | undefined;
 };
 
 /** A stream that has begun, by its target, and its last progress, milliseconds. */
@@ -72,8 +77,13 @@
 const peerActivityMs = 350;
 /** Connections that worked until this time after the last progress of silent ones may be silent as well, milliseconds. */
 const silenceMarginMs = 100;
-/** A request that has waited less is not aborted as silent, milliseconds: most are answered sooner. */
+/** A request that has waited less is not moved as silent, milliseconds: most are answered sooner. */
 const minimumWaitMs = 200;
+/**
+ * Silence of a request that was moved before, milliseconds, after which it is moved again while others of its service make progress. A
+ * target that is short of memory lets its newest request wait, and a moved request is the newest; callers leave after two seconds.
+ */
+const movedSilenceTimeoutMs = 1500;
 /** A process whose checks did not run for this time was paused, milliseconds. */
 const pauseMs = 300;
 /** Time after a pause within which the process reads what was sent meanwhile, milliseconds: until then, streams seem to stand still. */
@@ -84,7 +94,10 @@
 /** Progress of a group or service on any stream: since when without interruption, and the last one, milliseconds. */
 type Activity = {since: number; last: number};
 
-/** Aborts requests whose target or connection has stalled while others make progress, so that they can be retried elsewhere. */
+/**
+ * Moves requests whose target or connection has stalled while others make progress. Silence alone ends no request: one that cannot be
+ * sent to another target goes on where it is, and is moved as soon as that is possible.
+ */
 export class StallDetector {
 	/** By service, since when it has been active without interruption, milliseconds. */
 	private readonly activeSince = new Map<string, number>();
@@ -102,9 +115,9 @@
 	constructor(private readonly options: DetectorOptions) {}
 
 	/** Starts to watch a request; the result stops the watch. */
-	watch(request: Pick<WatchedRequest, 'target' | 'abort' | 'isWaitingForCaller'>): Watch {
+	watch(request: Pick<WatchedRequest, 'target' | 'move' | 'hasMoved' | 'isWaitingForCaller'>): Watch {
 		const watched: WatchedRequest = {
-			...request, startedAt: this.options.clock(), progressAt: undefined, aliveAt: undefined,
+			...request, startedAt: this.options.clock(), progressAt: undefined, aliveAt: undefined, silence: undefined,
 		};
 		this.watched.add(watched);
 		return {
@@ -129,14 +142,17 @@
 			return;
 		}
 
+		const heldTargets = new Set([...this.watched].filter(({silence}) => silence !== undefined).map(({target}) => target.id));
 		this.checkFailureDomains(now);
 		for (const watched of this.watched) {
 			if (watched.isWaitingForCaller()) {
 				watched.progressAt &&= now;
-			} else if (this.isTargetSilent(watched.target, now)) {
-				this.abortAtTarget(watched, now);
+			} else if (watched.silence !== undefined) {
+				watched.move(watched.silence);
+			} else if (this.isTargetSilent(watched, heldTargets, now)) {
+				this.moveFromTarget(watched, now);
 			} else if (this.isConnectionSilent(watched, now)) {
-				this.abortOnConnection(watched, now);
+				this.moveFromConnection(watched, now);
 			}
 		}
 	}
@@ -159,7 +175,7 @@
 		this.notePause(this.options.clock());
 		this.options.onSuspicion?.(since);
 		if (!this.isCatchingUp && lastReportAt !== undefined && lastReportAt <= since + silenceMarginMs) {
-			this.abortSilent(since, 'nothing arrives on the links to peers');
+			this.moveSilent(since, 'nothing arrives on the links to peers');
 		}
 	}
 
@@ -190,6 +206,7 @@
 		}
 
 		watched.progressAt = now;
+		watched.silence = undefined;
 	}
 
 	private updateActive(now: number): void {
@@ -213,8 +230,8 @@
 
 	private checkFailureDomains(now: number): void {
 		const streams = new Map<string, RunningStream[]>();
-		for (const {target, progressAt, isWaitingForCaller} of this.watched) {
-			if (progressAt !== undefined && !isWaitingForCaller()) {
+		for (const {target, progressAt, silence, isWaitingForCaller} of this.watched) {
+			if (progressAt !== undefined && silence === undefined && !isWaitingForCaller()) {
 				const failureDomain = getFailureDomain(target);
 				streams.set(failureDomain, [...streams.get(failureDomain) ?? [], {target: target.id, progressAt}]);
 			}
@@ -233,7 +250,7 @@
 		if (this.isSteady(failureDomain, now)) {
 			const silentSince = findSilenceStart(streams.filter(({progressAt}) => now - progressAt > Math.max(silenceTimeoutMs, slowMs)));
 			if (silentSince !== undefined) {
-				this.abortSilent(silentSince, `${failureDomain} makes progress on others`);
+				this.moveSilent(silentSince, `${failureDomain} makes progress on others`, watched => !this.mayBeDeferred(watched, now));
 			}
 		} else if (streams.length >= minimumStreams && stoppedMs > limitMs) {
 			this.handleStandstill(failureDomain, lastProgressAt);
@@ -249,7 +266,7 @@
 			this.options.onStopped(failureDomain);
 		} else {
 			this.options.onRunning?.(failureDomain);
-			this.abortSilent(lastProgressAt, evidence);
+			this.moveSilent(lastProgressAt, evidence);
 		}
 	}
 
@@ -269,13 +286,14 @@
 		return activity !== undefined && now - activity.last < activeWindowMs && activity.last - activity.since >= steadyMs;
 	}
 
-	/* Aborts the requests whose connections have not proved to work since `since`, so that they are retried on new ones. */
-	private abortSilent(since: number, evidence: string): void {
+	/* Moves the requests whose connections have not proved to work since `since` to new ones. */
+	private moveSilent(since: number, evidence: string, isSuspect: (watched: WatchedRequest) => boolean = () => true): void {
 		const now = this.options.clock();
 		const before = since + silenceMarginMs;
 		this.options.onSuspicion?.(before);
-		const silent = [...this.watched].filter(({aliveAt, startedAt, isWaitingForCaller}) =>
-			aliveAt !== undefined && aliveAt <= before && now - Math.max(startedAt, aliveAt) > minimumWaitMs && !isWaitingForCaller());
+		const unproved = [...this.watched].filter(({aliveAt, startedAt, silence, isWaitingForCaller}) =>
+			silence === undefined && aliveAt !== undefined && aliveAt <= before && now - Math.max(startedAt, aliveAt) > minimumWaitMs && !isWaitingForCaller());
+		const silent = unproved.filter(watched => isSuspect(watched));
 		if (silent.length === 0) {
 			return;
 		}
@@ -283,33 +301,48 @@
 		const reason = `${silent.length} requests are on connections silent for ${Math.round(now - since)} ms: ${evidence}`;
 		this.options.log(reason);
 		this.options.onSilence?.(reason);
-		for (const {abort} of silent) {
-			abort.abort(silentConnectionReason);
+		for (const watched of silent) {
+			watched.silence = silentConnectionReason;
+			watched.move(silentConnectionReason);
 		}
 	}
 
-	/* A group that pauses as a whole is silent at all targets; then no single target has failed. */
-	private isTargetSilent({id, service}: Target, now: number): boolean {
+	/* Silence of one request among others may be its target's own decision, and is the more likely so after a move. */
+	private mayBeDeferred({hasMoved, progressAt, startedAt}: WatchedRequest, now: number): boolean {
+		return hasMoved && now - (progressAt ?? startedAt) <= movedSilenceTimeoutMs;
+	}
+
+	/*
+	 * A group that pauses as a whole is silent at all targets; then no single target has failed. Where a silent request is held, the
+	 * target's silence says nothing of a request that was sent later, on another connection.
+	 */
+	private isTargetSilent({target: {id, service}, progressAt, startedAt}: WatchedRequest, heldTargets: ReadonlySet<string>, now: number): boolean {
 		const activeMs = now - (this.activeSince.get(service) ?? now);
-		return this.options.inFlightCounts.getSilenceMs(id, now) > stallTimeoutMs && activeMs > stallTimeoutMs;
+		const isOwn = !heldTargets.has(id) || now - (progressAt ?? startedAt) > stallTimeoutMs;
+		return isOwn && this.options.inFlightCounts.getSilenceMs(id, now) > stallTimeoutMs && activeMs > stallTimeoutMs;
 	}
 
 	/* A target makes progress on all of its answers together, so a single silent one means a lost connection. */
-	private isConnectionSilent({target, progressAt}: WatchedRequest, now: number): boolean {
-		return progressAt !== undefined && now - progressAt > stallTimeoutMs && this.options.inFlightCounts.getSilenceMs(target.id, now) < activeWindowMs;
+	private isConnectionSilent(watched: WatchedRequest, now: number): boolean {
+		const {target, progressAt} = watched;
+		return !this.mayBeDeferred(watched, now) && progressAt !== undefined && now - progressAt > stallTimeoutMs && this.options.inFlightCounts.getSilenceMs(target.id, now) < activeWindowMs;
 	}
 
-	private abortAtTarget({target, abort}: WatchedRequest, now: number): void {
+	private moveFromTarget(watched: WatchedRequest, now: number): void {
+		const {target} = watched;
 		const {inFlightCounts, health, log} = this.options;
 		log(`target ${target.id} of ${target.service} silent for ${Math.round(inFlightCounts.getSilenceMs(target.id, now))} ms while others of its service answer`);
 		health.noteUnreachable(target.id, now);
-		abort.abort('the target has gone silent');
+		watched.silence = 'the target has gone silent';
+		watched.move(watched.silence);
 	}
 
-	private abortOnConnection({target, abort, progressAt}: WatchedRequest, now: number): void {
+	private moveFromConnection(watched: WatchedRequest, now: number): void {
+		const {target, progressAt} = watched;
 		const {log, onSilentConnection} = this.options;
 		log(`a connection to target ${target.id} of ${target.service} silent for ${Math.round(now - progressAt!)} ms while others go on`);
 		onSilentConnection(target.id);
-		abort.abort('the connection has gone silent');
+		watched.silence = 'the connection has gone silent';
+		watched.move(watched.silence);
 	}
 }
--- a/src/forward/target-picker.ts
+++ b/src/forward/target-picker.ts
@@ -11,10 +11,14 @@
 import {type Refusal} from './refusal.js';
 import {retrySpreads} from './retry-spreads.js';
 import {type SendProgress} from './send-progress.js';
+import {silentConnectionReason} from './silent-connection-reason.js';
 import {type UnavailableTarget} from './unavailable-target.js';
 import {type StreamAdmission} from './stream-admission.js';
 import {type TargetTracker} from './target-tracker.js';
 
+/** The attempt in flight, and why the request should be moved. */
+type SilentAttempt = {readonly target: Target; readonly reason: string};
+
 type PickerOptions = {
 	readonly tracker: TargetTracker;
 	/** Blocks requests that crash targets. */
@@ -43,11 +47,21 @@
 
 /** Chooses the target that a request is sent to next, or returns why there is none. */
 export class TargetPicker {
+	/** Reservations that have not become attempts yet. */
+	private readonly reservations = new Set<NonNullable<SendProgress['reservation']>>();
+
 	constructor(private readonly options: PickerOptions) {}
 
 	/** Chooses a target, and takes a permit if the target has a rate limit. */
 	async pick(exchange: ForwardExchange, progress: SendProgress): Promise<Target | Refusal> {
 		const {tracker, serviceBreaker, clock} = this.options;
+		const {reservation} = progress;
+		this.release(progress);
+		if (reservation?.state === 'used') {
+			return reservation.target;
+		}
+
+		this.noteUnavailable(exchange, clock());
 		for (let requests = 0; requests < maximumPermitRequests; requests++) {
 			const target = this.choose(exchange, progress, true);
 			if ('detail' in target || await tracker.permits.take(target)) {
@@ -61,9 +75,83 @@
 		return this.choose(exchange, progress, false);
 	}
 
+	/**
+	 * Reserves the next attempt of a request that is in flight: a target, a retry of the budget, and a permit if that target has a rate
+	 * limit. The attempt in flight must then be ended at once.
+	 *
+	 * @returns undefined when it is reserved; otherwise why it is not possible now
+	 */
+	reserve(exchange: ForwardExchange, progress: SendProgress, {target: current, reason}: SilentAttempt): string | undefined {
+		if (!progress.reservation) {
+			const attempt = {
+				...progress, sent: progress.sent + 1, excluded: new Set([...progress.excluded, current.id]), hasLostConnection: reason === silentConnectionReason, reason,
+			};
+			const obstacle = this.findObstacle(exchange, attempt);
+			const target = obstacle ?? this.choose(exchange, attempt, true);
+			// A charge stays with the request, so that a later call makes no second one.
+			progress.isRetryCharged = attempt.isRetryCharged;
+			if (typeof target === 'string' || 'detail' in target) {
+				return typeof target === 'string' ? target : target.detail;
+			}
+
+			this.addReservation(progress, target);
+		}
+
+		const {reservation} = progress;
+		if (reservation?.state === 'pending') {
+			return `no permit for ${reservation.target.id} has been granted yet`;
+		}
+
+		reservation!.state = 'used';
+		progress.hasMoved = true;
+		return undefined;
+	}
+
+	/** Gives up a reservation that has not become an attempt. */
+	release(progress: SendProgress): void {
+		if (progress.reservation) {
+			this.reservations.delete(progress.reservation);
+			progress.reservation = undefined;
+		}
+	}
+
+	private addReservation(progress: SendProgress, target: Target): void {
+		const {limits, permits} = this.options.tracker;
+		const reservation: SendProgress['reservation'] = {target, state: limits.get(target.id) === undefined ? 'granted' : 'pending'};
+		progress.reservation = reservation;
+		this.reservations.add(reservation);
+		if (reservation.state === 'pending') {
+			void permits.take(target).then(isGranted => {
+				reservation.state = 'granted';
+				if (!isGranted && progress.reservation === reservation) {
+					this.release(progress);
+				}
+			});
+		}
+	}
+
+	/* Returns why no further attempt is possible, without taking anything from the budget of retries or of probes. */
+	private findObstacle({route, service}: ForwardExchange, {attempts, sent, misdirected, excluded, isRetryCharged}: SendProgress): string | undefined {
+		const {tracker, retryBudget, clock} = this.options;
+		if (attempts >= maximumAttempts || sent - misdirected >= route!.maximumAttempts) {
+			return 'all its attempts are used';
+		}
+
+		if (tracker.listAvailable(service, clock()).every(({id}) => excluded.has(id))) {
+			return 'no other target takes requests';
+		}
+
+		return isRetryCharged || retryBudget.mayRetry(service, clock()) ? undefined : 'the budget of repeats is spent';
+	}
+
+	private countInFlight(target: string, now: number): number {
+		const reserved = [...this.reservations].filter(reservation => reservation.target.id === target).length;
+		return this.options.inFlightCounts.count(target, now) + reserved;
+	}
+
 	/* @param mayAsk - whether rate-limited targets, which need a permit first, are candidates */
 	private choose(exchange: ForwardExchange, progress: SendProgress, mayAsk: boolean): Target | Refusal {
-		const {inFlightCounts, tracker, probes, availabilityZone, clock, random} = this.options;
+		const {tracker, probes, availabilityZone, clock, random} = this.options;
 		const {health, refusals} = tracker;
 		const now = clock();
 		if (progress.attempts >= maximumAttempts || progress.sent - progress.misdirected >= exchange.route!.maximumAttempts) {
@@ -107,7 +195,7 @@
 			targets: candidates,
 			excluded: progress.excluded,
 			availabilityZone,
-			countInFlight: target => inFlightCounts.count(target, now),
+			countInFlight: target => this.countInFlight(target, now),
 			getBreakerState: target => tracker.getBreakerState(target, now),
 			getServedAt: target => refusals.getServedAt(target),
 			getFailureRate: target => health.getFailureRate(target, now),
@@ -134,7 +222,14 @@
 		}
 	}
 
-	/* Records which targets are unavailable; returns a refusal when all are. */
+	private noteUnavailable(exchange: ForwardExchange, now: number): void {
+		const unavailable = this.options.tracker.listUnavailable(exchange.service, now);
+		if (unavailable.length > 0) {
+			exchange.noteDecision(`left out ${describeUnavailableTargets(unavailable)}`);
+		}
+	}
+
+	/* Returns a refusal when all targets are unavailable. */
 	private refuseIfUnavailable(exchange: ForwardExchange, now: number): Refusal | undefined {
 		const {tracker} = this.options;
 		const unavailable = tracker.listUnavailable(exchange.service, now);
@@ -142,7 +237,6 @@
 			return undefined;
 		}
 
-		exchange.noteDecision(`left out ${describeUnavailableTargets(unavailable)}`);
 		return unavailable.length < tracker.directory.list(exchange.service).length ? undefined : this.refuseUnavailable(unavailable);
 	}
 
