Handle signals from the first module of a process on

Cause: runProcess installed its handlers when `start` had resolved. Until then, while Node loaded about 1 MB of modules, read the settings and opened the ports, the default action of each signal ended the process.

Ruled out: installing the handlers at the head of runProcess (the modules are loaded before it runs, which takes most of the window); waiting with `listen` until the handlers are set (mends no SIGHUP).

Change: each program is a small module that enables the log and keeps signals (process-signals.ts), and then loads the rest. ProcessLifecycle gets the signals kept: SIGHUP is logged with the check of the settings; SIGTERM or SIGINT before the start ends the process with 0, during it makes the planned stop once the start is finished (given up after 5 s), and a second one ends the process with 1, as before. The bundles are split accordingly: target/entry.mjs loads target/entry/*.

Tests: "<signal> during the start: <program> <moment>", 17 rows over four programs, three signals and three moments (handlers just set, settings being read, listening), with real processes whose settings file is a pipe.

Conclusion: what is left is the time in which Node starts itself, before any of our code runs; nothing has been accepted by then, but a SIGHUP still ends the process there.

--- a/features/process.feature
+++ b/features/process.feature
@@ -13,3 +13,28 @@
   Scenario: SIGTERM is a planned stop
     When "wardswitch-target" runs and is sent SIGTERM
     Then it exits with 0 and prints "leaving: no new requests are accepted"
+
+  # Guards against a process that a signal ends while it starts, with the requests that it has accepted by then.
+  Scenario Outline: <signal> during the start: <program> <moment>
+    When "<program>" is started and is sent <signal> <moment>
+    Then it <reaction>
+
+    Examples:
+      | program               | signal         | moment                   | reaction                       |
+      | bin/wardswitch-entry  | SIGHUP         | before it reads settings | goes on and logs the signal    |
+      | bin/wardswitch-entry  | SIGHUP         | while it reads settings  | goes on and logs the signal    |
+      | bin/wardswitch-entry  | SIGTERM        | while it reads settings  | stops as planned               |
+      | bin/wardswitch-entry  | SIGTERM        | as soon as it listens    | stops as planned               |
+      | bin/wardswitch-target | SIGHUP         | while it reads settings  | goes on and logs the signal    |
+      | bin/wardswitch-target | SIGTERM        | before it reads settings | stops as planned               |
+      | bin/wardswitch-target | SIGINT         | while it reads settings  | stops as planned               |
+      | bin/wardswitch-target | SIGTERM        | as soon as it listens    | stops as planned               |
+      | forwarding entry      | SIGHUP         | before it reads settings | goes on and logs the signal    |
+      | forwarding entry      | SIGHUP         | while it reads settings  | goes on and logs the signal    |
+      | forwarding entry      | SIGHUP         | as soon as it listens    | goes on and logs the signal    |
+      | forwarding entry      | SIGTERM        | while it reads settings  | stops as planned               |
+      | forwarding entry      | SIGTERM        | as soon as it listens    | stops as planned               |
+      | forwarding entry      | SIGTERM+SIGINT | while it reads settings  | ends at once, with exit code 1 |
+      | rank process          | SIGHUP         | before it reads settings | goes on and logs the signal    |
+      | rank process          | SIGTERM        | while it reads settings  | stops as planned               |
+      | rank process          | SIGTERM        | as soon as it listens    | stops as planned               |
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,4 +1,5 @@
-// Bundles each of the platform's programs into one file under target/, which loads much faster than separate modules.
+// Bundles each of the platform's programs into a few files under target/, which load much faster than separate modules.
+import {rmSync} from 'node:fs';
 import {build} from 'esbuild';
 
 const programs = ['entry', 'rank'];
@@ -15,18 +16,24 @@
 };
 /* eslint-enable require-unicode-regexp */
 
-await build({
-	entryPoints: programs.map(name => `platform/${name}.ts`),
-	outdir: 'target',
-	outExtension: {'.js': '.mjs'},
-	bundle: true,
-	// Identifiers are not minified, for readable stack traces.
-	minifySyntax: true,
-	minifyWhitespace: true,
-	platform: 'node',
-	target: 'node20',
-	format: 'esm',
-	plugins: [leanPackages],
-	// Packages in CommonJS call `require` for Node's own modules.
-	banner: {js: 'import {createRequire as makeRequire} from \'node:module\'; const require = makeRequire(import.meta.url);'},
-});
+for (const program of programs) {
+	// What a program loads once it handles signals is in a folder of its own.
+	rmSync(`target/${program}`, {recursive: true, force: true});
+	await build({
+		entryPoints: [`platform/${program}.ts`],
+		outdir: 'target',
+		outExtension: {'.js': '.mjs'},
+		splitting: true,
+		chunkNames: `${program}/[name]-[hash]`,
+		bundle: true,
+		// Identifiers are not minified, for readable stack traces.
+		minifySyntax: true,
+		minifyWhitespace: true,
+		platform: 'node',
+		target: 'node20',
+		format: 'esm',
+		plugins: [leanPackages],
+		// Packages in CommonJS call `require` for Node's own modules.
+		banner: {js: 'import {createRequire as makeRequire} from \'node:module\'; const require = makeRequire(import.meta.url);'},
+	});
+}
--- /dev/null
+++ b/src/bin/process-lifecycle.ts
@@ -0,0 +1,87 @@
+import process from 'node:process';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {type Logger} from 'roarr';
+
+/** A started process of the system; `stopped` resolves after a planned stop. */
+type RunningProcess = {
+	readonly stopped?: Promise<void>;
+	stop(): Promise<void>;
+	kill(): Promise<void>;
+};
+
+type LifecycleOptions = {
+	readonly start: () => Promise<RunningProcess>;
+	/** Says whether the settings file is valid. */
+	readonly describeReload: () => string;
+	readonly logger: Logger;
+};
+
+const killedExitCode = 1;
+/** A start that does not finish within this time after a signal to stop is given up, milliseconds: the platform waits 8 s until it kills. */
+const startTimeoutMs = 5000;
+
+/** Starts a process and stops it on signals. A signal that arrives during the start stops the process once it has started. */
+export class ProcessLifecycle {
+	private running: RunningProcess | undefined;
+	private isStopping = false;
+
+	constructor(private readonly options: LifecycleOptions) {}
+
+	/** Handles a signal. */
+	receive(signal: NodeJS.Signals): void {
+		if (signal === 'SIGHUP') {
+			// Settings are applied only at the start, so a changed file never affects running requests.
+			this.options.logger.info(`SIGHUP: ${this.options.describeReload()}`);
+		} else if (this.isStopping) {
+			this.options.logger.warn(`${signal} during the stop: the process ends at once`);
+			this.kill();
+		} else {
+			this.isStopping = true;
+			this.stop(signal);
+		}
+	}
+
+	/** Runs the process; resolves when it has stopped, or has nothing left to do. */
+	async run(): Promise<void> {
+		// Signals that arrived while the program was loaded or has read its settings are delivered in this turn.
+		await nextTurn();
+		if (this.isStopping) {
+			this.options.logger.info('stopped before the start');
+			return;
+		}
+
+		this.running = await this.options.start();
+		const {running} = this;
+		if (this.isStopping) {
+			void running.stop();
+		}
+
+		await running.stopped;
+		if (running.stopped && this.isStopping) {
+			// A socket that a peer keeps open must not keep the process alive.
+			process.exit(); // eslint-disable-line unicorn/no-process-exit
+		}
+	}
+
+	private stop(signal: NodeJS.Signals): void {
+		if (this.running) {
+			void this.running.stop();
+			return;
+		}
+
+		this.options.logger.info(`${signal} during the start: the process stops once it has started`);
+		setTimeout(() => {
+			if (!this.running) {
+				this.options.logger.warn(`not started ${startTimeoutMs} ms after ${signal}: the process ends`);
+				process.exit(); // eslint-disable-line unicorn/no-process-exit
+			}
+		}, startTimeoutMs).unref();
+	}
+
+	private kill(): void {
+		process.exitCode = killedExitCode;
+		void Promise.resolve(this.running?.kill()).then(() => {
+			process.exit(killedExitCode); // eslint-disable-line unicorn/no-process-exit
+		});
+	}
+}
--- a/src/bin/run-process.ts
+++ b/src/bin/run-process.ts
@@ -4,27 +4,21 @@
 import {type SettingsError} from '../config/settings-error.js';
 import {getLogger} from '../log/get-logger.js';
 import {startLogging} from '../log/start-logging.js';
-
-/** A started process of the system; `stopped` resolves after a planned stop. */
-type RunningProcess = {
-	readonly stopped?: Promise<void>;
-	stop(): Promise<void>;
-	kill(): Promise<void>;
-};
+import {ProcessLifecycle} from './process-lifecycle.js';
+import {processSignals} from './process-signals.js';
 
 type ProcessOptions<Settings> = {
 	readonly name: string;
 	readonly readFile: (file: string) => Result<Settings, SettingsError>;
-	readonly start: (settings: Settings) => Promise<RunningProcess>;
+	readonly start: (settings: Settings) => ReturnType<ConstructorParameters<typeof ProcessLifecycle>[0]['start']>;
 };
 
 const usageExitCode = 2;
 const settingsExitCode = 78;
-const killedExitCode = 1;
 
 /**
- * Runs a process of the system: reads the settings file and starts the process. SIGTERM or SIGINT begins a planned stop; a second
- * signal ends the process immediately. SIGHUP only checks the settings file.
+ * Runs a process of the system: reads the settings file and starts the process. SIGTERM or SIGINT begins a planned stop, once the
+ * process has started; a second signal ends the process immediately. SIGHUP only checks the settings file.
  *
  * Exit codes: 0 after a planned stop, 1 if a second signal ended it, 2 for wrong arguments, 78 for invalid settings.
  */
@@ -51,33 +45,15 @@
 	}
 
 	startLogging(settings.value.logLevel);
-	const running = await options.start(settings.value);
-	let isStopping = false;
-	const handleSignal = (): void => {
-		if (isStopping) {
-			process.exitCode = killedExitCode;
-			void running.kill().then(() => {
-				process.exit(killedExitCode); // eslint-disable-line unicorn/no-process-exit
-			});
-			return;
-		}
-
-		isStopping = true;
-		void running.stop();
-	};
-
-	const logger = getLogger('process');
-	process.on('SIGHUP', () => {
-		// Settings are applied only at the start, so a changed file never affects running requests.
-		logger.info(`SIGHUP: ${describeReload(options.readFile(files[0]))}`);
+	const lifecycle = new ProcessLifecycle({
+		start: async () => options.start(settings.value),
+		describeReload: () => describeReload(options.readFile(files[0])),
+		logger: getLogger('process'),
 	});
-	process.on('SIGTERM', handleSignal);
-	process.on('SIGINT', handleSignal);
-	await running.stopped;
-	if (isStopping) {
-		// A socket that a peer keeps open must not keep the process alive.
-		process.exit(); // eslint-disable-line unicorn/no-process-exit
-	}
+	processSignals.deliverTo(signal => {
+		lifecycle.receive(signal);
+	});
+	await lifecycle.run();
 }
 
 function describeReload(settings: Result<unknown, SettingsError>): string {
--- a/src/bin/wardswitch-entry.ts
+++ b/src/bin/wardswitch-entry.ts
@@ -1,15 +1,8 @@
 #!/usr/bin/env node
-/* eslint-disable import-x/order, import-x/no-unassigned-import -- logging must be enabled before any module loads the logger */
+/* eslint-disable import-x/no-unassigned-import -- both take effect when they are loaded, before any other module */
 import '../log/enable-log.js';
-import process from 'node:process';
-import {EntrySettings} from '../config/entry-settings.js';
-import {readClock} from '../config/read-clock.js';
-import {readSettings} from '../config/read-settings.js';
-import {startEntry} from '../entry/start-entry.js';
-import {runProcess} from './run-process.js';
+import './process-signals.js';
 
-await runProcess({
-	name: 'wardswitch-entry',
-	readFile: file => readSettings(file, EntrySettings),
-	start: async settings => startEntry(settings, readClock, Math.random),
-}, process.argv.slice(2));
+// Loaded once signals are handled: loading takes time, in which a signal must not end the process.
+const {runEntry} = await import('./run-entry.js');
+await runEntry();
--- a/src/bin/wardswitch-target.ts
+++ b/src/bin/wardswitch-target.ts
@@ -1,15 +1,8 @@
 #!/usr/bin/env node
-/* eslint-disable import-x/order, import-x/no-unassigned-import -- logging must be enabled before any module loads the logger */
+/* eslint-disable import-x/no-unassigned-import -- both take effect when they are loaded, before any other module */
 import '../log/enable-log.js';
-import process from 'node:process';
-import {readClock} from '../config/read-clock.js';
-import {readSettings} from '../config/read-settings.js';
-import {TargetSettings} from '../config/target-settings.js';
-import {startTarget} from '../target/start-target.js';
-import {runProcess} from './run-process.js';
+import './process-signals.js';
 
-await runProcess({
-	name: 'wardswitch-target',
-	readFile: file => readSettings(file, TargetSettings),
-	start: async settings => startTarget(settings, readClock),
-}, process.argv.slice(2));
+// Loaded once signals are handled: loading takes time, in which a signal must not end the process.
+const {runTarget} = await import('./run-target.js');
+await runTarget();
