Answer admin pages that cannot be served with an error

Seen: `GET /status/%E0%A4%A` on the address for readiness or metrics ended the process with an uncaught URIError, and with it all accepted requests.

Cause: start-admin-server.ts decoded the argument of a page with decodeURIComponent, and polka 0.5 catches nothing that a handler throws; a rejection of the asynchronous handler of /metrics ended the process in the same way, as did a page that throws. polka's own parsing decodes nothing of a path (ruled out by the rows that pass before the change).

Change: an argument that is not valid percent-encoding is answered 400 with a JSON error; what a handler throws or rejects with is logged and answered 500 with a JSON error. An error of the server's own socket is logged. run-guarded.ts is the boundary, for other steps that nothing waits for as well.

Test: "An admin page that cannot be served is answered with an error", ten rows: five failed before (/status/%E0%A4%A, /status/%, two pages that throw, metrics that cannot be read), all pass now.

--- a/features/process.feature
+++ b/features/process.feature
@@ -38,3 +38,22 @@
       | rank process          | SIGHUP         | before it reads settings | goes on and logs the signal    |
       | rank process          | SIGTERM        | while it reads settings  | stops as planned               |
       | rank process          | SIGTERM        | as soon as it listens    | stops as planned               |
+
+  # Guards against a path on the ready or metrics address that ends the process.
+  Scenario Outline: An admin page that cannot be served is answered with an error: <path>
+    Given an admin server
+    When it is asked for "<path>"
+    Then it answers <status> with "<body>"
+
+    Examples:
+      | path                 | status | body                       |
+      | /status/%E0%A4%A     | 400    | not valid percent-encoding |
+      | /status/%            | 400    | not valid percent-encoding |
+      | /status/%00%7F       | 200    | argument                   |
+      | /broken              | 500    | internal error             |
+      | /broken/a            | 500    | internal error             |
+      | /metrics             | 500    | internal error             |
+      | /livez?%E0%A4%A      | 200    | ok                         |
+      | //                   | 404    |                            |
+      | /%E0%A4%A            | 404    |                            |
+      | http://[/            | 404    |                            |
--- a/src/metrics/start-admin-server.ts
+++ b/src/metrics/start-admin-server.ts
@@ -1,8 +1,10 @@
 import {once} from 'node:events';
-import {createServer} from 'node:http';
+import {createServer, type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import polka from 'polka';
 import {type Registry} from 'prom-client';
+import {getLogger} from '../log/get-logger.js';
+import {runGuarded} from '../log/run-guarded.js';
 import {type AdminPage} from './admin-page.js';
 import {type AdminServer} from './admin-server.js';
 
@@ -17,6 +19,24 @@
 	readonly pages: Readonly<Record<string, AdminPage>>;
 };
 
+const logger = getLogger('admin');
+const log = (message: string): void => {
+	logger.error(message);
+};
+
+const sendDocument = (response: ServerResponse, status: number, document: unknown): void => {
+	response.writeHead(status, {'content-type': 'application/json'}).end(JSON.stringify(document));
+};
+
+/* Undefined if the text is not valid percent-encoding. */
+const decodeArgument = (text: string): string | undefined => {
+	try {
+		return decodeURIComponent(text);
+	} catch {
+		return undefined;
+	}
+};
+
 /** Starts an HTTP server for /metrics, /livez, the readiness probe and the given pages. */
 export async function startAdminServer(options: AdminOptions): Promise<AdminServer> {
 	const server = createServer();
@@ -34,19 +54,44 @@
 	});
 	for (const [name, page] of Object.entries(options.pages)) {
 		const serve: polka.Middleware = (request, response) => {
-			const document = page(decodeURIComponent(String(request.params.argument ?? '')));
-			response.statusCode = document === undefined ? 404 : 200;
-			response.setHeader('content-type', 'application/json');
-			response.end(JSON.stringify(document ?? {error: 'nothing known by that name'}));
+			const argument = decodeArgument(String(request.params.argument ?? ''));
+			if (argument === undefined) {
+				sendDocument(response, 400, {error: 'the path is not valid percent-encoding'});
+				return;
+			}
+
+			const document = page(argument);
+			sendDocument(response, document === undefined ? 404 : 200, document ?? {error: 'nothing known by that name'});
 		};
 
 		app.get(`/${name}`, serve);
 		app.get(`/${name}/:argument`, serve);
 	}
 
-	server.on('request', app.handler);
+	server.on('request', (request, response) => {
+		const sendError = (): void => {
+			if (response.headersSent) {
+				response.destroy();
+			} else {
+				sendDocument(response, 500, {error: 'internal error, see the log'});
+			}
+		};
+
+		runGuarded(log, `${request.method} ${request.url}`, async () => {
+			try {
+				// Some handlers are asynchronous.
+				await (app.handler as (...exchange: unknown[]) => unknown)(request, response);
+			} catch (error) {
+				sendError();
+				throw error;
+			}
+		});
+	});
 	server.listen(options.port, options.address);
 	await once(server, 'listening');
+	server.on('error', error => {
+		log(`server error: ${error.message}`);
+	});
 	return {
 		port: (server.address() as AddressInfo).port,
 		close() {
