Stop as planned after an error that nothing has handled

Seen: anything thrown outside of a request, in a timer, a socket's or link's handler or a promise that nobody waits for, ended the process at once: all open requests lost their connections without an answer or within it.

Cause: runProcess left uncaught errors and unhandled rejections to Node's default.

During the start, the stop follows the start; a start or a planned stop that fails is logged and ends the process with 70. Further errors during the stop are logged.

Ruled out: to go on after such an error (the state of the part that threw is not known); to end at once (what is in flight at other parts is sound).

Test: "An error that nothing handles stops a process as planned", an error thrown and a rejection, in a real process while a caller reads a stream: both failed before (the stream was cut, exit code 1), both pass: the stream is whole, exit code 70.

--- a/features/process.feature
+++ b/features/process.feature
@@ -39,6 +39,17 @@
       | rank process          | SIGTERM        | while it reads settings  | stops as planned               |
       | rank process          | SIGTERM        | as soon as it listens    | stops as planned               |
 
+  # Guards against one error outside of requests, in whatever part, that ends a process with all requests that it has accepted.
+  Scenario Outline: An error that nothing handles stops a process as planned: <manner>
+    Given an entry process at which a caller reads a stream
+    When an error is <manner> that nothing handles
+    Then the stream is whole, and the process ends with exit code 70
+
+    Examples:
+      | manner   |
+      | thrown   |
+      | rejected |
+
   # Guards against a path on the ready or metrics address that ends the process.
   Scenario Outline: An admin page that cannot be served is answered with an error: <path>
     Given an admin server
--- /dev/null
+++ b/features/steps/internal-error-steps.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {request as httpRequest, type IncomingMessage} from 'node:http';
+import process from 'node:process';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {type SystemWorld} from '../support/system-world.js';
+
+type Running = {readonly child: ChildProcess; readonly stream: IncomingMessage; text: string; body: string};
+
+const longScenarioMs = 20_000;
+const address = '127.0.0.1';
+const getRunning = (world: SystemWorld): Running => world.notes.get('running') as Running;
+
+/* Resolves as soon as the text that a stream sends, as collected by `read`, contains some words. */
+const untilContains = async (stream: NodeJS.ReadableStream, read: () => string, words: string): Promise<void> => {
+	while (!read().includes(words)) {
+		await once(stream, 'data', {signal: AbortSignal.timeout(longScenarioMs / 2)});
+	}
+};
+
+const openStream = async (port: number): Promise<IncomingMessage> => {
+	for (;;) {
+		const request = httpRequest({
+			host: address, port, agent: false, path: '/stream/1', headers: {host: 'desk.example', 'x-request': 'the-request'},
+		});
+		request.end();
+		const [answer] = await once(request, 'response') as [IncomingMessage];
+		if (answer.statusCode === 200) {
+			return answer;
+		}
+
+		// The entry does not know its configuration yet.
+		answer.resume();
+		await once(answer, 'close');
+	}
+};
+
+Given('an entry process at which a caller reads a stream', {timeout: longScenarioMs}, async function (this: SystemWorld) {
+	const child = spawn(process.execPath, ['dist/stand-ins/forward/failing-entry.js'], {stdio: ['pipe', 'pipe', 'pipe']});
+	this.onClose(() => {
+		child.kill('SIGKILL');
+	});
+	const running = {child, text: '', body: ''};
+	for (const output of [child.stdout, child.stderr]) {
+		output.on('data', chunk => {
+			running.text += String(chunk);
+		});
+	}
+
+	await untilContains(child.stdout, () => running.text, 'listening on');
+	const stream = await openStream(Number(/listening on (?<port>\d+)/v.exec(running.text)!.groups!.port));
+	const complete: Running = Object.assign(running, {stream});
+	stream.on('data', chunk => {
+		complete.body += String(chunk);
+	});
+	stream.on('error', () => undefined);
+	this.notes.set('running', complete);
+	await untilContains(stream, () => complete.body, 'first');
+});
+
+When('an error is {word} that nothing handles', {timeout: longScenarioMs}, async function (this: SystemWorld, manner: string) {
+	const running = getRunning(this);
+	const {child, stream} = running;
+	child.stdin!.write(manner === 'thrown' ? 'throw\n' : 'reject\n');
+	await Promise.race([
+		untilContains(child.stdout!, () => running.text, 'stopping, 1 open requests'),
+		once(child, 'exit'),
+	]);
+	const closed = stream.destroyed ? Promise.resolve() : once(stream, 'close');
+	child.stdin!.on('error', () => undefined);
+	child.stdin!.write('release\n');
+	await closed;
+});
+
+Then('the stream is whole, and the process ends with exit code {int}', {timeout: longScenarioMs}, async function (this: SystemWorld, code: number) {
+	const {child, stream, body, text} = getRunning(this);
+	assert.ok(stream.complete, text);
+	assert.match(body, /last\n\n$/v);
+	if (child.exitCode === null) {
+		await once(child, 'exit');
+	}
+
+	assert.equal(child.exitCode, code);
+	assert.match(text, /process: (uncaughtException|unhandledRejection), the process stops: Error: nothing handles this/v);
+});
--- a/src/bin/process-lifecycle.ts
+++ b/src/bin/process-lifecycle.ts
@@ -17,10 +17,14 @@
 };
 
 const killedExitCode = 1;
+const errorExitCode = 70;
 /** A start that does not finish within this time after a signal to stop is given up, milliseconds: the platform waits 8 s until it kills. */
 const startTimeoutMs = 5000;
 
-/** Starts a process and stops it on signals. A signal that arrives during the start stops the process once it has started. */
+/**
+ * Starts a process, and stops it as planned on signals and after an error that nothing has handled, so that open requests are answered
+ * even then. What arrives during the start stops the process once it has started.
+ */
 export class ProcessLifecycle {
 	private running: RunningProcess | undefined;
 	private isStopping = false;
@@ -41,6 +45,16 @@
 		}
 	}
 
+	/** Handles an error that nothing else has handled; `origin` says whether it was thrown or rejected with. */
+	receiveError(error: unknown, origin: string): void {
+		process.exitCode = errorExitCode;
+		this.options.logger.error(`${origin}, ${this.isStopping ? 'during the stop' : 'the process stops'}: ${error instanceof Error ? error.stack ?? error.message : String(error)}`);
+		if (!this.isStopping) {
+			this.isStopping = true;
+			this.stop(origin);
+		}
+	}
+
 	/** Runs the process; resolves when it has stopped, or has nothing left to do. */
 	async run(): Promise<void> {
 		// Signals that arrived while the program was loaded or has read its settings are delivered in this turn.
@@ -50,10 +64,14 @@
 			return;
 		}
 
-		this.running = await this.options.start();
-		const {running} = this;
+		const running = await this.start();
+		if (!running) {
+			return;
+		}
+
+		this.running = running;
 		if (this.isStopping) {
-			void running.stop();
+			void this.stopRunning(running);
 		}
 
 		await running.stopped;
@@ -63,16 +81,35 @@
 		}
 	}
 
-	private stop(signal: NodeJS.Signals): void {
+	private async start(): Promise<RunningProcess | undefined> {
+		try {
+			return await this.options.start();
+		} catch (error) {
+			this.receiveError(error, 'not started');
+			process.exit(); // eslint-disable-line unicorn/no-process-exit
+		}
+	}
+
+	/* A planned stop that fails would leave a process that serves nobody. */
+	private async stopRunning(running: RunningProcess): Promise<void> {
+		try {
+			await running.stop();
+		} catch (error) {
+			this.receiveError(error, 'the planned stop failed');
+			process.exit(); // eslint-disable-line unicorn/no-process-exit
+		}
+	}
+
+	private stop(cause: string): void {
 		if (this.running) {
-			void this.running.stop();
+			void this.stopRunning(this.running);
 			return;
 		}
 
-		this.options.logger.info(`${signal} during the start: the process stops once it has started`);
+		this.options.logger.info(`${cause} during the start: the process stops once it has started`);
 		setTimeout(() => {
 			if (!this.running) {
-				this.options.logger.warn(`not started ${startTimeoutMs} ms after ${signal}: the process ends`);
+				this.options.logger.warn(`not started ${startTimeoutMs} ms after ${cause}: the process ends`);
 				process.exit(); // eslint-disable-line unicorn/no-process-exit
 			}
 		}, startTimeoutMs).unref();
@@ -80,7 +117,7 @@
 
 	private kill(): void {
 		process.exitCode = killedExitCode;
-		void Promise.resolve(this.running?.kill()).then(() => {
+		void Promise.resolve(this.running?.kill()).finally(() => {
 			process.exit(killedExitCode); // eslint-disable-line unicorn/no-process-exit
 		});
 	}
--- a/src/bin/run-process.ts
+++ b/src/bin/run-process.ts
@@ -18,9 +18,11 @@
 
 /**
  * Runs a process of the system: reads the settings file and starts the process. SIGTERM or SIGINT begins a planned stop, once the
- * process has started; a second signal ends the process immediately. SIGHUP only checks the settings file.
+ * process has started; a second signal ends the process immediately. SIGHUP only checks the settings file. An error that nothing has
+ * handled is logged, and begins a planned stop as well.
  *
- * Exit codes: 0 after a planned stop, 1 if a second signal ended it, 2 for wrong arguments, 78 for invalid settings.
+ * Exit codes: 0 after a planned stop, 1 if a second signal ended it, 2 for wrong arguments, 70 after an error that nothing
+ * has handled, 78 for invalid settings.
  */
 export async function runProcess<Settings extends {readonly logLevel: NodeSettings['logLevel']}>(options: ProcessOptions<Settings>, args: readonly string[]): Promise<void> {
 	const isCheck = args.includes('--check-settings');
@@ -50,6 +52,10 @@
 		describeReload: () => describeReload(options.readFile(files[0])),
 		logger: getLogger('process'),
 	});
+	// An unhandled rejection arrives here too.
+	process.on('uncaughtException', (error, origin) => {
+		lifecycle.receiveError(error, origin);
+	});
 	processSignals.deliverTo(signal => {
 		lifecycle.receive(signal);
 	});
