Read the product's own keys by schemas, and skip and log odd ones once

Another writer left an odd item under the product's own keys: - a planner key that holds anything but an address, without a lease: no process campaigned, since the key had a holder, and the group had no planner for good. The same value written over the key of a planner in office: it stepped down, and nobody followed; - odd items among the registrations of entries counted as entries (23 in place of 2), so that shares of rate limits and of retries shrank; entries and planners kept trying to connect to them, with a log line for each attempt, and orders to hold did not go through an entry; - listings of groups that cannot be read were dropped without a line; problems of the configuration and of crash records were logged over several lines; a rank logged an odd registration at each search, an odd configuration each second.

Cause: items under the product's own keys were used as they are, not parsed at one place.

Change: registrations of entries (src/mesh/entry-registrations.ts) and the planner key are parsed as link addresses; listings and crash records by their schemas, with bounds for names, which reports to peers carry. What does not parse is skipped, and logged once: key (control characters escaped), place, expectation (src/key-value/describe-item-problem.ts, src/log/problem-log.ts). A planner key without an address names no planner: another is elected, by the key's revision as before.

Ruled out by the same rows, before the change too: an end of an entry or of a rank's process, a view that stops following, a request that fails; odd configurations keep the one in force.

Existing tests: the group index takes a function for problems (directory-steps). No check or bound changed.

--- a/features/steps/directory-steps.ts
+++ b/features/steps/directory-steps.ts
@@ -104,7 +104,7 @@
 		{key: groupKeys.make('desk', group), value: JSON.stringify({epoch, engines: [one, other]}), revision: epoch},
 		{key: groupKeys.make('desk', 'invalid'), value: '{', revision: epoch},
 		{key: groupKeys.make('desk', 'partial'), value: JSON.stringify({engines: [other]}), revision: epoch},
-	]);
+	], String);
 	this.notes.set('formed', formed);
 });
 
--- a/features/steps/expert-plan-steps.ts
+++ b/features/steps/expert-plan-steps.ts
@@ -148,7 +148,9 @@
 		log: String,
 	});
 	const item = {...plannerKey, era: 0};
-	await election.tick(0, {era: 0, holder: item, stored: item}, false);
+	await election.tick(0, {
+		era: 0, holder: item, planner: item.value, stored: item,
+	}, false);
 	this.notes.set('term', election.term);
 });
 
--- a/features/support/election-cluster.ts
+++ b/features/support/election-cluster.ts
@@ -92,7 +92,11 @@
 		for (const {view, election, isSuspended} of this.candidates) {
 			if (!isSuspended) {
 				view.tick(this.now);
-				void election.tick(this.now, view.isLoaded ? {era: view.asOf.era, holder: view.get(plannerKey), stored: view.getStored(plannerKey)} : undefined, false);
+				const holder = view.get(plannerKey);
+				const known = {
+					era: view.asOf.era, holder, planner: holder?.value, stored: view.getStored(plannerKey),
+				};
+				void election.tick(this.now, view.isLoaded ? known : undefined, false);
 			}
 		}
 	}
--- a/features/support/make-simulated-entry.ts
+++ b/features/support/make-simulated-entry.ts
@@ -1,3 +1,4 @@
+import {makeCrashRecords} from '../../src/forward/make-crash-records.js';
 import {makeEntryState} from '../../src/forward/make-entry-state.js';
 import {makeForwardPipeline} from '../../src/forward/make-forward-pipeline.js';
 import {type ChangeFeed} from '../../src/key-value/change-feed.js';
@@ -49,6 +50,7 @@
 			close: () => undefined,
 		}),
 	});
+	const crashRecords = makeCrashRecords(path.crashes, {registry: store, log});
 	const state = makeEntryState({
 		id,
 		incarnation: String(clock()),
@@ -71,6 +73,11 @@
 		},
 		onMessage: () => undefined,
 		onTable: () => undefined,
+		onChange(changed, now) {
+			for (const records of crashRecords) {
+				records.read(changed, now);
+			}
+		},
 		onLeave(target) {
 			path.removeTarget(target);
 		},
--- a/features/support/rank-service.ts
+++ b/features/support/rank-service.ts
@@ -5,6 +5,7 @@
 import {BalanceSettings} from '../../src/expert-balance/balance-settings.js';
 import {RankProcess} from '../../src/expert-balance/rank-process.js';
 import {type RankEngine} from '../../src/expert-balance/rank-engine.js';
+import {getPlannerKey} from '../../src/expert-balance/get-planner-key.js';
 import {groupKeys} from '../../src/fleet/group-keys.js';
 import {GroupListing} from '../../src/fleet/group-listing.js';
 import {type LinkConnection} from '../../src/link/link-connection.js';
@@ -26,7 +27,7 @@
 };
 
 const service = 'model';
-const entryAddress = 'entry:1';
+const entryAddress = '10.1.0.1:1';
 const turnMs = 5;
 const latencyMs = 2;
 
@@ -35,11 +36,14 @@
 	now = 0;
 	readonly groups: LockstepGroup[] = [];
 	readonly log: string[] = [];
+	/** Number of orders that the entry has passed to engines. */
+	ordersViaEntry = 0;
 	private readonly store = new MemoryStore();
 	private readonly network: LimitedNetwork;
 	private readonly processes: RankProcess[] = [];
 	private readonly engines = new Map<string, RankEngine>();
 	private readonly random: () => number;
+	private readonly actions = new Map<number, () => void>();
 
 	constructor(private readonly options: ServiceOptions) {
 		const generator = xoroshiro128plus(options.seed);
@@ -55,6 +59,21 @@
 		});
 	}
 
+	/** Writes a key as another writer does, without a lease. */
+	put(key: string, value: string): void {
+		this.store.put(key, value);
+	}
+
+	/** Writes the planner key of the first group as another writer does, without a lease. */
+	putPlannerKey(value: string): void {
+		this.put(getPlannerKey(service, 'group-0'), value);
+	}
+
+	/** Calls a function once the clock has reached `ms`. */
+	onTime(ms: number, action: () => void): void {
+		this.actions.set(ms, action);
+	}
+
 	/** Reads the listings of engines by group that planners publish for entries. */
 	async readListings(): Promise<GroupListing[]> {
 		const listed = await this.store.createClient('reader').list(groupKeys.prefix);
@@ -84,6 +103,7 @@
 
 	private async turn(shiftMs: number): Promise<void> {
 		this.now += turnMs;
+		this.actions.get(this.now)?.();
 		for (const group of this.groups) {
 			if (this.now % shiftMs === 0) {
 				group.shiftDemand();
@@ -101,7 +121,7 @@
 			name: `group-${index}`, shape: this.options, stepMs: this.options.passMs, random: this.random, delayedShare: 0, unansweredShare: 0,
 		});
 		for (let rank = 0; rank < this.options.ranks; rank++) {
-			this.engines.set(`vm-${index}-${rank}:2`, group.openEngine(rank));
+			this.engines.set(`10.0.${index}.${rank}:2`, group.openEngine(rank));
 		}
 
 		return group;
@@ -142,6 +162,7 @@
 	private forwardOrders(connection: LinkConnection): void {
 		connection.onMessage(async message => {
 			if (message.type === 'engine-order') {
+				this.ordersViaEntry++;
 				const outcome = await this.engines.get(message.engineAddress)!.order(message.order);
 				connection.send({type: 'engine-outcome', number: message.number, outcome});
 			}
--- a/features/support/store-simulation.ts
+++ b/features/support/store-simulation.ts
@@ -45,6 +45,9 @@
 
 const getKey = (id: string): string => `targets/${id}`;
 
+/* An entry that replaces entry 1 is named `1+`, and has another port of the same IP number. */
+const makeAddress = (id: string): string => `10.0.0.${Number.parseInt(id, 10)}:${id.length - String(Number.parseInt(id, 10)).length + 1}`;
+
 /** Simulation of entries that follow one store, on one mock clock. The entries are wired as in a process, without callers and sockets. */
 export class StoreSimulation {
 	now = 0;
@@ -100,7 +103,7 @@
 
 	/** Starts an entry with the addresses of up to three others as seeds. */
 	start(id: string): void {
-		const address = `10.0.0.${id}:1`;
+		const address = makeAddress(id);
 		const seeds = [...this.entries.values()].slice(0, 3).map(entry => entry.address);
 		const connections = new SimulatedConnections(() => this.now);
 		this.connections.set(id, connections);
--- a/src/expert-balance/planner-election.ts
+++ b/src/expert-balance/planner-election.ts
@@ -15,8 +15,10 @@
 type ElectionState = {
 	/** Era of the store that this process's view reflects. */
 	readonly era: number;
-	/** The key's value by this process's view: the current planner. */
+	/** The key's value by this process's view. */
 	readonly holder: StoredItem | undefined;
+	/** Address of the current planner by this process's view; undefined if there is none, also if the key does not hold an address. */
+	readonly planner: string | undefined;
 	/** The key's value in the store itself, which differs from the view for a while after the store was restored from a backup. */
 	readonly stored: StoredItem | undefined;
 };
@@ -111,8 +113,8 @@
 
 	private async campaign(now: number, known: ElectionState, isStuck: boolean): Promise<void> {
 		// The key holds this process's own address, so its holder was an earlier instance here: no need to wait for the lease to expire.
-		const isOwn = known.holder?.value === this.options.address;
-		if (known.holder && !isStuck && !isOwn) {
+		const isOwn = known.planner === this.options.address;
+		if (known.planner !== undefined && !isStuck && !isOwn) {
 			this.campaignAt = undefined;
 			return;
 		}
--- a/src/expert-balance/rank-process.ts
+++ b/src/expert-balance/rank-process.ts
@@ -2,6 +2,10 @@
 import {type ChangeFeed} from '../key-value/change-feed.js';
 import {type Registry} from '../key-value/registry.js';
 import {type LinkConnection} from '../link/link-connection.js';
+import {LinkAddress} from '../link/link-address.js';
+import {describeItemProblem} from '../key-value/describe-item-problem.js';
+import {ProblemLog} from '../log/problem-log.js';
+import {entryRegistrations} from '../mesh/entry-registrations.js';
 import {StoreView} from '../view/store-view.js';
 import {unorderedItems} from '../view/unordered-items.js';
 import {type BalanceSettings} from './balance-settings.js';
@@ -39,7 +43,6 @@
 	readonly log: (message: string) => void;
 };
 
-const entriesPrefix = 'wardswitch/entries/';
 /** Time between two checks of the election and the links, milliseconds. */
 const tickMs = 100;
 /** Minimum time between two reports of this rank, milliseconds. */
@@ -64,8 +67,16 @@
 	private readonly plannerServer: PlannerServer;
 	private reportTimer: NodeJS.Timeout | undefined;
 	private timer: NodeJS.Timeout | undefined;
+	private readonly plannerProblems: ProblemLog;
+	private readonly entryProblems: ProblemLog;
 
 	constructor(private readonly options: ProcessOptions) {
+		this.plannerProblems = new ProblemLog(problem => {
+			options.log(`planner key not accepted: ${problem}`);
+		});
+		this.entryProblems = new ProblemLog(problem => {
+			options.log(`registration of an entry not accepted: ${problem}`);
+		});
 		this.agent = this.createAgent();
 		this.plannerLink = this.createPlannerLink();
 		this.orderProxy = new OrderProxy({...options, listEntries: async () => this.listEntries()});
@@ -184,8 +195,25 @@
 	}
 
 	private async listEntries(): Promise<readonly string[]> {
-		const listed = await this.options.feed.list(entriesPrefix);
-		return listed.isOk() ? listed.value.items.map(({value}) => value) : [];
+		const listed = await this.options.feed.list(entryRegistrations.prefix);
+		if (listed.isErr()) {
+			return [];
+		}
+
+		const problems: string[] = [];
+		const entries = entryRegistrations.read(listed.value.items, problem => {
+			problems.push(problem);
+		});
+		this.entryProblems.update(problems);
+		return entries.map(({address}) => address);
+	}
+
+	/* A key that does not hold an address names no planner: the group elects another. */
+	private readPlanner(key: string, view: StoreView): string | undefined {
+		const item = view.get(key);
+		const address = item && LinkAddress.safeParse(item.value);
+		this.plannerProblems.update(address?.success === false ? [describeItemProblem(key, address.error)] : []);
+		return address?.data;
 	}
 
 	private async report(): Promise<void> {
@@ -218,9 +246,13 @@
 	private tickElection({group, key, view, election, publication}: GroupElection, now: number): void {
 		const {heldSince} = this.agent;
 		const isStuck = heldSince !== undefined && now - heldSince > stuckHoldMs;
-		this.plannerLink.follow(view.get(key)?.value, now);
+		const planner = this.readPlanner(key, view);
+		this.plannerLink.follow(planner, now);
 		view.tick(now);
-		void election.tick(now, view.isLoaded ? {era: view.asOf.era, holder: view.get(key), stored: view.getStored(key)} : undefined, isStuck);
+		const known = {
+			era: view.asOf.era, holder: view.get(key), planner, stored: view.getStored(key),
+		};
+		void election.tick(now, view.isLoaded ? known : undefined, isStuck);
 		this.plannerServer.tick(election.term === undefined ? undefined : {term: election.term, group}, now);
 		if (election.term !== undefined) {
 			publication.tick(this.plannerServer.getListing(now), view.asOf.era, now);
--- a/src/fleet/group-index.ts
+++ b/src/fleet/group-index.ts
@@ -1,15 +1,8 @@
+import {parseJsonItem} from '../key-value/parse-json-item.js';
 import {type StoredValue} from '../key-value/stored-value.js';
 import {GroupListing} from './group-listing.js';
 import {groupKeys} from './group-keys.js';
 
-const parse = (text: string): unknown => {
-	try {
-		return JSON.parse(text) as unknown;
-	} catch {
-		return undefined;
-	}
-};
-
 /** Maps each engine to its group of ranks, from the listings that the groups' planners write to the store. */
 export class GroupIndex {
 	private groups = new Map<string, string>();
@@ -18,19 +11,23 @@
 	/**
 	 * Replaces all listings; one that cannot be parsed is ignored.
 	 *
+	 * @param report - called for each listing that is ignored
 	 * @returns the groups whose epoch has changed, that is, which were formed again, as `SERVICE/GROUP`
 	 */
-	replace(items: readonly StoredValue[]): string[] {
+	replace(items: readonly StoredValue[], report: (problem: string) => void): string[] {
 		const groups = new Map<string, string>();
 		const epochs = new Map<string, number>();
-		for (const {key, value} of items) {
-			const listing = GroupListing.safeParse(parse(value));
-			if (listing.success) {
-				const name = key.slice(groupKeys.prefix.length);
-				epochs.set(name, listing.data.epoch);
-				for (const engine of listing.data.engines) {
-					groups.set(engine, name);
-				}
+		for (const item of items) {
+			const listing = parseJsonItem(item, GroupListing);
+			if (listing.isErr()) {
+				report(listing.error);
+				continue;
+			}
+
+			const name = item.key.slice(groupKeys.prefix.length);
+			epochs.set(name, listing.value.epoch);
+			for (const engine of listing.value.engines) {
+				groups.set(engine, name);
 			}
 		}
 
--- a/src/forward/crash-records.ts
+++ b/src/forward/crash-records.ts
@@ -1,3 +1,4 @@
+import {describeItemProblem} from '../key-value/describe-item-problem.js';
 import {type Registry} from '../key-value/registry.js';
 import {type StoredValue} from '../key-value/stored-value.js';
 
@@ -97,7 +98,7 @@
 		try {
 			suspects.mergeRecord(key.slice(prefix.length), JSON.parse(value), now);
 		} catch (error) {
-			log(`record ${key} not accepted: ${(error as Error).message}`);
+			log(`crash record not accepted: ${describeItemProblem(key, error)}`);
 		}
 	}
 }
--- a/src/forward/fleet-state.ts
+++ b/src/forward/fleet-state.ts
@@ -3,6 +3,8 @@
 import {RouteTable} from '../fleet/route-table.js';
 import {type TargetDirectory} from '../fleet/target-directory.js';
 import {type Target} from '../fleet/target.js';
+import {describeItemProblem} from '../key-value/describe-item-problem.js';
+import {ProblemLog} from '../log/problem-log.js';
 import {type StoreView} from '../view/store-view.js';
 import {type FleetSource} from './fleet-source.js';
 
@@ -24,12 +26,22 @@
 export class FleetState {
 	private current: RouteTable | undefined;
 	private readonly groups = new GroupIndex();
-	/** The last configuration error, so that it is logged once. */
-	private problem = '';
-	/** Problems of invalid registrations, so that each is logged once and not at every change of the store. */
-	private registrationProblems = new Set<string>();
-
-	constructor(private readonly options: StateOptions) {}
+	private readonly configurationProblems: ProblemLog;
+	private readonly groupProblems: ProblemLog;
+	private readonly registrationProblems: ProblemLog;
+
+	constructor(private readonly options: StateOptions) {
+		const {log} = options;
+		this.configurationProblems = new ProblemLog(problem => {
+			log(`configuration not accepted: ${problem}; keeping version ${this.current?.version ?? 'none'}`);
+		});
+		this.groupProblems = new ProblemLog(problem => {
+			log(`list of a group not accepted: ${problem}`);
+		});
+		this.registrationProblems = new ProblemLog(problem => {
+			log(`registration not accepted: ${problem}`);
+		});
+	}
 
 	/** The configuration in force; undefined while none is known. */
 	get table(): RouteTable | undefined {
@@ -39,11 +51,7 @@
 	/** Updates configuration, groups and targets from the view; `now` in milliseconds. */
 	refresh(now: number): void {
 		this.refreshTable();
-		for (const group of this.groups.replace(this.options.view.list(groupKeys.prefix))) {
-			this.options.log(`group ${group} has been formed again`);
-			this.options.onGroupFormed(group);
-		}
-
+		this.refreshGroups();
 		this.refreshTargets(now);
 	}
 
@@ -70,32 +78,39 @@
 		}
 	}
 
+	private refreshGroups(): void {
+		const problems: string[] = [];
+		const formed = this.groups.replace(this.options.view.list(groupKeys.prefix), problem => {
+			problems.push(problem);
+		});
+		this.groupProblems.update(problems);
+		for (const group of formed) {
+			this.options.log(`group ${group} has been formed again`);
+			this.options.onGroupFormed(group);
+		}
+	}
+
 	private refreshTable(): void {
 		const {view, source, log, onTable} = this.options;
 		try {
 			const configuration = source.readConfiguration(view);
+			this.configurationProblems.update([]);
 			// An older version never replaces a newer one, whatever its source.
 			if (!configuration || configuration.version <= (this.current?.version ?? -1)) {
 				return;
 			}
 
 			this.current = new RouteTable(configuration);
-			this.problem = '';
 			log(`configuration ${configuration.version} in force, store era ${view.asOf.era} revision ${view.asOf.number}`);
 			onTable(this.current);
 		} catch (error) {
-			const problem = (error as Error).message;
-			if (problem !== this.problem) {
-				log(`configuration not accepted: ${problem}; keeping version ${this.current?.version ?? 'none'}`);
-			}
-
-			this.problem = problem;
+			this.configurationProblems.update([(error as Error).message]);
 		}
 	}
 
 	/* A registration of an unknown service is ignored: it may have the address of a target of a configured one. */
 	private readTargets(): Target[] {
-		const {view, source, log} = this.options;
+		const {view, source} = this.options;
 		const problems = new Set<string>();
 		const registered = source.readTargets(view, problem => {
 			problems.add(problem);
@@ -103,18 +118,12 @@
 		const targets = registered.filter(({id, service}) => {
 			const isConfigured = !this.current || this.current.findService(service) !== undefined;
 			if (!isConfigured) {
-				problems.add(`${id}: service ${service} is not configured`);
+				problems.add(describeItemProblem(id, new Error(`service ${service} is not configured`)));
 			}
 
 			return isConfigured;
 		});
-		for (const problem of problems) {
-			if (!this.registrationProblems.has(problem)) {
-				log(`registration not accepted: ${problem}`);
-			}
-		}
-
-		this.registrationProblems = problems;
+		this.registrationProblems.update(problems);
 		return targets.map(target => {
 			const group = this.groups.getGroup(target.service, `${target.address}:${target.port}`);
 			return group === undefined ? target : {...target, group};
--- a/src/forward/make-entry-state.ts
+++ b/src/forward/make-entry-state.ts
@@ -6,7 +6,9 @@
 import {linkProtocolVersion} from '../link/link-protocol-version.js';
 import {type LinkConnection} from '../link/link-connection.js';
 import {type LinkMessage} from '../link/link-message.js';
+import {ProblemLog} from '../log/problem-log.js';
 import {EntryMesh} from '../mesh/entry-mesh.js';
+import {entryRegistrations} from '../mesh/entry-registrations.js';
 import {FleetStart} from '../mesh/fleet-start.js';
 import {Registration} from '../mesh/registration.js';
 import {StoreView} from '../view/store-view.js';
@@ -56,8 +58,6 @@
 	close(): void;
 };
 
-/** Prefix of the keys under which entries register. */
-const entriesPrefix = 'wardswitch/entries/';
 /** Mean wait of a call that watches the store, milliseconds: after a partition, a process must be up to date within 3 s (the platform's bound). */
 const viewWaitMs = 1200;
 /** Longest backoff between calls to the store, milliseconds: even 1.5 times this plus the call is within that bound. Not shorter, since each refused call has a cost. */
@@ -79,9 +79,10 @@
 			mesh.reportNow();
 		},
 		onChange(now) {
+			readRegistered();
 			noteFirstRead();
 			fleet.refresh(now);
-			connectToRegistered();
+			mesh.addPeers(registered.map(entry => entry.address));
 			options.onChange?.(view, now);
 		},
 	});
@@ -106,20 +107,26 @@
 		},
 		log: log.view,
 	});
-	const listRegistered = (): string[] => view.list(entriesPrefix).map(({key: registered}) => registered.slice(entriesPrefix.length));
+	let registered: ReturnType<typeof entryRegistrations.read> = [];
+	const registrationProblems = new ProblemLog(problem => {
+		log.entry(`registration of an entry not accepted: ${problem}`);
+	});
+	const readRegistered = (): void => {
+		const problems: string[] = [];
+		registered = entryRegistrations.read(view.list(entryRegistrations.prefix), problem => {
+			problems.push(problem);
+		});
+		registrationProblems.update(problems);
+	};
 
 	/* A peer's view does not show what the store held before this process registered. */
 	const noteFirstRead = (): void => {
 		if (view.isLoaded && !mesh.hasReceivedView) {
-			fleetStart.noteFirstRead({era: view.asOf.era, registered: listRegistered()});
+			fleetStart.noteFirstRead({era: view.asOf.era, registered: registered.map(entry => entry.id)});
 		}
 	};
 
-	const connectToRegistered = (): void => {
-		mesh.addPeers(view.list(entriesPrefix).map(({value}) => value));
-	};
-
-	const key = `${entriesPrefix}${id}`;
+	const key = entryRegistrations.getKey(id);
 	const registration = new Registration({
 		...options, key, value: address, log: log.entry,
 	});
@@ -137,7 +144,7 @@
 		fleet,
 		mesh,
 		getTable: now => fleet.table && hasWaitedForPeers(now) ? fleet.table : undefined,
-		countRegistered: () => view.list(entriesPrefix).length,
+		countRegistered: () => registered.length,
 		isNewFleet: () => fleetStart.isNew,
 		start(seeds) {
 			mesh.addPeers(seeds);
--- a/stand-ins/forward/plain-source.ts
+++ b/stand-ins/forward/plain-source.ts
@@ -1,14 +1,7 @@
 import {RoutingConfiguration} from '../../src/fleet/routing-configuration.js';
 import {Target} from '../../src/fleet/target.js';
 import {type FleetSource} from '../../src/forward/fleet-source.js';
-
-const parse = (text: string): unknown => {
-	try {
-		return JSON.parse(text) as unknown;
-	} catch {
-		return undefined;
-	}
-};
+import {parseJsonItem} from '../../src/key-value/parse-json-item.js';
 
 /** Reads configuration and targets that are stored as JSON of the product's own schemas, without a platform's format. */
 export const plainSource: FleetSource = {
@@ -21,16 +14,18 @@
 	},
 	readConfiguration(view) {
 		const stored = view.get('configuration');
-		return stored && RoutingConfiguration.parse(parse(stored.value));
+		return stored && parseJsonItem(stored, RoutingConfiguration).match(configuration => configuration, problem => {
+			throw new Error(problem);
+		});
 	},
 	readTargets(view, report) {
-		return view.list('targets/').flatMap(({key, value}) => {
-			const target = Target.safeParse(parse(value));
-			if (!target.success) {
-				report(`${key}: ${target.error.issues[0].message}`);
+		return view.list('targets/').flatMap(item => {
+			const target = parseJsonItem(item, Target);
+			if (target.isErr()) {
+				report(target.error);
 			}
 
-			return target.success ? [target.data] : [];
+			return target.isOk() ? [target.value] : [];
 		});
 	},
 };
