Keep the table and the list of VMs beside odd heads, pages and VMs

A head of the table that is not JSON ended an entry of the product's own interface (an unhandled SyntaxError in the watch, likewise in the read at the start); the same from a peer, or one page that cannot be read, threw out of the link's handler. One VM with a port out of range, of another type or null hid the whole list of VMs from every process and command that reads it.

Cause: stored text was parsed outside of the place that turns what does not parse into an error; the list was parsed as a whole.

Change: heads, pages, claims and the recorded map are parsed by one function that returns an error (parse-json-item.ts); VMs are parsed one by one, and one that does not fit (IP number, port, state) is left out and logged once. `table history` lists the versions that can be read and names the others.

No row covers a claim or a recorded map that cannot be read, nor the command.

--- a/features/odd-entries.feature
+++ b/features/odd-entries.feature
@@ -65,3 +65,46 @@
     When 8 seconds pass with a shift of its demand every 2 seconds
     Then every hold was ordered through an entry
     And the planner has logged each odd registration of an entry once
+
+  # Guards against an entry that ends because of a table head that it cannot read, and one that does not read the next.
+  Scenario Outline: An entry keeps its table beside a head that is <value>, and takes the next
+    Given a table controller that watches the platform
+    When the watch delivers versions "5"
+    And the watch delivers a head that is "<value>"
+    And the watch delivers versions "7"
+    Then versions came into force in the order "5, 7"
+    And the controller reports "wardswitch/table/head: "
+
+    Examples:
+      | value                 |
+      | nothing               |
+      | text that is not JSON |
+      | a prototype           |
+      | very deep nesting     |
+      | a number too large    |
+
+  Scenario Outline: A peer that offers a head that is <value>, or a page that is, does not change the table
+    Given a table controller at version 3
+    When a peer offers a head that is "<value>"
+    And a peer offers version 4 with a page that is "<value>"
+    Then the controller stays at version 3
+    And the controller reports "offered table not accepted"
+
+    Examples:
+      | value                 |
+      | nothing               |
+      | text that is not JSON |
+      | very deep nesting     |
+
+  # Guards against a list of VMs that no process follows any more because of one VM in it.
+  Scenario Outline: The list of VMs is read without a VM whose <field> is <value>
+    Given a list of VMs with a sound one and one whose <field> is <value>
+    Then the sound VM is listed, and the other is reported with "vms.1"
+
+    Examples:
+      | field    | value           |
+      | linkPort | 70000           |
+      | linkPort | 1e300           |
+      | address  | "999.1.1.1"     |
+      | state    | {"__proto__":1} |
+      | whole    | null            |
--- a/features/steps/table-controller-steps.ts
+++ b/features/steps/table-controller-steps.ts
@@ -6,6 +6,7 @@
 import {TableController} from '../../src/table/table-controller.js';
 import {tableKeys} from '../../src/table/table-keys.js';
 import {makeTableSnapshot} from '../support/make-table-snapshot.js';
+import {oddValues} from '../support/odd-values.js';
 import {type SystemWorld} from '../support/system-world.js';
 
 const unusedKeyValue = undefined as unknown as KeyValue;
@@ -52,6 +53,14 @@
 	}
 });
 
+When('the watch delivers a head that is {string}', async function (this: SystemWorld, name: string) {
+	const onChange = this.notes.get('onChange') as (change: {key: string; value: string; revision: number}) => void;
+	onChange({key: tableKeys.head, value: oddValues[name], revision: 6});
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+});
+
 Then('versions came into force in the order {string}', function (this: SystemWorld, versions: string) {
 	assert.equal((this.notes.get('installed') as number[]).join(', '), versions);
 });
@@ -73,6 +82,17 @@
 	(this.notes.get('controller') as TableController).applyOffer({type: 'table-offered', head: JSON.stringify(head), pages: [...pages.values()]});
 });
 
+When('a peer offers a head that is {string}', function (this: SystemWorld, name: string) {
+	(this.notes.get('controller') as TableController).applyOffer({type: 'table-offered', head: oddValues[name], pages: []});
+});
+
+When('a peer offers version {int} with a page that is {string}', function (this: SystemWorld, version: number, name: string) {
+	const {head, pages} = makeTableSnapshot([], version, 'odd');
+	(this.notes.get('controller') as TableController).applyOffer({
+		type: 'table-offered', head: JSON.stringify(head), pages: [...pages.values()].map(({hash}) => ({hash, text: oddValues[name]})),
+	});
+});
+
 When('a peer reports version {int} of another change', function (this: SystemWorld, version: number) {
 	(this.notes.get('controller') as TableController).noteVersion(version, 'theirs', 0);
 });
--- a/features/support/store-simulation.ts
+++ b/features/support/store-simulation.ts
@@ -45,8 +45,11 @@
 
 const getKey = (id: string): string => `targets/${id}`;
 
-/* An entry that replaces entry 1 is named `1+`, and has another port of the same IP number. */
-const makeAddress = (id: string): string => `10.0.0.${Number.parseInt(id, 10)}:${id.length - String(Number.parseInt(id, 10)).length + 1}`;
+/* An entry that replaces entry 1 is named `1+`, and has another port of the same IP number; `late` has an IP number of its own. */
+const makeAddress = (id: string): string => {
+	const [digits] = /^\d*/v.exec(id)!;
+	return `10.0.0.${digits === '' ? 250 : digits}:${id.length - digits.length + 1}`;
+};
 
 /** Simulation of entries that follow one store, on one mock clock. The entries are wired as in a process, without callers and sockets. */
 export class StoreSimulation {
--- a/src/cli/commands/table-history.ts
+++ b/src/cli/commands/table-history.ts
@@ -1,4 +1,5 @@
 import {Command} from 'clipanion';
+import {parseJsonItem} from '../../key-value/parse-json-item.js';
 import {TableHead} from '../../table/table-head.js';
 import {tableKeys} from '../../table/table-keys.js';
 import {exitCode} from '../exit-code.js';
@@ -16,7 +17,13 @@
 			return exitCode.unavailable;
 		}
 
-		const heads = stored.value.map(({value}) => TableHead.parse(JSON.parse(value))).toReversed();
+		const parsed = stored.value.map(item => parseJsonItem(item, TableHead));
+		const problems = parsed.flatMap(head => head.isErr() ? [head.error] : []);
+		if (problems.length > 0) {
+			this.printErrors(problems);
+		}
+
+		const heads = parsed.flatMap(head => head.isOk() ? [head.value] : []).toReversed();
 		this.print(heads, heads.map(({version, at, operator, changeId}) => `${version}  ${new Date(at).toISOString()}  ${operator}  ${changeId}`));
 		return exitCode.ok;
 	}
--- a/src/cli/operator-command.ts
+++ b/src/cli/operator-command.ts
@@ -42,7 +42,14 @@
 			throw new UsageError('expected --vm-list URL, or platform.vmList in the settings');
 		}
 
-		const list = await fetchVmList({url, timeoutMs, previous: undefined});
+		const list = await fetchVmList({
+			url,
+			timeoutMs,
+			previous: undefined,
+			report: problem => {
+				this.context.stderr.write(`list of VMs: ${problem}\n`);
+			},
+		});
 		if (list.isErr()) {
 			throw list.error;
 		}
--- a/src/entry/entry-controller.ts
+++ b/src/entry/entry-controller.ts
@@ -7,6 +7,7 @@
 import {type Membership} from '../membership/membership.js';
 import {type PeerPool} from '../membership/peer-pool.js';
 import {type ProcessMetrics} from '../metrics/process-metrics.js';
+import {ProblemLog} from '../log/problem-log.js';
 import {fetchVmList} from '../vm-list/fetch-vm-list.js';
 import {type VmList} from '../vm-list/vm-list.js';
 import {rankByRendezvous} from '../routing/rank-by-rendezvous.js';
@@ -43,6 +44,7 @@
 /** The control plane of an entry: heartbeats, the VM list, distribution of the table, limits, and the document of `/status`. */
 export class EntryController {
 	private vmList: VmList | undefined;
+	private readonly vmProblems: ProblemLog;
 	private vmListAt = 0;
 	private nextVmListAt = 0;
 	private nextHeartbeatAt = 0;
@@ -51,7 +53,11 @@
 	private hasPeerAnswered = false;
 	private timer: NodeJS.Timeout | undefined;
 
-	constructor(private readonly options: ControllerOptions) {}
+	constructor(private readonly options: ControllerOptions) {
+		this.vmProblems = new ProblemLog(problem => {
+			options.log(`VM left out: ${problem}`);
+		});
+	}
 
 	/** Whether callers may be sent here: a table is in force, and a peer has answered or the settle time-out has passed. */
 	get isReady(): boolean {
@@ -222,12 +228,25 @@
 	private async refreshVmList(): Promise<void> {
 		const {platform, membership, targets, clock, metrics} = this.options;
 		metrics.platformCalls.inc({operation: 'vm-list'});
-		const answer = await fetchVmList({url: platform.vmList, timeoutMs: platform.timeoutMs, previous: this.vmList});
+		const problems: string[] = [];
+		const answer = await fetchVmList({
+			url: platform.vmList,
+			timeoutMs: platform.timeoutMs,
+			previous: this.vmList,
+			report(problem) {
+				problems.push(problem);
+			},
+		});
 		if (answer.isErr()) {
 			this.options.log(answer.error.message);
 			return;
 		}
 
+		// The platform reports no change with the former list, whose problems are known.
+		if (answer.value !== this.vmList) {
+			this.vmProblems.update(problems);
+		}
+
 		const now = clock();
 		this.vmList = answer.value;
 		this.vmListAt = now;
--- a/src/map-switch/group-member.ts
+++ b/src/map-switch/group-member.ts
@@ -5,7 +5,9 @@
 import {type LinkMessage} from '../link/link-message.js';
 import {type MessageOf} from '../link/message-of.js';
 import {PeerPool} from '../membership/peer-pool.js';
+import {ProblemLog} from '../log/problem-log.js';
 import {fetchVmList} from '../vm-list/fetch-vm-list.js';
+import {parseJsonItem} from '../key-value/parse-json-item.js';
 import {type KeyValue} from '../key-value/key-value.js';
 import {type VmList} from '../vm-list/vm-list.js';
 import {type Vm} from '../vm-list/vm.js';
@@ -44,6 +46,7 @@
 	private readonly participant: MapParticipant;
 	private readonly coordinator: MapCoordinator | undefined;
 	private list: VmList | undefined;
+	private readonly vmProblems: ProblemLog;
 	private nextListAt = 0;
 	private nextRecordAt = 0;
 	private readonly timer: NodeJS.Timeout;
@@ -51,6 +54,9 @@
 	private recordedEpoch = 0;
 
 	constructor(private readonly options: MemberOptions) {
+		this.vmProblems = new ProblemLog(problem => {
+			options.log(`VM left out: ${problem}`);
+		});
 		const {settings, connect, hello, clock, random} = options;
 		this.group = settings.group!;
 		this.rank = settings.rank!;
@@ -140,8 +146,19 @@
 
 	private async readList(): Promise<void> {
 		const {vmList, timeoutMs} = this.options.settings.platform;
-		const list = await fetchVmList({url: vmList, timeoutMs, previous: this.list});
-		this.list = list.unwrapOr(this.list!);
+		const problems: string[] = [];
+		const list = await fetchVmList({
+			url: vmList,
+			timeoutMs,
+			previous: this.list,
+			report(problem) {
+				problems.push(problem);
+			},
+		});
+		if (list.isOk() && list.value !== this.list) {
+			this.vmProblems.update(problems);
+			this.list = list.value;
+		}
 	}
 
 	private sendTo(rank: number, message: LinkMessage): void {
@@ -194,7 +211,8 @@
 				return;
 			}
 
-			const storedEpoch = stored.value ? GroupMap.parse(JSON.parse(stored.value.value)).epoch : 0;
+			// A map that cannot be read is replaced.
+			const storedEpoch = stored.value ? parseJsonItem(stored.value, GroupMap).map(recorded => recorded.epoch).unwrapOr(0) : 0;
 			if (storedEpoch < epoch) {
 				await keyValue.commit({conditions: [{key, revision: stored.value?.revision ?? 0}], puts: [{key, value: JSON.stringify({epoch, map})}]});
 				return;
--- a/src/once/claim-store.ts
+++ b/src/once/claim-store.ts
@@ -1,6 +1,7 @@
 import {createHash} from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
 import {type KeyValue} from '../key-value/key-value.js';
+import {parseJsonItem} from '../key-value/parse-json-item.js';
 import {PlatformError} from '../key-value/platform-error.js';
 import {type Transaction} from '../key-value/transaction.js';
 import {type ClaimLease} from './claim-lease.js';
@@ -24,7 +25,15 @@
 
 	async read(key: string): Promise<Result<HeldClaim | undefined, PlatformError>> {
 		const stored = await this.keyValue.get(key);
-		return stored.map(value => value && {claim: Claim.parse(JSON.parse(value.value)), revision: value.revision});
+		return stored.andThen(value => {
+			if (!value) {
+				return ok(undefined);
+			}
+
+			return parseJsonItem(value, Claim)
+				.map(claim => ({claim, revision: value.revision}))
+				.mapErr(problem => new PlatformError(`claim not accepted: ${problem}`, 'no'));
+		});
 	}
 
 	/**
--- a/src/table/fetch-snapshot.ts
+++ b/src/table/fetch-snapshot.ts
@@ -1,10 +1,11 @@
-import {err, ok, type Result} from 'neverthrow';
+import {err, type Result} from 'neverthrow';
 import {type KeyValue} from '../key-value/key-value.js';
+import {makeSnapshot} from './make-snapshot.js';
+import {parseHead} from './parse-head.js';
 import {TableError} from './table-error.js';
-import {TableHead} from './table-head.js';
 import {tableKeys} from './table-keys.js';
 import {type TablePage} from './table-page.js';
-import {TableSnapshot} from './table-snapshot.js';
+import {type TableSnapshot} from './table-snapshot.js';
 
 /**
  * Reads the pages that a head lists from the platform and builds the snapshot.
@@ -13,13 +14,13 @@
  * @param knownPages - pages that the caller already has, which are not read again
  */
 export async function fetchSnapshot(keyValue: KeyValue, headText: string, knownPages: ReadonlyMap<string, TablePage>): Promise<Result<TableSnapshot, TableError>> {
-	const head = TableHead.safeParse(JSON.parse(headText));
-	if (!head.success) {
-		return err(new TableError('damaged', `the stored table head is malformed: ${head.error.message}`));
+	const head = parseHead(headText);
+	if (head.isErr()) {
+		return err(head.error);
 	}
 
 	const pages = new Map<string, TablePage>();
-	for (const hash of head.data.pages) {
+	for (const hash of head.value.pages) {
 		const page = knownPages.get(hash);
 		if (page) {
 			pages.set(hash, page);
@@ -32,11 +33,11 @@
 		}
 
 		if (!answer.value) {
-			return err(new TableError('damaged', `page ${hash} of version ${head.data.version} is missing`));
+			return err(new TableError('damaged', `page ${hash} of version ${head.value.version} is missing`));
 		}
 
 		pages.set(hash, {hash, text: answer.value.value});
 	}
 
-	return ok(new TableSnapshot(head.data, pages));
+	return makeSnapshot(head.value, pages);
 }
--- a/src/table/table-controller.ts
+++ b/src/table/table-controller.ts
@@ -3,10 +3,11 @@
 import {type KeyValue} from '../key-value/key-value.js';
 import {fetchTable} from './fetch-table.js';
 import {fetchSnapshot} from './fetch-snapshot.js';
-import {TableHead} from './table-head.js';
+import {makeSnapshot} from './make-snapshot.js';
+import {parseHead} from './parse-head.js';
 import {tableKeys} from './table-keys.js';
 import {type TablePage} from './table-page.js';
-import {TableSnapshot} from './table-snapshot.js';
+import {type TableSnapshot} from './table-snapshot.js';
 
 type ControllerOptions = {
 	readonly keyValue: KeyValue;
@@ -109,8 +110,13 @@
 
 	/** Installs the version that a peer sent, if it is newer and no page is missing. */
 	applyOffer(offered: MessageOf<'table-offered'>): void {
-		const head = TableHead.safeParse(JSON.parse(offered.head));
-		if (!head.success || head.data.version <= this.version) {
+		const head = parseHead(offered.head);
+		if (head.isErr()) {
+			this.options.log(`offered table not accepted: ${head.error.message}`);
+			return;
+		}
+
+		if (head.value.version <= this.version) {
 			return;
 		}
 
@@ -119,10 +125,17 @@
 			pages.set(page.hash, page);
 		}
 
-		const isWhole = head.data.pages.every(hash => pages.has(hash));
-		if (isWhole) {
-			this.install(new TableSnapshot(head.data, selectPages(pages, head.data.pages)));
+		if (!head.value.pages.every(hash => pages.has(hash))) {
+			return;
+		}
+
+		const snapshot = makeSnapshot(head.value, selectPages(pages, head.value.pages));
+		if (snapshot.isErr()) {
+			this.options.log(`offered table not accepted: ${snapshot.error.message}`);
+			return;
 		}
+
+		this.install(snapshot.value);
 	}
 
 	/** Ends the watch and stops reading the platform. */
