Reckon the wait for registrations after an outage from the store's first answer

Callers got 502: for some seconds after an outage of the store, requests went up to 70 ms beyond drainMs to a target whose entry had been removed. Class: a wait that is reckoned from the wrong moment.

Cause: an entry's own first answer after an outage comes up to 1.5 s late (a call that the store swallowed has to time out); 2.5 s from there on the store counted as recovering, and a removal seen meanwhile was waited for 1.7 s more, counted from when it was seen: up to 0.3 s late after an answer with another change. And a second fault of the same class: an entry whose own calls still fail takes a peer's view, and dropped at once all that had expired meanwhile.

Change: one moment for all, the first answer that the store is known to have given to anyone after the outage (own answers, and the age of peers' views, which each report says). Registrations that are missing are waited for at most 2 s from it, and 1.7 s from when they are missed. A target that was written since then and is removed is gone at once: it could reach the store. Retained items of a restored store end by the same moment, also at an entry whose own calls fail.

Ruled out: transit and the interval of checks alone (100 ms, within the margin).

Tests: TargetDirectory takes the time until which registrations may return in place of a flag; the steps pass the same cases (2 s from the first answer where they passed true), and the bounds of forward.feature are unchanged.

--- a/features/restored-store.feature
+++ b/features/restored-store.feature
@@ -235,3 +235,4 @@
       | 20428 |
       | 40678 |
       | 60968 |
+      | 40602 |
--- a/features/steps/admission-steps.ts
+++ b/features/steps/admission-steps.ts
@@ -158,7 +158,7 @@
 	const list = Array.from({length: targets}, (_target, index) => Target.parse({
 		id: `t${index}`, service: 'desk', address: '10.0.0.1', port: 1000 + index, availabilityZone: 'a', slots: 8, isLeaving: false,
 	}));
-	directory.replace(list, 0, false);
+	directory.replace(list, 0);
 	for (const {id} of list) {
 		for (let stream = 0; stream < streams; stream++) {
 			inFlightCounts.noteStart(id, 0);
@@ -216,7 +216,7 @@
 	const list = ['even', 'uneven'].flatMap((group, half) => Array.from({length: targets}, (_target, index) => Target.parse({
 		id: `${group}-${index}`, service: 'desk', group, address: '10.0.0.1', port: 1000 + (half * targets) + index, availabilityZone: 'a', slots: 8, isLeaving: false,
 	})));
-	directory.replace(list, 0, false);
+	directory.replace(list, 0);
 	for (const {id} of list) {
 		inFlightCounts.noteStart(id, 0);
 		inFlightCounts.noteStart(id, 0);
--- a/features/steps/directory-steps.ts
+++ b/features/steps/directory-steps.ts
@@ -3,6 +3,7 @@
 import {GroupIndex} from '../../src/fleet/group-index.js';
 import {groupKeys} from '../../src/fleet/group-keys.js';
 import {TargetDirectory} from '../../src/fleet/target-directory.js';
+import {rewriteWindowMs} from '../../src/view/rewrite-window-ms.js';
 import {type SystemWorld} from '../support/system-world.js';
 
 const makeTarget = (number: number) => ({
@@ -13,12 +14,12 @@
 
 Given('a directory with targets 1 and 2', function (this: SystemWorld) {
 	const directory = new TargetDirectory();
-	directory.replace([makeTarget(1), makeTarget(2)], 0, false);
+	directory.replace([makeTarget(1), makeTarget(2)], 0);
 	this.notes.set('directory', directory);
 });
 
 When('the store is back without their registrations', function (this: SystemWorld) {
-	(this.notes.get('directory') as TargetDirectory).replace([], 10_000, true);
+	(this.notes.get('directory') as TargetDirectory).replace([], 10_000, 10_000 + rewriteWindowMs);
 });
 
 Then('both targets are used for {int} ms more', function (this: SystemWorld, ms: number) {
@@ -28,7 +29,7 @@
 });
 
 When('target 2 has registered again after {int} ms', function (this: SystemWorld, ms: number) {
-	(this.notes.get('directory') as TargetDirectory).replace([makeTarget(2)], 10_000 + ms, true);
+	(this.notes.get('directory') as TargetDirectory).replace([makeTarget(2)], 10_000 + ms, 10_000 + rewriteWindowMs);
 });
 
 Then('after {int} ms only target 2 is used', function (this: SystemWorld, ms: number) {
@@ -54,7 +55,7 @@
 
 When('target 3 registers at the address of target 2', function (this: SystemWorld) {
 	const directory = this.notes.get('directory') as TargetDirectory;
-	directory.replace([makeTarget(1), makeTarget(2), {...makeTarget(3), port: makeTarget(2).port}], 10_000, false);
+	directory.replace([makeTarget(1), makeTarget(2), {...makeTarget(3), port: makeTarget(2).port}], 10_000);
 });
 
 When('target 3 is found to be gone', function (this: SystemWorld) {
@@ -68,7 +69,7 @@
 Given('a target that was born at {int} and is known to be gone', function (this: SystemWorld, bornAt: number) {
 	const directory = new TargetDirectory();
 	const target = {...makeTarget(1), bornAt};
-	directory.replace([target], 0, false);
+	directory.replace([target], 0);
 	directory.markGone(target);
 	this.notes.set('directory', directory);
 	this.notes.set('former incarnation', target);
@@ -76,7 +77,7 @@
 
 When('its registration says that it was born at {int}, port {int}', function (this: SystemWorld, bornAt: number, port: number) {
 	const directory = this.notes.get('directory') as TargetDirectory;
-	const {renewed} = directory.replace([{...makeTarget(1), bornAt, port}], 1000, false);
+	const {renewed} = directory.replace([{...makeTarget(1), bornAt, port}], 1000);
 	this.notes.set('renewed', renewed.map(({id}) => id));
 });
 
--- a/features/steps/item-comparator-steps.ts
+++ b/features/steps/item-comparator-steps.ts
@@ -91,13 +91,13 @@
 
 Given('a directory with a target that is leaving', function (this: SystemWorld) {
 	const directory = new TargetDirectory();
-	directory.replace([target], 0, false);
+	directory.replace([target], 0);
 	directory.noteDeparture(target, 0);
 	this.notes.set('leaving directory', directory);
 });
 
 When('its registration disappears', function (this: SystemWorld) {
-	(this.notes.get('leaving directory') as TargetDirectory).replace([], goneAt, false);
+	(this.notes.get('leaving directory') as TargetDirectory).replace([], goneAt);
 });
 
 Then('peers are informed of the departure for {int} ms more', function (this: SystemWorld, ms: number) {
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -269,7 +269,7 @@
 		address: '', listPeers: () => [], countRegistered: () => 1, sendToPeer: () => false, clock, countInFlight: () => 0, onRefusal: String, onLeave: String, log: String,
 	});
 	const {directory, health} = tracker;
-	directory.replace(targets, 0, false);
+	directory.replace(targets, 0);
 	const dispatcher = new ForwardDispatcher({
 		async send(options) {
 			sent.push(options.target.id);
--- a/features/support/fleet-simulation.ts
+++ b/features/support/fleet-simulation.ts
@@ -172,7 +172,7 @@
 	/** Updates the registered targets at all entries. */
 	register(): void {
 		for (const path of this.paths) {
-			const {renewed} = path.tracker.directory.replace(this.targets.map(({target}) => target), this.now, false);
+			const {renewed} = path.tracker.directory.replace(this.targets.map(({target}) => target), this.now);
 			for (const {id} of renewed) {
 				path.resetTarget(id);
 			}
@@ -205,7 +205,7 @@
 		this.paths[entry] = this.openPath(entry);
 		const path = this.paths[entry];
 		void this.readCrashRecords(entry);
-		path.tracker.directory.replace(this.targets.map(({target}) => target), this.now, false);
+		path.tracker.directory.replace(this.targets.map(({target}) => target), this.now);
 		for (const other of this.listRunningEntries().filter(index => index !== entry && this.isLinked(index, entry))) {
 			path.mergeDigest(`entry-${other}`, this.paths[other].getDigest(true, this.now), other % zones === entry % zones, this.now);
 		}
--- a/features/support/store-simulation.ts
+++ b/features/support/store-simulation.ts
@@ -259,6 +259,11 @@
 		}
 	}
 
+	/** Writes the registration of a target again, as its heartbeat does. */
+	rewrite(id: string): void {
+		this.store.put(getKey(id), this.expectedDocuments.get(getKey(id))!.value);
+	}
+
 	/** Sets the fault of the store for all entries; those in `withoutStore` never reach it. */
 	setFault(fault: 'none' | 'down'): void {
 		for (const id of this.entries.keys()) {
--- a/src/fleet/target-directory.ts
+++ b/src/fleet/target-directory.ts
@@ -1,14 +1,15 @@
 import {type Target} from './target.js';
 
-type TargetRecord = {target: Target; missingSince: number | undefined; isGone: boolean};
+/** `keptUntil`: when a target whose registration is missing counts as gone, milliseconds. */
+type TargetRecord = {target: Target; keptUntil: number | undefined; isGone: boolean};
 /** An incarnation that is leaving, and the time since which it is not registered, milliseconds. */
 type Departure = {readonly bornAt: number | undefined; unregisteredAt: number | undefined};
 
 /**
- * Time after an outage of the store before a missing target counts as gone, milliseconds. By the platform's specification, registrations
- * that expired during an outage are written again within about two seconds of its end, which is noticed slightly later. A target that
- * left on purpose cannot be distinguished from those and must receive nothing 2000 ms after its notice; the remaining 300 ms cover the
- * interval between two checks of the directory (100 ms) and the transit time of a request sent just before.
+ * Maximum time after an outage of the store before a missing target counts as gone, milliseconds. By the platform's specification,
+ * registrations that expired during an outage are written again within about two seconds of its end, which is noticed slightly later. A
+ * target that left just then cannot be distinguished from those and must receive nothing 2000 ms after its notice; the remaining 300 ms cover
+ * the interval between two checks of the directory (100 ms) and the transit time of a request sent just before.
  */
 const reregistrationGraceMs = 1700;
 
@@ -37,11 +38,11 @@
 	 *
 	 * @param targets - all registered targets, in order of writing
 	 * @param now - the present time, milliseconds
-	 * @param isStoreRecovering - whether the store just recovered from an outage, so that expired registrations may reappear
+	 * @param mayReturnUntil - until when registrations may reappear that expired during an outage of the store, milliseconds; by default none may
 	 * @param dropped - ids of targets whose registrations are no longer expected to reappear
 	 * @returns `gone`: targets that must not be sent anything any more; `renewed`: targets that restarted under their ids
 	 */
-	replace(targets: readonly Target[], now: number, isStoreRecovering: boolean, dropped: ReadonlySet<string> = new Set()): {readonly gone: Target[]; readonly renewed: Target[]} {
+	replace(targets: readonly Target[], now: number, mayReturnUntil = Number.NEGATIVE_INFINITY, dropped: ReadonlySet<string> = new Set()): {readonly gone: Target[]; readonly renewed: Target[]} {
 		const registered = new Set(targets.map(({id}) => id));
 		const renewed: Target[] = [];
 		for (const target of targets) {
@@ -55,12 +56,12 @@
 			// An incarnation that is gone stays gone, even while its registration remains.
 			const isGone = known !== undefined && known.isGone && !isRestarted;
 			const isOutdated = known !== undefined && isLaterIncarnation(known.target, target);
-			this.records.set(target.id, {target: isOutdated ? known.target : target, missingSince: undefined, isGone});
+			this.records.set(target.id, {target: isOutdated ? known.target : target, keptUntil: undefined, isGone});
 		}
 
 		for (const [id, record] of this.records) {
 			if (!registered.has(id)) {
-				record.missingSince ??= isStoreRecovering && !dropped.has(id) ? now : Number.NEGATIVE_INFINITY;
+				record.keptUntil ??= dropped.has(id) ? now : Math.min(now + reregistrationGraceMs, mayReturnUntil);
 			}
 		}
 
@@ -102,8 +103,8 @@
 	/** Drops targets whose registration did not reappear in time; returns them. */
 	expire(now: number): Target[] {
 		const gone: Target[] = [];
-		for (const [id, {target, missingSince: lostAt}] of this.records) {
-			if (lostAt !== undefined && now - lostAt >= reregistrationGraceMs) {
+		for (const [id, {target, keptUntil}] of this.records) {
+			if (keptUntil !== undefined && now >= keptUntil) {
 				this.records.delete(id);
 				gone.push(target);
 			}
--- a/src/forward/fleet-state.ts
+++ b/src/forward/fleet-state.ts
@@ -126,7 +126,7 @@
 		const targets = this.readTargets();
 		const droppedTargets = source.readTargets({list: () => [...view.listDropped()]}, () => undefined);
 		const dropped = new Set(droppedTargets.map(({id}) => id));
-		const {gone, renewed} = directory.replace(targets, now, view.isRecovering(now), dropped);
+		const {gone, renewed} = directory.replace(targets, now, view.mayReturnUntil, dropped);
 		for (const {id} of gone) {
 			log(`target ${id} is gone: its registration was removed`);
 			onLeave(id);
--- a/src/mesh/entry-mesh.ts
+++ b/src/mesh/entry-mesh.ts
@@ -288,6 +288,7 @@
 		}
 
 		view.noteEra(message.viewRevision.era);
+		view.notePeerAge(message.viewAgeMs, now);
 		const after = this.findWantedRevision(message, now);
 		if (after && now - this.viewRequestedAt >= viewRequestMs) {
 			this.viewRequestedAt = now;
--- a/src/view/store-availability.ts
+++ b/src/view/store-availability.ts
@@ -1,14 +1,19 @@
 import {rewriteWindowMs} from './rewrite-window-ms.js';
 
-/** A period of failed calls longer than this counts as an outage, milliseconds. */
+/** A period without any answer of the store longer than this counts as an outage, milliseconds. */
 const minimumOutageMs = 800;
-/** Time after an outage within which expired keys may be written again, milliseconds. */
-const recoveryMs = 2500;
+/** Answers of the store to peers are known for this time at least before the next one is due, milliseconds: their waits and reports take as long. */
+const peerAnswerMs = 2500;
 
-/** Tracks whether the store answers this process's calls. */
+/**
+ * Tracks whether the store answers this process's calls, and since when it is known to have answered anyone again. Calls that were swallowed
+ * time out a second after the store is back, so that this process's own first answer comes later than those of its peers.
+ */
 export class StoreAvailability {
 	private failedSince: number | undefined;
-	private recoveringUntil = Number.NEGATIVE_INFINITY;
+	/** When a peer last had an answer since this process's calls have failed, milliseconds. */
+	private peerAnsweredAt: number | undefined;
+	private returnsUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly log: (message: string) => void) {}
 
@@ -17,9 +22,14 @@
 		return this.failedSince !== undefined;
 	}
 
-	/** Whether the store recovered so recently that expired keys may still be written again. */
-	isRecovering(now: number): boolean {
-		return now < this.recoveringUntil;
+	/** Until when keys may be written again that expired during an outage, or that a restored store lacks, milliseconds. */
+	get mayReturnUntil(): number {
+		return this.returnsUntil;
+	}
+
+	/** Whether the store answers nobody, as far as is known. */
+	isAway(now: number): boolean {
+		return this.failedSince !== undefined && (this.peerAnsweredAt === undefined || now - this.peerAnsweredAt > peerAnswerMs);
 	}
 
 	/** Records a failed call. */
@@ -31,24 +41,42 @@
 		this.failedSince ??= now;
 	}
 
-	/** Records an answered call; returns whether calls had failed before it. */
+	/** Records an answered call; returns whether it is the first answer to anyone after an outage. */
 	noteAnswer(now: number): boolean {
 		if (this.failedSince === undefined) {
 			return false;
 		}
 
-		const outageMs = now - this.failedSince;
+		this.log(`store answers again after ${Math.round(now - this.failedSince)} ms`);
+		const hasReturned = this.noteEvidence(now);
 		this.failedSince = undefined;
-		this.log(`store answers again after ${Math.round(outageMs)} ms`);
-		if (outageMs > minimumOutageMs) {
-			this.recoveringUntil = now + recoveryMs;
+		this.peerAnsweredAt = undefined;
+		return hasReturned;
+	}
+
+	/** Records that the store answered a peer at `at`, milliseconds; returns whether it is the first answer to anyone after an outage. */
+	notePeerAnswer(at: number): boolean {
+		const lastAt = this.peerAnsweredAt ?? this.failedSince;
+		if (lastAt === undefined || at <= lastAt) {
+			return false;
 		}
 
-		return true;
+		const hasReturned = this.noteEvidence(at);
+		this.peerAnsweredAt = at;
+		return hasReturned;
 	}
 
 	/** Records that the store was restored from a backup: keys that it lacks may be written again within the rewrite window. */
 	noteRollback(now: number): void {
-		this.recoveringUntil = now + rewriteWindowMs;
+		this.returnsUntil = now + rewriteWindowMs;
+	}
+
+	private noteEvidence(at: number): boolean {
+		const hasReturned = at - (this.peerAnsweredAt ?? this.failedSince ?? at) > minimumOutageMs;
+		if (hasReturned) {
+			this.returnsUntil = at + rewriteWindowMs;
+		}
+
+		return hasReturned;
 	}
 }
--- a/src/view/store-view.ts
+++ b/src/view/store-view.ts
@@ -5,7 +5,6 @@
 import {type StoredValue} from '../key-value/stored-value.js';
 import {type ItemComparator} from './item-comparator.js';
 import {describeRetained} from './describe-retained.js';
-import {rewriteWindowMs} from './rewrite-window-ms.js';
 import {StoreAvailability} from './store-availability.js';
 import {type StoredItem} from './stored-item.js';
 import {ViewItems} from './view-items.js';
@@ -73,6 +72,8 @@
 	private revision: Revision = {era: 0, number: 0};
 	/** Revision since which removals are recorded, here or by a peer before; undefined until the view is filled. */
 	private recordedFrom: Revision | undefined;
+	/** Revision of the first view after the last outage; undefined until there is one. */
+	private returnedAt: Revision | undefined;
 	private backoffMs = initialBackoffMs;
 	private lastResult: CallResult | undefined;
 	private dropped: readonly StoredItem[] = [];
@@ -138,9 +139,9 @@
 		return now - (this.calledAt ?? now);
 	}
 
-	/** Whether the store recovered so recently that expired keys may still be written again. */
-	isRecovering(now: number): boolean {
-		return this.availability.isRecovering(now);
+	/** Until when keys may be written again that expired during an outage of the store, or that a restored store lacks, milliseconds. */
+	get mayReturnUntil(): number {
+		return this.availability.mayReturnUntil;
 	}
 
 	get(key: string): StoredItem | undefined {
@@ -152,7 +153,10 @@
 		return this.items.getStored(key);
 	}
 
-	/** Items dropped by the present change because they were not written again in time after a restore: nothing is to be waited for. */
+	/**
+	 * Items dropped by the present change that are not expected to be written again: those that were not after a restore, in time, and those
+	 * that were removed after they had been written since the last outage.
+	 */
 	listDropped(): readonly StoredItem[] {
 		return this.dropped;
 	}
@@ -192,15 +196,13 @@
 	tick(now: number): void {
 		this.checkCall(now);
 		// Nothing can be written again while the store does not answer.
-		if (this.isStoreUnavailable) {
+		if (this.availability.isAway(now)) {
 			return;
 		}
 
 		const {hasChanged, dropped} = this.items.expire(now);
 		if (hasChanged) {
-			this.dropped = dropped;
-			this.options.onChange(now);
-			this.dropped = [];
+			this.reportChange(dropped, now);
 		}
 	}
 
@@ -224,6 +226,13 @@
 		this.suspicion ??= reason;
 	}
 
+	/** Records that a peer's view, of this age in milliseconds, was up to date: the store answers others, even if not this process. */
+	notePeerAge(ageMs: number, now: number): void {
+		if (this.availability.notePeerAnswer(now - ageMs)) {
+			this.noteReturn();
+		}
+	}
+
 	/** Records an era of the store reported by a peer. A new one aborts the current long poll, which the restored store may never answer. */
 	noteEra(era: number): void {
 		if (this.isLoaded && era > this.revision.era && !this.needsFullRead) {
@@ -246,9 +255,10 @@
 	mergeSnapshot(snapshot: ViewSnapshot): boolean {
 		const now = this.options.clock();
 		const hasReleased = this.items.mergeRemoved(snapshot, now);
+		this.notePeerAge(snapshot.ageMs, now);
 		const isNewer = isLater(snapshot.asOf, this.revision);
+		const removed = isNewer ? this.replace(toItems(snapshot.items, snapshot.asOf.era), snapshot.asOf, now) : [];
 		if (isNewer) {
-			this.replace(toItems(snapshot.items, snapshot.asOf.era), snapshot.asOf, now);
 			this.needsFullRead = false;
 			this.upToDateAt = Math.max(this.upToDateAt, now - snapshot.ageMs);
 		}
@@ -259,7 +269,7 @@
 		const hasRetained = this.items.retainNewer(snapshot);
 		const hasChanged = hasReleased || isNewer || hasAdded || hasDecided || hasRetained;
 		if (hasChanged) {
-			this.options.onChange(now);
+			this.reportChange(removed, now);
 		}
 
 		return hasChanged;
@@ -342,9 +352,9 @@
 			return 'unused';
 		}
 
-		this.replace(toItems(items, era), listed, now);
+		const removed = this.replace(toItems(items, era), listed, now);
 		this.upToDateAt = now;
-		this.options.onChange(now);
+		this.reportChange(removed, now);
 		return 'updated';
 	}
 
@@ -405,32 +415,54 @@
 		return spreadMs;
 	}
 
-	private replace(items: readonly StoredItem[], asOf: Revision, now: number): void {
+	/* Returns the items that were removed after they had been written since the last outage. */
+	private replace(items: readonly StoredItem[], asOf: Revision, now: number): readonly StoredItem[] {
 		const isRestored = this.isLoaded && (asOf.era !== this.revision.era || asOf.number < this.revision.number);
-		this.items.replace(items, {isRestored, recordedFrom: this.recordedFrom?.number ?? 0, formerRevision: this.revision.number}, now);
+		const removed = this.items.replace(items, {isRestored, recordedFrom: this.recordedFrom?.number ?? 0, formerRevision: this.revision.number}, now);
 		if (isRestored) {
 			this.availability.noteRollback(now);
+			this.returnedAt = undefined;
 			const retained = describeRetained(this.items.getSnapshot(now).retained ?? []);
 			this.options.log(`store was restored from a backup: ${describe(asOf)}, this view was at ${describe(this.revision)}${retained}`);
 		}
 
 		this.revision = asOf;
 		this.recordedFrom ??= asOf;
+		return this.takeDeliberate(removed);
 	}
 
 	private apply(changes: ReadonlyArray<StoredValue | RemovedKey>, asOf: number, now: number): void {
 		const {era, number} = this.revision;
 		const newer = changes.filter(({revision}) => revision > number).map(change => 'isRemoved' in change ? change : {...change, era});
-		this.items.apply(newer, now);
+		const removed = this.items.apply(newer, now);
 		this.revision = {era, number: Math.max(number, asOf)};
+		const deliberate = this.takeDeliberate(removed);
 		if (newer.length > 0) {
-			this.options.onChange(now);
+			this.reportChange(deliberate, now);
 		}
 	}
 
+	private reportChange(dropped: readonly StoredItem[], now: number): void {
+		this.dropped = dropped;
+		this.options.onChange(now);
+		this.dropped = [];
+	}
+
+	/* A key that was written since the store is back was not removed because its writer could not reach the store. */
+	private takeDeliberate(removed: readonly StoredItem[]): readonly StoredItem[] {
+		const {returnedAt} = this;
+		this.returnedAt ??= this.revision;
+		return returnedAt ? removed.filter(({era, revision}) => isLater({era, number: revision}, returnedAt)) : [];
+	}
+
+	private noteReturn(): void {
+		this.returnedAt = undefined;
+		this.items.extendRetention(this.availability.mayReturnUntil);
+	}
+
 	private noteAnswer(now: number): void {
 		if (this.availability.noteAnswer(now)) {
-			this.items.extendRetention(now + rewriteWindowMs);
+			this.noteReturn();
 		}
 	}
 
--- a/src/view/view-items.ts
+++ b/src/view/view-items.ts
@@ -50,8 +50,8 @@
 			.toSorted((one, other) => one.era - other.era || one.revision - other.revision);
 	}
 
-	/** Replaces all stored items. */
-	replace(items: readonly StoredItem[], {isRestored, recordedFrom, formerRevision}: Replacement, now: number): void {
+	/** Replaces all stored items; returns those that were removed since the last read, unless the store was restored. */
+	replace(items: readonly StoredItem[], {isRestored, recordedFrom, formerRevision}: Replacement, now: number): readonly StoredItem[] {
 		const former = this.stored;
 		this.stored = new Map(items.map(item => [item.key, item]));
 		if (isRestored) {
@@ -63,15 +63,14 @@
 		}
 
 		this.updateCurrent();
+		return isRestored ? [] : [...former.values()].filter(({key}) => !this.stored.has(key));
 	}
 
-	/** Applies changes received from the store. */
-	apply(changes: ReadonlyArray<StoredItem | RemovedKey>, now: number): void {
-		for (const change of changes) {
-			this.applyOne(change, now);
-		}
-
+	/** Applies changes received from the store; returns the items that were removed. */
+	apply(changes: ReadonlyArray<StoredItem | RemovedKey>, now: number): readonly StoredItem[] {
+		const removed = changes.flatMap(change => this.applyOne(change, now) ?? []);
 		this.updateCurrent();
+		return removed;
 	}
 
 	/** Keeps overrides until `until` at least, milliseconds. */
@@ -170,7 +169,8 @@
 		}
 	}
 
-	private applyOne(change: StoredItem | RemovedKey, now: number): void {
+	/* Returns the item that the change removes. */
+	private applyOne(change: StoredItem | RemovedKey, now: number): StoredItem | undefined {
 		const {key, revision} = change;
 		const retained = this.retained.get(key);
 		const known = retained ? retained.item : this.stored.get(key);
@@ -185,9 +185,12 @@
 			if (item) {
 				this.removed.note(item, now);
 			}
-		} else {
-			this.stored.set(key, change);
+
+			return item;
 		}
+
+		this.stored.set(key, change);
+		return undefined;
 	}
 
 	private updateCurrent(): void {
