Do not hold crashes at one moment against a part of prompts that all requests have

Callers got 503 at every entry for 16 minutes: after all entries were killed, three targets crashed at the same moment as service resumed, and the first part of all prompts was refused. Class: one observation counted as several, and a correlation without a comparison.

Cause: each crash counted as evidence of its own, though nothing can crash targets within moments but something they share; a part that all requests have is present at every crash, so that it explains none; what shows parts to be sound is gone with the entries; and a block lasted two to sixteen minutes without a trial.

Change: crashes within 0.8 s are one event, unless a request was lost in them that was sent for trial of the part, after an earlier crash was known (told to peers and kept in the store's record); a part needs two events. A block is confirmed, and as long as before, once requests to the same service without the part fare better: eight answered ones within a minute, and the part in at most half of those sent. Until then it lasts 2 s, doubling to 30 s with each further event, then one probe is sent in the fleet; any entry may send it after 1 s if the elected one gets no such request. A complete sound answer clears it everywhere, as before. Only confirmed blocks are kept in the store as refused.

Ruled out: a shorter first block alone (a part that is bad would crash a target with each probe, and the group stops for 4 s each time); a share of requests alone (unknown for a fleet that has just started).

Seen failing first: features/simultaneous-crash.feature, 9 of 19 rows on the code before (0 of some 330 requests served 12 to 20 s later).

--- a/src/balance/lost-request.ts
+++ b/src/balance/lost-request.ts
@@ -7,6 +7,8 @@
 	readonly fingerprint: string;
 	/** The parts of its prompt that other requests may share. */
 	readonly promptParts: readonly string[];
+	/** Those of them that it was sent for trial of. */
+	readonly triedParts: readonly string[];
 	/** The target incarnation it was sent to: a restart under the same id gives a new one. */
 	readonly incarnation: Pick<Target, 'id' | 'bornAt'>;
 	/** Time since the target began to answer, milliseconds; undefined when it had not begun. */
--- a/src/balance/part-crash-record.ts
+++ b/src/balance/part-crash-record.ts
@@ -4,6 +4,8 @@
 const PartCrashRecord = z.object({
 	/** Parts of the requests that were lost as they began to run there, each with a tag of its request. */
 	parts: z.record(z.string(), z.string()),
+	/** The subset of these that a lost request was sent for trial of; absent if there are none. */
+	tried: z.array(z.string()).optional(),
 	/** The subset of these that is refused. */
 	refused: z.array(z.string()),
 });
--- a/src/balance/part-digest.ts
+++ b/src/balance/part-digest.ts
@@ -4,6 +4,8 @@
 const PartDigest = z.object({
 	/** For each target incarnation that has crashed, the suspected parts of the requests that were lost as they began to run there, with a tag of the request. */
 	partCrashes: z.record(z.string(), z.record(z.string(), z.string())).optional(),
+	/** For the same incarnations, those of the parts that a lost request was sent for trial of; absent when there are none. */
+	triedParts: z.record(z.string(), z.array(z.string())).optional(),
 	/** Target incarnations that the sender has just seen crash. */
 	crashed: z.array(z.string()).optional(),
 	/** Suspected parts that a target has answered a request with, and that are therefore not the cause of a crash. */
--- a/src/balance/part-evidence.ts
+++ b/src/balance/part-evidence.ts
@@ -2,8 +2,8 @@
 
 /** What eviction spares: the parts that are refused, and the crashes that they explain. */
 type Protection = {readonly hasPart: (part: string) => boolean; readonly hasCrash: (crash: string) => boolean};
-/** A part, and a tag of the request with it. */
-type TaggedPart = readonly [string, string];
+/** A part, a tag of the request with it, and whether the request was sent for trial of the part. */
+type TaggedPart = readonly [part: string, tag: string, isTried?: boolean];
 type Judgement = Pick<Parameters<typeof accuseParts>[0], 'isAccused' | 'areOthersSound'>;
 
 /** Crashes that are not spared are forgotten after this time, milliseconds. */
@@ -16,6 +16,8 @@
 export class PartEvidence {
 	/** By part, the crashes in which a request with it was lost as it began to run, and a tag of that request. */
 	private readonly suspects = new Map<string, Map<string, string>>();
+	/** By crashed incarnation, the parts that a request was sent for trial of, and lost in the crash. */
+	private readonly tried = new Map<string, Set<string>>();
 	/** By crashed incarnation, when its crash was learned, milliseconds. */
 	private readonly crashTimes = new Map<string, number>();
 	/** By crashed incarnation, when the parts held against it last changed, milliseconds. */
@@ -36,11 +38,13 @@
 			this.evictCrashes();
 		}
 
-		for (const [part, tag] of parts) {
+		for (const [part, tag, isTried] of parts) {
 			const crashes = this.suspects.get(part) ?? new Map<string, string>();
 			hasChanged ||= !crashes.has(crash);
 			crashes.set(crash, crashes.get(crash) ?? tag);
 			this.suspects.set(part, crashes);
+			const isTrialNew = this.noteTried(crash, part, isTried ?? false);
+			hasChanged ||= isTrialNew;
 		}
 
 		if (hasChanged) {
@@ -58,7 +62,7 @@
 
 	/** Lists the parts that are held against a crash. */
 	listSuspects(crash: string): TaggedPart[] {
-		return [...this.suspects].flatMap(([part, crashes]) => crashes.has(crash) ? [[part, crashes.get(crash)!] as const] : []);
+		return [...this.suspects].flatMap(([part, crashes]) => crashes.has(crash) ? [[part, crashes.get(crash)!, this.isTried(part, crash)] as const] : []);
 	}
 
 	/** Lists the crashes of which something was learned since `since`, milliseconds. */
@@ -68,7 +72,9 @@
 
 	/** Finds the parts that explain the crashes. */
 	accuse(judgement: Judgement): ReturnType<typeof accuseParts> {
-		return accuseParts({suspects: this.suspects, crashTimes: this.crashTimes, ...judgement});
+		return accuseParts({
+			suspects: this.suspects, crashTimes: this.crashTimes, isTried: (part, crash) => this.isTried(part, crash), ...judgement,
+		});
 	}
 
 	/** Forgets expired crashes; `now` in milliseconds. */
@@ -80,8 +86,23 @@
 		}
 	}
 
+	private isTried(part: string, crash: string): boolean {
+		return this.tried.get(crash)?.has(part) ?? false;
+	}
+
+	/* Returns whether that was not known. */
+	private noteTried(crash: string, part: string, isTried: boolean): boolean {
+		if (!isTried || this.isTried(part, crash)) {
+			return false;
+		}
+
+		this.tried.set(crash, (this.tried.get(crash) ?? new Set()).add(part));
+		return true;
+	}
+
 	private forgetCrash(crash: string): void {
 		this.crashTimes.delete(crash);
+		this.tried.delete(crash);
 		this.changedAt.delete(crash);
 		for (const [part, crashes] of this.suspects) {
 			crashes.delete(crash);
--- a/src/balance/part-suspects.ts
+++ b/src/balance/part-suspects.ts
@@ -14,10 +14,24 @@
 	crashes: ReadonlySet<string>;
 	/** Other parts that explain the same crashes. */
 	rivals: readonly string[];
+	/** Number of moments at which targets crashed. */
+	events: number;
+	/** Whether requests without the part fare better. */
+	isConfirmed: boolean;
 	until: number;
 	seenAt: number;
 };
 
+type Question = {
+	/** Identifies the request, which may have begun a trial already. */
+	readonly request: unknown;
+	readonly parts: readonly string[];
+	/** Whether this entry, rather than a peer, may send a request with a part whose block is over. */
+	readonly mayProbe: (part: string) => boolean;
+	/** Whether requests without a part fare better, so that it explains crashes. */
+	readonly isTelling: (part: string) => boolean;
+};
+
 /** A target that crashes under a part does so before it has answered for this time, milliseconds. */
 const crashWindowMs = 250;
 /** A part is sound once a target has been answering a request with it for this time, milliseconds. */
@@ -26,6 +40,13 @@
 const firstBlockMs = 120_000;
 const blockGrowth = 8;
 const maximumBlockMs = 86_400_000;
+/**
+ * As long as requests without the part do not fare better, as when all have it, the block is short, milliseconds, so that a probe soon ends
+ * it if the part is sound. It doubles with each further event. After a while any entry may probe, if the elected one gets no requests.
+ */
+const firstDoubtfulBlockMs = 2000;
+const maximumDoubtfulBlockMs = 30_000;
+const electedProbeMs = 1000;
 /** When a request returns that meets the trial of another one, or a probe that a peer has to send, milliseconds. */
 const trialWaitMs = 500;
 const probeWaitMs = 10_000;
@@ -41,6 +62,18 @@
 const maximumDigestItems = 40;
 const maximumDigestParts = 40;
 
+type ReportedPart = readonly [part: string, tag: string, isTried?: boolean];
+
+const toTags = (parts: readonly ReportedPart[]): Record<string, string> => Object.fromEntries(parts.map(([part, tag]) => [part, tag]));
+const listTried = (parts: readonly ReportedPart[]): string[] => parts.filter(reported => reported[2]).map(([part]) => part);
+
+const getBlockMs = (events: number, isConfirmed: boolean): number => {
+	const further = Math.max(0, events - 2);
+	return isConfirmed
+		? Math.min(maximumBlockMs, firstBlockMs * (blockGrowth ** further))
+		: Math.min(maximumDoubtfulBlockMs, firstDoubtfulBlockMs * (2 ** further));
+};
+
 /**
  * Detects parts of prompts that crash the targets that begin to answer requests with them, and blocks them.
  *
@@ -71,16 +104,12 @@
 		return [...this.blocks.values()].some(({crashes}) => crashes.has(crash));
 	}
 
-	/**
-	 * Decides whether a request may be sent.
-	 *
-	 * @param request - identifies the request, which may have begun a trial already
-	 * @param mayProbe - whether this entry, rather than a peer, may send a request with a part whose block is over
-	 */
-	judge(request: unknown, parts: readonly string[], mayProbe: (part: string) => boolean, now: number): PartVerdict {
+	/** Decides whether a request may be sent; `now` in milliseconds. */
+	judge(question: Question, now: number): PartVerdict {
+		const {request, parts} = question;
 		const suspected = parts.filter(part => this.evidence.has(part));
 		for (const part of suspected) {
-			const waitMs = this.getBlockMs(part, parts, mayProbe, now);
+			const waitMs = this.getBlockMs(part, question, now);
 			if (waitMs > 0) {
 				return {kind: 'blocked', part, waitMs};
 			}
@@ -115,10 +144,10 @@
 	/** Notes that a target has crashed while it ran these requests. */
 	noteCrash(lostRequests: readonly LostRequest[], now: number): void {
 		const blocked = new Set(this.blocks.keys());
-		for (const {incarnation, promptParts, fingerprint, answeringMs} of lostRequests) {
+		for (const {incarnation, promptParts, triedParts, fingerprint, answeringMs} of lostRequests) {
 			const hasJustBegun = answeringMs === undefined || answeringMs <= crashWindowMs;
 			const tag = fingerprint.slice(0, tagLength);
-			this.addCrash(formatIncarnation(incarnation), (hasJustBegun ? promptParts : []).map(part => [part, tag]), now);
+			this.addCrash(formatIncarnation(incarnation), (hasJustBegun ? promptParts : []).map(part => [part, tag, triedParts.includes(part)]), now);
 		}
 
 		this.accuse(now);
@@ -134,23 +163,28 @@
 		const recent = this.evidence.listChanged(now - digestRetentionMs);
 		const explained = isFull ? [...this.blocks.values()].flatMap(({crashes}) => [...crashes]) : [];
 		const reported = [...new Set([...explained, ...recent])].slice(-maximumDigestItems);
-		const partCrashes = reported.map(crash => [crash, Object.fromEntries(this.listReported(crash, recent.includes(crash)))]);
+		const partCrashes = reported.map(crash => [crash, this.listReported(crash, recent.includes(crash))] as const);
+		const triedParts = partCrashes.map(([crash, parts]) => [crash, listTried(parts)] as const).filter(([, parts]) => parts.length > 0);
 		const soundParts = [...this.cleared].filter(([, at]) => now - at <= digestRetentionMs).slice(-maximumDigestItems).map(([part]) => part);
 		const trialParts = this.trials.list(now).slice(-maximumDigestItems);
 		return {
-			...(partCrashes.length > 0 && {partCrashes: Object.fromEntries(partCrashes) as Record<string, Record<string, string>>}),
+			...(partCrashes.length > 0 && {partCrashes: Object.fromEntries(partCrashes.map(([crash, parts]) => [crash, toTags(parts)]))}),
+			...(triedParts.length > 0 && {triedParts: Object.fromEntries(triedParts)}),
 			...(soundParts.length > 0 && {soundParts}),
 			...(trialParts.length > 0 && {trialParts}),
 		};
 	}
 
 	/** Merges a peer's digest. Suspects that this entry knows to be sound are reported back. */
-	merge({partCrashes, soundParts, trialParts}: PartDigest, now: number): void {
+	merge({partCrashes, triedParts, soundParts, trialParts}: PartDigest, now: number): void {
 		for (const part of soundParts ?? []) {
 			this.clear(part, now);
 		}
 
-		const hasChanged = Object.entries(partCrashes ?? {}).map(([crash, parts]) => this.addCrash(crash, Object.entries(parts), now)).some(Boolean);
+		const hasChanged = Object.entries(partCrashes ?? {}).map(([crash, parts]) => {
+			const tagged = Object.entries(parts).map(([part, tag]) => [part, tag, triedParts?.[crash]?.includes(part) ?? false] as const);
+			return this.addCrash(crash, tagged, now);
+		}).some(Boolean);
 		if (hasChanged) {
 			this.accuse(now);
 		}
@@ -174,18 +208,23 @@
 	/** Gets what the store is to hold of a crash; undefined if nothing, since no part is held against it. */
 	getRecord(crash: string): PartCrashRecord | undefined {
 		const parts = this.listReported(crash, true);
-		return parts.length === 0 ? undefined : {parts: Object.fromEntries(parts), refused: parts.map(([part]) => part).filter(part => this.blocks.has(part))};
+		if (parts.length === 0) {
+			return undefined;
+		}
+
+		const tried = listTried(parts);
+		return {parts: toTags(parts), ...(tried.length > 0 && {tried}), refused: parts.map(([part]) => part).filter(part => this.blocks.get(part)?.isConfirmed)};
 	}
 
 	/** Merges the record of a crash that was read from the store. Throws if it is not valid. */
 	mergeRecord(crash: string, document: unknown, now: number): void {
-		const {parts, refused} = PartCrashRecord.parse(document);
+		const {parts, tried, refused} = PartCrashRecord.parse(document);
 		for (const part of refused.filter(found => !this.sound.has(found, now))) {
 			this.recorded.add(part);
 			evictOldest(this.recorded, maximumBlocks);
 		}
 
-		this.merge({partCrashes: {[crash]: parts}}, now);
+		this.merge({partCrashes: {[crash]: parts}, ...(tried && {triedParts: {[crash]: tried}})}, now);
 	}
 
 	/** Lists the crashes that the store is to hold records of for as long as a part is refused. */
@@ -211,7 +250,7 @@
 	}
 
 	/* A request with only one of several parts that explain the same crashes shows which of them is the cause. */
-	private getBlockMs(part: string, parts: readonly string[], mayProbe: (part: string) => boolean, now: number): number {
+	private getBlockMs(part: string, {parts, mayProbe, isTelling}: Question, now: number): number {
 		const block = this.blocks.get(part);
 		if (!block) {
 			return 0;
@@ -222,20 +261,29 @@
 			return 0;
 		}
 
+		if (!block.isConfirmed && isTelling(part)) {
+			this.confirm(part, block, now);
+		}
+
 		if (now < block.until) {
 			return block.until - now;
 		}
 
-		return mayProbe(part) ? 0 : probeWaitMs;
+		const mayTry = mayProbe(part) || (!block.isConfirmed && now >= block.until + electedProbeMs);
+		if (mayTry) {
+			return 0;
+		}
+
+		return block.isConfirmed ? probeWaitMs : trialWaitMs;
 	}
 
 	/* Lists the parts that are held against a crash, each with the tag of its request; of old crashes only those that are refused. */
-	private listReported(crash: string, isRecent: boolean): Array<readonly [string, string]> {
+	private listReported(crash: string, isRecent: boolean): ReportedPart[] {
 		return this.evidence.listSuspects(crash).filter(([part]) => isRecent || this.blocks.has(part)).slice(-maximumDigestParts);
 	}
 
 	/* Returns whether anything was not known. */
-	private addCrash(crash: string, parts: ReadonlyArray<readonly [string, string]>, now: number): boolean {
+	private addCrash(crash: string, parts: ReadonlyArray<readonly [string, string, boolean]>, now: number): boolean {
 		for (const [part] of parts.filter(([part]) => this.sound.has(part, now))) {
 			this.cleared.set(part, now);
 		}
@@ -256,32 +304,47 @@
 			}
 		}
 
-		for (const {parts, crashes} of accusations) {
+		for (const {parts, crashes, events} of accusations) {
 			for (const part of parts) {
-				this.block(part, crashes, parts.filter(other => other !== part), now);
+				this.block(part, {crashes, events, rivals: parts.filter(other => other !== part)}, now);
 			}
 		}
 	}
 
-	private block(part: string, crashes: ReadonlySet<string>, rivals: readonly string[], now: number): void {
+	private block(part: string, {crashes, events, rivals}: Pick<Block, 'crashes' | 'events' | 'rivals'>, now: number): void {
 		const known = this.blocks.get(part);
 		if (known?.crashes.size === crashes.size) {
 			known.rivals = rivals;
 			return;
 		}
 
-		const blockMs = Math.min(maximumBlockMs, firstBlockMs * (blockGrowth ** (crashes.size - 2)));
-		this.blocks.set(part, {
-			crashes, rivals, until: now + blockMs, seenAt: known?.seenAt ?? now,
-		});
+		const isConfirmed = (known?.isConfirmed ?? false) || this.recorded.has(part);
+		const block = {
+			crashes, events, rivals, isConfirmed, until: now + getBlockMs(events, isConfirmed), seenAt: known?.seenAt ?? now,
+		};
+		this.blocks.set(part, block);
 		this.trials.settle(part);
-		const doubt = rivals.length > 0 ? `, or it was ${rivals.join(' or ')}` : '';
-		this.log(`part ${part} is refused for ${blockMs} ms: targets crashed as they began to answer requests with it (${[...crashes].join(', ')})${doubt}`);
+		this.logBlock(part, block, now);
 		if (this.blocks.size > maximumBlocks) {
 			this.forget([...this.blocks.keys()][0]);
 		}
 	}
 
+	private confirm(part: string, block: Block, now: number): void {
+		block.isConfirmed = true;
+		block.until = now + getBlockMs(block.events, true);
+		for (const crash of block.crashes) {
+			this.noteUnsaved(crash);
+		}
+
+		this.logBlock(part, block, now);
+	}
+
+	private logBlock(part: string, {crashes, rivals, isConfirmed, until}: Block, now: number): void {
+		const doubts = [...(rivals.length > 0 ? [`, or it was ${rivals.join(' or ')}`] : []), ...(isConfirmed ? [] : ['; no request without it has fared better'])];
+		this.log(`part ${part} is refused for ${Math.round(until - now)} ms: targets crashed as they began to answer requests with it (${[...crashes].join(', ')})${doubts.join('')}`);
+	}
+
 	private clear(part: string, now: number): void {
 		this.sound.add(part, now);
 		if (!this.evidence.clear(part)) {
--- a/src/balance/part-trials.ts
+++ b/src/balance/part-trials.ts
@@ -16,6 +16,11 @@
 		}
 	}
 
+	/** Lists the parts that a request is sent for trial of. */
+	listTried(request: unknown): string[] {
+		return [...this.own].filter(([, trial]) => trial.request === request).map(([part]) => part);
+	}
+
 	/** Ends the trials by a request. */
 	end(request: unknown): void {
 		for (const [part, trial] of this.own) {
--- a/src/forward/crash-detector.ts
+++ b/src/forward/crash-detector.ts
@@ -3,6 +3,8 @@
 import {type LostRequest} from '../balance/lost-request.js';
 import {LostRequests} from '../balance/lost-requests.js';
 import {PartSuspects} from '../balance/part-suspects.js';
+import {RequestContrast} from '../balance/request-contrast.js';
+import {type PartVerdict} from '../balance/part-verdict.js';
 import {type TargetHealth} from '../balance/target-health.js';
 import {type Target} from '../fleet/target.js';
 import {type EntryDigest} from '../mesh/entry-digest.js';
@@ -51,6 +53,9 @@
 	readonly suspects: CrashSuspects;
 	readonly parts: PartSuspects;
 	private readonly lostRequests = new LostRequests();
+	private readonly contrast = new RequestContrast();
+	/** Requests that have been counted as sound. */
+	private readonly counted = new WeakSet<ForwardExchange>();
 	/** Targets being checked. */
 	private readonly checks = new Map<string, Promise<void>>();
 	/** Incarnations that have just crashed, as seen by this entry or a peer, and when, milliseconds. */
@@ -69,14 +74,14 @@
 
 	/** Returns why a request is refused because of crashes; undefined when it may be sent. */
 	refuse(exchange: ForwardExchange, now: number): Refusal | undefined {
-		const {fingerprint, metadata: {promptParts}} = exchange;
+		const {fingerprint} = exchange;
 		const {isElected} = this.options;
 		const blockMs = this.suspects.getBlockMs(fingerprint, () => isElected(fingerprint, now), now);
 		if (blockMs > 0) {
 			return {spread: 0, unavailableMs: blockMs, detail: `targets crashed as they ran this request (${fingerprint}), which is refused for ${Math.round(blockMs)} ms more`};
 		}
 
-		const verdict = this.parts.judge(exchange, promptParts, part => isElected(part, now), now);
+		const verdict = this.judgeParts(exchange, part => isElected(part, now), now);
 		switch (verdict.kind) {
 			case 'blocked': {
 				const {part, waitMs} = verdict;
@@ -96,7 +101,8 @@
 
 	/** Notes that a request is about to be sent: as a trial if parts of its prompt are suspected, until `endTrial`. */
 	beginTrial(exchange: ForwardExchange, now: number): void {
-		const verdict = this.parts.judge(exchange, exchange.metadata.promptParts, () => true, now);
+		this.contrast.noteSent(exchange.service, exchange.metadata.promptParts);
+		const verdict = this.judgeParts(exchange, () => true, now);
 		if (verdict.kind === 'trial') {
 			exchange.noteDecision(`sent as the only request with part ${verdict.parts.join(', ')}, as a target crashed with it`);
 			this.parts.trials.begin(exchange, verdict.parts, now);
@@ -110,31 +116,33 @@
 	}
 
 	/** Returns a callback for each part that a target sends of its answer to a request: what is answered for some time crashes no target. */
-	watchAnswer({metadata: {promptParts}}: ForwardExchange): () => void {
+	watchAnswer(exchange: ForwardExchange): () => void {
+		const {promptParts} = exchange.metadata;
 		let beganAt: number | undefined;
 		let isSound = false;
 		return () => {
 			const now = this.options.clock();
 			beganAt ??= now;
 			if (!isSound && promptParts.length > 0) {
-				isSound = this.parts.noteAnswering(promptParts, now - beganAt, now);
+				isSound = this.noteAnswering(exchange, now - beganAt, now);
 			}
 		};
 	}
 
 	/** Notes that a target has answered a request completely; `hasSucceeded` unless it answered with an error. */
-	noteAnswered({fingerprint, metadata: {promptParts}}: ForwardExchange, hasSucceeded: boolean): void {
+	noteAnswered(exchange: ForwardExchange, hasSucceeded: boolean): void {
 		const now = this.options.clock();
-		this.suspects.noteAnswered(fingerprint, now);
+		this.suspects.noteAnswered(exchange.fingerprint, now);
 		if (hasSucceeded) {
-			this.parts.noteAnswering(promptParts, Number.POSITIVE_INFINITY, now);
+			this.noteAnswering(exchange, Number.POSITIVE_INFINITY, now);
 		}
 	}
 
 	/** Notes that a request was lost at a target. If its connection was closed, resolves once it is known whether the target has crashed. */
-	async noteLost({fingerprint, metadata: {id, promptParts}}: ForwardExchange, target: Target, {isConnectionClosed, answeringMs}: Lost): Promise<void> {
+	async noteLost(exchange: ForwardExchange, target: Target, {isConnectionClosed, answeringMs}: Lost): Promise<void> {
+		const {fingerprint, metadata: {id, promptParts}} = exchange;
 		this.lostRequests.add({
-			id, fingerprint, promptParts, incarnation: target, answeringMs,
+			id, fingerprint, promptParts, triedParts: this.parts.trials.listTried(exchange), incarnation: target, answeringMs,
 		}, this.options.clock());
 		if (!isConnectionClosed) {
 			return;
@@ -185,6 +193,25 @@
 		}
 	}
 
+	private judgeParts(exchange: ForwardExchange, mayProbe: (part: string) => boolean, now: number): PartVerdict {
+		const isTelling = (part: string): boolean => this.contrast.isTelling(exchange.service, part, now);
+		return this.parts.judge({
+			request: exchange, parts: exchange.metadata.promptParts, mayProbe, isTelling,
+		}, now);
+	}
+
+	/* Returns whether the parts of its prompt are known to be sound now. */
+	private noteAnswering(exchange: ForwardExchange, answeringMs: number, now: number): boolean {
+		const {service, metadata: {promptParts}} = exchange;
+		const isSound = this.parts.noteAnswering(promptParts, answeringMs, now);
+		if (isSound && !this.counted.has(exchange)) {
+			this.counted.add(exchange);
+			this.contrast.noteSound(service, promptParts, now);
+		}
+
+		return isSound;
+	}
+
 	private async checkTarget(target: Target): Promise<void> {
 		const {check, health, clock, log, onCrash} = this.options;
 		const listenerState = await check(target);
