--- a/src/balance/part-crash-record.ts
+++ b/src/balance/part-crash-record.ts
@@ -8,6 +8,8 @@
 const PartCrashRecord = z.object({
 	/** Parts of the requests that were lost as they began to run there, each with a tag of its request. */
 	parts: z.record(name, name),
+	/** The subset of these that a lost request was sent for trial of; absent if there are none. */
+	tried: z.array(name).optional(),
 	/** The subset of these that is refused. */
 	refused: z.array(name),
 });
