--- a/src/forward/filters/make-read-filter.ts
+++ b/src/forward/filters/make-read-filter.ts
@@ -1,33 +1,34 @@
-import {Buffer} from 'node:buffer';
 import {err} from 'neverthrow';
 import {type RouteTable} from '../../fleet/route-table.js';
 import {type Filter} from '../../requests/filter.js';
 import {Problem} from '../../requests/problem.js';
 import {type ForwardExchange} from '../forward-exchange.js';
+import {readBody} from '../read-body.js';
+import {runAt} from '../run-at.js';
 
-/** Creates the filter that buffers a request's body, so that it can be sent again, up to the configured size. */
-export function makeReadFilter(getTable: () => RouteTable | undefined): Filter<ForwardExchange> {
+type ReadFilterOptions = {
+	readonly getTable: () => RouteTable | undefined;
+	/** The present time, milliseconds; the request's deadline is on the same clock. */
+	readonly clock: () => number;
+};
+
+/** Creates the filter that buffers a request's body, so that it can be sent again, up to the configured size and until the deadline. */
+export function makeReadFilter({getTable, clock}: ReadFilterOptions): Filter<ForwardExchange> {
 	return async (exchange, next) => {
 		const maximumBytes = getTable()?.configuration.limits.maximumBodyBytes ?? 0;
-		const chunks: Buffer[] = [];
-		let bytes = 0;
-		try {
-			for await (const chunk of exchange.incoming) {
-				chunks.push(chunk as Buffer);
-				bytes += (chunk as Buffer).length;
-				if (bytes > maximumBytes) {
-					return err(new Problem({
-						status: 413, title: 'Body too large', detail: `at most ${maximumBytes} bytes are accepted`, outcome: 'not-run',
-					}));
-				}
-			}
-		} catch (error) {
-			return err(new Problem({
-				status: 400, title: 'Bad request', detail: `the body broke off: ${(error as Error).message}`, outcome: 'not-run',
+		const lateness = new AbortController();
+		const cancel = runAt(exchange.deadline, clock, () => {
+			lateness.abort(new Problem({
+				status: 408, title: 'Body too late', detail: 'the body had not arrived at the deadline', outcome: 'not-run',
 			}));
+		});
+		const body = await readBody(exchange.incoming, {maximumBytes, signal: AbortSignal.any([lateness.signal, exchange.inputFailure])});
+		cancel();
+		if (body.isErr()) {
+			return err(body.error);
 		}
 
-		exchange.body = new Uint8Array(Buffer.concat(chunks));
+		exchange.body = body.value;
 		return next();
 	};
 }
