--- a/features/soak.feature
+++ b/features/soak.feature
@@ -41,6 +41,7 @@
       | it crossed the close and was not passed on |
       | it was written ahead and not passed on     |
       | its entry was killed                       |
+      | its entry had not read it                  |
       | its last byte was never sent               |
 
   Scenario Outline: Six entries, faults of eight seconds, seed <seed>
