--- a/src/forward/target-sender.ts
+++ b/src/forward/target-sender.ts
@@ -1,8 +1,10 @@
-import {Buffer} from 'node:buffer';
-import {errors} from 'undici';
+import {type Buffer} from 'node:buffer';
 import {type Target} from '../fleet/target.js';
+import {type AnswerBudget} from './answer-budget.js';
+import {ChunkList} from './chunk-list.js';
 import {type ConnectionPool} from './connection-pool.js';
 import {dropHopHeaders} from './drop-hop-headers.js';
+import {ExcessError} from './excess-error.js';
 import {type HeaderDialect} from './header-dialect.js';
 import {indexHeaders} from './index-headers.js';
 import {type SendOutcome} from './send-outcome.js';
@@ -12,6 +14,7 @@
 
 type SenderOptions = TransportListener & {
 	readonly pool: ConnectionPool;
+	readonly budget: AnswerBudget;
 	readonly dialect: HeaderDialect;
 	readonly clock: () => number;
 };
@@ -21,25 +24,39 @@
 /** Answers that are not streams are buffered up to this size, bytes; larger ones are not relayed. */
 const maximumAnswerBytes = 16 * 1024 * 1024;
 
+/** The body of a refusal is discarded, up to this size, so that its connection can be used again. Bytes. */
+const maximumRefusalBytes = 64 * 1024;
+
 /**
  * Longest idle time of a connection reused for a request that runs at most once, milliseconds: such a request cannot be
  * retried if the connection turns out to be lost. Opening a new one costs one round trip.
  */
 const maximumIdleOnceMs = 500;
 
-/* The client raises these while it builds a request, before it writes anything. */
-const isUnsendable = (error: Error): boolean => error instanceof errors.InvalidArgumentError || error instanceof errors.NotSupportedError;
+/** Codes of the errors that the client raises while it builds a request, before it writes anything. */
+const unsendableCodes: ReadonlySet<string | undefined> = new Set(['UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED']);
+
+const isUnsendable = ({code}: NodeJS.ErrnoException): boolean => unsendableCodes.has(code);
 
 /** How the body of an answer is handled: before the head, discarded after a refusal, buffered, or relayed as it arrives. */
 type Mode = 'awaiting-head' | 'refused' | 'buffer' | 'stream';
 
+type Failure = {
+	/** Whether the other side has closed the connection. */
+	readonly isCut?: boolean;
+	/** Whether the target has sent more than any answer may have. */
+	readonly isExcessive?: boolean;
+};
+
 /** One attempt to send a request to a target over HTTP. */
 class Attempt {
 	private mode: Mode = 'awaiting-head';
 	private status = 0;
 	private headers: string[] = [];
-	private readonly chunks: Buffer[] = [];
-	private bytes = 0;
+	private readonly chunks = new ChunkList();
+	private discardedBytes = 0;
+	/** Bytes of the answer that count against the budget. */
+	private bufferedBytes = 0;
 	private cause: 'busy' | 'group-down' | 'gone' = 'busy';
 	private retryAfter: string | undefined;
 	private isSettled = false;
@@ -100,10 +117,11 @@
 					this.handleEnd();
 				},
 				onError: error => {
+					const isExcessive = error instanceof ExcessError;
 					if (isUnsendable(error)) {
 						this.reject(error.message);
 					} else {
-						this.fail(error.message, true);
+						this.fail(error.message, {isCut: !isExcessive, isExcessive});
 					}
 				},
 			});
@@ -162,6 +180,8 @@
 		this.mode = isStream ? 'stream' : 'buffer';
 		if (isStream) {
 			delivery.start(status, headers);
+		} else if (exchange.incoming.method !== 'HEAD' && Number(index.get('content-length') ?? 0) > maximumAnswerBytes) {
+			this.fail('the answer is too large');
 		}
 	}
 
@@ -180,19 +200,59 @@
 
 		if (this.mode === 'stream') {
 			this.noteEvent();
-			return this.options.delivery.push(chunk);
+			return this.relay(chunk);
 		}
 
-		this.bytes += chunk.length;
-		if (this.bytes > maximumAnswerBytes) {
-			this.fail('the answer is too large');
-		} else if (this.mode === 'buffer') {
-			this.chunks.push(chunk);
+		if (this.mode === 'buffer') {
+			this.buffer(chunk);
+		} else {
+			this.discardedBytes += chunk.length;
+			if (this.discardedBytes > maximumRefusalBytes) {
+				this.fail('the refusal is too large');
+			}
 		}
 
 		return true;
 	}
 
+	private buffer(chunk: Buffer): void {
+		if (this.chunks.length + chunk.length > maximumAnswerBytes) {
+			this.fail('the answer is too large', {isExcessive: true});
+		} else if (this.resizeBuffer(this.chunks.length + chunk.length)) {
+			this.chunks.push(chunk);
+		}
+	}
+
+	/* Fails when all answers together buffer too much. */
+	private resizeBuffer(bytes: number): boolean {
+		const isWithinBudget = this.sender.budget.resize(this.bufferedBytes, bytes);
+		if (isWithinBudget) {
+			this.bufferedBytes = bytes;
+		} else {
+			this.fail('no memory is left to buffer the answer');
+		}
+
+		return isWithinBudget;
+	}
+
+	private releaseBuffer(): void {
+		this.sender.budget.resize(this.bufferedBytes, 0);
+		this.bufferedBytes = 0;
+	}
+
+	private relay(chunk: Buffer): boolean {
+		const {delivery} = this.options;
+		const isFlowing = delivery.push(chunk);
+		const {excess, pendingBytes} = delivery;
+		if (excess === undefined) {
+			this.resizeBuffer(pendingBytes);
+		} else {
+			this.fail(excess, {isExcessive: true});
+		}
+
+		return isFlowing;
+	}
+
 	private noteEvent(): void {
 		const now = this.sender.clock();
 		if (this.eventAt !== undefined && !this.options.exchange.response.writableNeedDrain) {
@@ -215,7 +275,7 @@
 			}
 
 			case 'buffer': {
-				this.settle({kind: 'answered', answer: {status: this.status, headers: this.headers, body: Buffer.concat(this.chunks)}}, true);
+				this.settle({kind: 'answered', answer: {status: this.status, headers: this.headers, body: this.chunks.take()}}, true);
 				break;
 			}
 
@@ -223,14 +283,14 @@
 				if (this.options.delivery.finish()) {
 					this.settle({kind: 'streamed'}, true);
 				} else {
-					this.fail('the stream ended within an event', true);
+					this.fail('the stream ended within an event', {isCut: true});
 				}
 
 				break;
 			}
 
 			default: {
-				this.fail('the connection ended without an answer', true);
+				this.fail('the connection ended without an answer', {isCut: true});
 			}
 		}
 	}
@@ -242,14 +302,14 @@
 		}, false);
 	}
 
-	private fail(reason: string, isCut = false): void {
+	private fail(reason: string, {isCut = false, isExcessive = false}: Failure = {}): void {
 		// The head of a refusal proves that the request did not run, however its body ends.
 		if (this.mode === 'refused') {
 			this.settle(this.makeRefusal(), false);
 		} else if (this.connection?.hasOpened) {
 			const answeringMs = this.answeredAt === undefined ? undefined : this.sender.clock() - this.answeredAt;
 			this.settle({
-				kind: 'lost', reason, isConnectionClosed: isCut, answeringMs,
+				kind: 'lost', reason, isConnectionClosed: isCut, isExcessive, answeringMs,
 			}, false);
 		} else {
 			this.settle({kind: 'not-run', reason: `not sent: ${reason}`, wasSent: false}, false);
@@ -270,6 +330,16 @@
 
 		this.isSettled = true;
 		const {connection} = this;
+		const {response} = this.options.exchange;
+		if (outcome.kind === 'answered' && !response.closed) {
+			// The answer stays in memory until the caller has read it.
+			response.once('close', () => {
+				this.releaseBuffer();
+			});
+		} else {
+			this.releaseBuffer();
+		}
+
 		if (connection && isReusable) {
 			// Deferred, since undici's parser must first finish this answer.
 			setImmediate(() => {
