Contain what steps throw that nothing waits for

Seen: a step that a timer, a link's message or a `void promise` starts ended the whole process when it threw or rejected, and other steps stayed blocked for good: a rank reported no more, a registration was not renewed, an entry for orders was not chosen again, since their busy flags were reset only after a success.

Cause: no boundary between a task's own layer and the process. What can reject by reading: the planner's decision (reads of engines, listings and the service; plans on reported maps and loads), orders sent directly or for a planner (opening an engine), the election, registrations, crash records, the following of the store (what a change causes in the view's listeners), reports to peers, map switches and plans of the older programs, reading the table and the VM list.

Change: all of these run through runGuarded, which logs the error as that task's own; periodic checks of an entry are guarded one by one. Busy flags and the next report are reset in `finally`; an engine call that fails does not keep the next from running; the loop that follows the store treats an internal error as a failed call, with backoff. A link that is closed because of a message is logged with the reason (it was closed without a line); so is an error of the listening socket, and an exception on a request's way in RequestServer, which was passed to the socket without a line.

--- a/features/support/forward-system.ts
+++ b/features/support/forward-system.ts
@@ -66,8 +66,9 @@
 	readonly entries = new Map<string, Entry>();
 	readonly targets = new Map<string, HttpTarget>();
 	readonly configuration = structuredClone(firstConfiguration);
+	/** Addresses on which the entries accept links. */
+	readonly linkAddresses: string[] = [];
 	private readonly agent = new Agent({keepAlive: true, maxSockets: 1});
-	private readonly linkAddresses: string[] = [];
 	private calls = 0;
 	private skippedMs = 0;
 
--- a/src/entry/entry-controller.ts
+++ b/src/entry/entry-controller.ts
@@ -11,6 +11,7 @@
 import {type VmList} from '../vm-list/vm-list.js';
 import {rankByRendezvous} from '../routing/rank-by-rendezvous.js';
 import {type TableController} from '../table/table-controller.js';
+import {runGuarded} from '../log/run-guarded.js';
 import {type GroupPlanners} from './group-planners.js';
 
 type Send = (message: LinkMessage) => boolean;
@@ -67,7 +68,9 @@
 		this.tick();
 		this.timer = setInterval(() => {
 			this.options.metrics.measureControlCpu(() => {
-				this.tick();
+				runGuarded(this.options.log, 'periodic check', () => {
+					this.tick();
+				});
 			});
 		}, tickIntervalMs);
 	}
@@ -114,7 +117,7 @@
 
 	/** Passes on expert loads that rank 0 of a group reported. */
 	noteExpertLoads(message: MessageOf<'map-loads'>): void {
-		void this.options.groups.noteExpertLoads(message, this.options.clock());
+		runGuarded(this.options.log, 'planning of a map', async () => this.options.groups.noteExpertLoads(message, this.options.clock()));
 	}
 
 	/** Handles a message from another entry or an operator; `sender` is its id, empty for a link that this entry opened. */
@@ -215,7 +218,7 @@
 
 		if (now >= this.nextVmListAt) {
 			this.nextVmListAt = now + (this.options.platform.vmListIntervalMs * (0.5 + this.options.random()));
-			void this.refreshVmList();
+			runGuarded(this.options.log, 'reading of the VM list', async () => this.refreshVmList());
 		}
 	}
 
--- a/src/entry/group-planners.ts
+++ b/src/entry/group-planners.ts
@@ -6,6 +6,7 @@
 import {type Vm} from '../vm-list/vm.js';
 import {rankByRendezvous} from '../routing/rank-by-rendezvous.js';
 import {type Row} from '../table/row.js';
+import {runGuarded} from '../log/run-guarded.js';
 
 type GroupPlannersOptions = {
 	readonly id: string;
@@ -34,7 +35,7 @@
 
 			const [first] = rankByRendezvous(vm.group, live);
 			if (first === this.options.id) {
-				void this.getPlanner(vm).tick(now);
+				runGuarded(this.options.log, `planner of ${vm.group}`, async () => this.getPlanner(vm).tick(now));
 			}
 		}
 	}
--- a/src/entry/request-server.ts
+++ b/src/entry/request-server.ts
@@ -7,6 +7,7 @@
 import {type Span, type Tracer} from '@opentelemetry/api';
 import {type Result} from 'neverthrow';
 import polka from 'polka';
+import {getLogger} from '../log/get-logger.js';
 import {type ProcessMetrics} from '../metrics/process-metrics.js';
 import {Exchange} from '../requests/exchange.js';
 import {type Explanations} from '../requests/explanations.js';
@@ -33,6 +34,8 @@
 	readonly ticketFilters: readonly Filter[];
 };
 
+const logger = getLogger('request');
+
 /** The HTTP server for callers: makes an exchange of each request and runs it through the filters. */
 export class RequestServer {
 	private readonly server: Server;
@@ -104,6 +107,7 @@
 			const result = await runFilters([makeBodyFilter(request, maximumBodyBytes), ...filters], exchange);
 			this.finishExchange(exchange, result);
 		} catch (error) {
+			logger.error(`${id} failed with an internal error: ${(error as Error).stack ?? String(error)}`);
 			response.destroy(error as Error);
 		} finally {
 			this.noteEnd(span);
--- a/src/expert-balance/group-controller.ts
+++ b/src/expert-balance/group-controller.ts
@@ -2,6 +2,7 @@
 import {type LinkMessage} from '../link/link-message.js';
 import {type MessageOf} from '../link/message-of.js';
 import {type ExpertMap} from '../maps/expert-map.js';
+import {runGuarded} from '../log/run-guarded.js';
 import {type BalanceSettings} from './balance-settings.js';
 import {decideOrders} from './decide-orders.js';
 import {LoadEstimator} from './load-estimator.js';
@@ -242,7 +243,7 @@
 		});
 		const isOutOfReach = !isSent || this.tracker.isLost(rank, now);
 		if (isOutOfReach && order.type !== 'prepare' && order.type !== 'hold') {
-			void this.sendOrderDirectly(rank, order);
+			runGuarded(this.options.log, `order ${order.type} sent directly to rank ${rank}`, async () => this.sendOrderDirectly(rank, order));
 		}
 	}
 
--- a/src/expert-balance/group-publication.ts
+++ b/src/expert-balance/group-publication.ts
@@ -2,6 +2,7 @@
 import {type GroupListing} from '../fleet/group-listing.js';
 import {type Registry} from '../key-value/registry.js';
 import {Registration} from '../mesh/registration.js';
+import {runGuarded} from '../log/run-guarded.js';
 
 type PublicationOptions = {
 	readonly service: string;
@@ -32,6 +33,6 @@
 			this.registration = new Registration({...this.options, key: groupKeys.make(service, group), value});
 		}
 
-		void this.registration?.tick(now, {era});
+		runGuarded(this.options.log, 'listing of the group', async () => this.registration?.tick(now, {era}));
 	}
 }
--- a/src/expert-balance/order-proxy.ts
+++ b/src/expert-balance/order-proxy.ts
@@ -49,15 +49,11 @@
 
 		this.isChoosing = true;
 		this.chooseAt = now + chooseIntervalMs;
-		const entries = await this.options.listEntries();
-		const others = entries.filter(address => address !== this.address);
-		this.close();
-		if (others.length > 0) {
-			this.address = others[Math.floor(this.options.random() * others.length)];
-			this.link = this.open(this.address);
+		try {
+			this.choose(await this.options.listEntries());
+		} finally {
+			this.isChoosing = false;
 		}
-
-		this.isChoosing = false;
 	}
 
 	/** Sends an order for an engine; false if no entry is connected. */
@@ -79,6 +75,15 @@
 		this.unansweredSince = undefined;
 	}
 
+	private choose(entries: readonly string[]): void {
+		const others = entries.filter(address => address !== this.address);
+		this.close();
+		if (others.length > 0) {
+			this.address = others[Math.floor(this.options.random() * others.length)];
+			this.link = this.open(this.address);
+		}
+	}
+
 	private open(address: string): PersistentLink {
 		const {connect, random, onOutcome, log} = this.options;
 		return new PersistentLink({
--- a/src/expert-balance/planner-election.ts
+++ b/src/expert-balance/planner-election.ts
@@ -62,8 +62,11 @@
 		}
 
 		this.isBusy = true;
-		await (this.heldTerm ? this.maintain(this.heldTerm, now, known) : this.campaign(now, known!, isStuck));
-		this.isBusy = false;
+		try {
+			await (this.heldTerm ? this.maintain(this.heldTerm, now, known) : this.campaign(now, known!, isStuck));
+		} finally {
+			this.isBusy = false;
+		}
 	}
 
 	private async maintain(heldTerm: HeldTerm, now: number, known: ElectionState | undefined): Promise<void> {
--- a/src/expert-balance/planner-server.ts
+++ b/src/expert-balance/planner-server.ts
@@ -2,6 +2,7 @@
 import {type Service} from '../fleet/service.js';
 import {type LinkConnection} from '../link/link-connection.js';
 import {type LinkMessage} from '../link/link-message.js';
+import {runGuarded} from '../log/run-guarded.js';
 import {type BalanceSettings} from './balance-settings.js';
 import {GroupController} from './group-controller.js';
 import {type RankEngine} from './rank-engine.js';
@@ -116,7 +117,8 @@
 	}
 
 	private control(): void {
-		void this.controller?.tick(this.options.clock());
+		const {log, clock} = this.options;
+		runGuarded(log, 'decision of the planner', async () => this.controller?.tick(clock()));
 	}
 
 	private sendHeartbeats(term: number): void {
@@ -126,7 +128,7 @@
 		}
 
 		if (!this.service?.experts) {
-			void this.refreshService();
+			runGuarded(this.options.log, 'reading of the service', async () => this.refreshService());
 		}
 	}
 
--- a/src/expert-balance/rank-agent.ts
+++ b/src/expert-balance/rank-agent.ts
@@ -1,5 +1,6 @@
 import {type LinkMessage} from '../link/link-message.js';
 import {type MessageOf} from '../link/message-of.js';
+import {runGuarded} from '../log/run-guarded.js';
 import {getCountInterval} from './get-count-interval.js';
 import {type RankEngine} from './rank-engine.js';
 import {type RankOrder} from './rank-order.js';
@@ -77,7 +78,7 @@
 			}
 
 			case 'rank-order': {
-				this.queue = this.queue.then(async () => this.forwardOrder(message));
+				runGuarded(this.options.log, `order ${message.order.type}`, async () => this.enqueue(async () => this.forwardOrder(message)));
 				break;
 			}
 
@@ -99,9 +100,18 @@
 		this.isBusy = true;
 		this.nextReportAt = now + this.getInterval(now);
 		const areCountsDue = now >= this.nextCountAt;
-		this.queue = this.queue.then(async () => this.sendReport(areCountsDue));
-		await this.queue;
-		this.isBusy = false;
+		try {
+			await this.enqueue(async () => this.sendReport(areCountsDue));
+		} finally {
+			this.isBusy = false;
+		}
+	}
+
+	/* Runs calls of the engine one at a time; one that fails does not keep the next from running. */
+	private async enqueue(call: () => Promise<void>): Promise<void> {
+		const result = this.queue.then(call);
+		this.queue = result.catch(() => undefined);
+		await result;
 	}
 
 	private getInterval(now: number): number {
--- a/src/expert-balance/rank-process.ts
+++ b/src/expert-balance/rank-process.ts
@@ -4,6 +4,7 @@
 import {type LinkConnection} from '../link/link-connection.js';
 import {StoreView} from '../view/store-view.js';
 import {unorderedItems} from '../view/unordered-items.js';
+import {runGuarded} from '../log/run-guarded.js';
 import {type BalanceSettings} from './balance-settings.js';
 import {getPlannerKey} from './get-planner-key.js';
 import {GroupPublication} from './group-publication.js';
@@ -90,9 +91,11 @@
 	/** Starts to report, to follow the current planner and to campaign when there is none. */
 	start(): void {
 		this.timer = setInterval(() => {
-			this.tick();
+			runGuarded(this.options.log, 'periodic check', () => {
+				this.tick();
+			});
 		}, tickMs);
-		void this.report();
+		runGuarded(this.options.log, 'report', async () => this.report());
 	}
 
 	close(): void {
@@ -121,7 +124,7 @@
 			election: new PlannerElection({...this.options, key, address: this.options.ownAddress}),
 			publication: new GroupPublication({...this.options, group}),
 		};
-		void view.run();
+		runGuarded(this.options.log, `view of ${key}`, async () => view.run());
 	}
 
 	private createView(key: string): StoreView {
@@ -189,14 +192,17 @@
 	}
 
 	private async report(): Promise<void> {
-		await this.agent.tick(this.options.clock());
-		this.scheduleReport();
+		try {
+			await this.agent.tick(this.options.clock());
+		} finally {
+			this.scheduleReport();
+		}
 	}
 
 	private scheduleReport(): void {
 		clearTimeout(this.reportTimer);
 		this.reportTimer = setTimeout(() => {
-			void this.report();
+			runGuarded(this.options.log, 'report', async () => this.report());
 		}, Math.max(minimumDelayMs, this.agent.getDelayMs(this.options.clock())));
 	}
 
@@ -209,7 +215,7 @@
 		}
 
 		if (this.isPlanner) {
-			void this.orderProxy.tick(now);
+			runGuarded(this.options.log, 'choice of an entry for orders', async () => this.orderProxy.tick(now));
 		} else {
 			this.orderProxy.close();
 		}
@@ -220,7 +226,8 @@
 		const isStuck = heldSince !== undefined && now - heldSince > stuckHoldMs;
 		this.plannerLink.follow(view.get(key)?.value, now);
 		view.tick(now);
-		void election.tick(now, view.isLoaded ? {era: view.asOf.era, holder: view.get(key), stored: view.getStored(key)} : undefined, isStuck);
+		const known = view.isLoaded ? {era: view.asOf.era, holder: view.get(key), stored: view.getStored(key)} : undefined;
+		runGuarded(this.options.log, 'election', async () => election.tick(now, known, isStuck));
 		this.plannerServer.tick(election.term === undefined ? undefined : {term: election.term, group}, now);
 		if (election.term !== undefined) {
 			publication.tick(this.plannerServer.getListing(now), view.asOf.era, now);
--- a/src/forward/crash-records.ts
+++ b/src/forward/crash-records.ts
@@ -66,7 +66,7 @@
 
 		this.isBusy = true;
 		this.nextAt = now + writeIntervalMs;
-		const problem = await this.write(subject);
+		const problem = await this.tryWrite(subject);
 		this.isBusy = false;
 		if (problem !== undefined) {
 			suspects.noteUnsaved(subject);
@@ -74,6 +74,14 @@
 		}
 	}
 
+	private async tryWrite(subject: string): Promise<string | undefined> {
+		try {
+			return await this.write(subject);
+		} catch (error) {
+			return `internal error, ${(error as Error).stack}`;
+		}
+	}
+
 	private async write(subject: string): Promise<string | undefined> {
 		const {prefix, suspects, registry} = this.options;
 		const key = `${prefix}${subject}`;
--- a/src/forward/make-entry-state.ts
+++ b/src/forward/make-entry-state.ts
@@ -10,6 +10,7 @@
 import {FleetStart} from '../mesh/fleet-start.js';
 import {Registration} from '../mesh/registration.js';
 import {StoreView} from '../view/store-view.js';
+import {runGuarded} from '../log/run-guarded.js';
 import {type FleetSource} from './fleet-source.js';
 import {FleetState} from './fleet-state.js';
 import {makeItemComparator} from './make-item-comparator.js';
@@ -141,7 +142,7 @@
 		isNewFleet: () => fleetStart.isNew,
 		start(seeds) {
 			mesh.addPeers(seeds);
-			void view.run();
+			runGuarded(log.view, 'following of the store', async () => view.run());
 		},
 		tick(now) {
 			mesh.tick();
@@ -149,7 +150,7 @@
 			fleet.tick(now);
 			// Registers only after the first read of the store, which would otherwise show this process as one that ended.
 			if (view.isLoaded) {
-				void registration.tick(now, {era: view.asOf.era, item: view.getStored(key)});
+				runGuarded(log.entry, 'registration', async () => registration.tick(now, {era: view.asOf.era, item: view.getStored(key)}));
 			}
 		},
 		close() {
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -5,6 +5,7 @@
 import {listenForLinks} from '../link/listen-for-links.js';
 import {type MessageOf} from '../link/message-of.js';
 import {getLogger} from '../log/get-logger.js';
+import {runGuarded} from '../log/run-guarded.js';
 import {makeIncarnation} from '../membership/make-incarnation.js';
 import {ForwardMetrics} from '../metrics/forward-metrics.js';
 import {registerViewGauges} from '../metrics/register-view-gauges.js';
@@ -40,6 +41,10 @@
 const fleetLog = getLogger('fleet');
 const entryLog = getLogger('entry');
 
+const logError = (message: string): void => {
+	entryLog.error(message);
+};
+
 /** Interval of the checks of peers, stalls and registrations, milliseconds. */
 const tickMs = 100;
 /** Timeout for opening a link to a peer, milliseconds. */
@@ -209,7 +214,7 @@
 		onConnection(connection) {
 			connection.onMessage(message => {
 				if (message.type === 'engine-order') {
-					void passOrder(message, connection);
+					runGuarded(logError, `order for engine ${message.engineAddress}`, async () => passOrder(message, connection));
 				} else {
 					mesh.receive(message, reply => connection.send(reply));
 				}
@@ -242,16 +247,22 @@
 	entryState.start(settings.seeds);
 	const timer = setInterval(() => {
 		const now = clock();
-		entryState.tick(now);
-		pipeline.tick();
+		runGuarded(logError, 'periodic check of peers and registrations', () => {
+			entryState.tick(now);
+		});
+		runGuarded(logError, 'periodic check of requests', () => {
+			pipeline.tick();
+		});
 		for (const records of crashRecords) {
-			void records.tick(now);
+			runGuarded(logError, 'writing of a crash record', async () => records.tick(now));
 		}
 
-		metrics.blockedParts.set(crashes.parts.size);
-		metrics.cooldownTargets.set(tracker.cooldowns.size);
-		metrics.rateLimitedTargets.set(tracker.limits.size);
-		metrics.silentLinks.set(mesh.countSilentLinks(now));
+		runGuarded(logError, 'update of metrics', () => {
+			metrics.blockedParts.set(crashes.parts.size);
+			metrics.cooldownTargets.set(tracker.cooldowns.size);
+			metrics.rateLimitedTargets.set(tracker.limits.size);
+			metrics.silentLinks.set(mesh.countSilentLinks(now));
+		});
 	}, tickMs);
 	entryLog.info(`started in ${availabilityZone}, listening for callers on ${address}:${server.port}`);
 
--- a/src/link/listen-for-links.ts
+++ b/src/link/listen-for-links.ts
@@ -16,7 +16,7 @@
 	readonly maximumFrameBytes: number;
 	readonly meter: LinkMeter;
 	readonly onConnection: (connection: LinkConnection) => void;
-	/** Called with the reason when the TLS handshake of a peer fails. */
+	/** Called with the reason when a peer's TLS handshake fails, when a link is closed because of a message, or when the server's socket fails. */
 	readonly onRejection: (reason: string) => void;
 };
 
@@ -30,7 +30,13 @@
 	}, socket => {
 		const connection = new LinkConnection(socket, options.maximumFrameBytes, options.meter);
 		connections.add(connection);
-		connection.onClose(() => connections.delete(connection));
+		connection.onClose(error => {
+			connections.delete(connection);
+			// A lost socket is part of a link's life; anything else is a fault of a message or of its handling.
+			if (error !== undefined && error.reason !== 'socket') {
+				options.onRejection(error.message);
+			}
+		});
 		options.onConnection(connection);
 	});
 	server.on('tlsClientError', error => {
@@ -38,6 +44,9 @@
 	});
 	server.listen(options.port, options.address);
 	await once(server, 'listening');
+	server.on('error', (error: Error) => {
+		options.onRejection(error.message);
+	});
 	return {
 		port: (server.address() as AddressInfo).port,
 		connections,
--- a/src/map-switch/group-member.ts
+++ b/src/map-switch/group-member.ts
@@ -9,6 +9,7 @@
 import {type KeyValue} from '../key-value/key-value.js';
 import {type VmList} from '../vm-list/vm-list.js';
 import {type Vm} from '../vm-list/vm.js';
+import {runGuarded} from '../log/run-guarded.js';
 import {createEngineClient} from './create-engine-client.js';
 import {groupKeys} from './group-keys.js';
 import {GroupMap} from './group-map.js';
@@ -87,7 +88,7 @@
 		}
 
 		this.timer = setInterval(() => {
-			void this.tick();
+			runGuarded(options.log, 'periodic check', async () => this.tick());
 		}, tickMs);
 	}
 
@@ -97,19 +98,19 @@
 			case 'map-stage':
 			case 'map-prepare':
 			case 'map-decision': {
-				void this.participant.receive(message);
+				runGuarded(this.options.log, message.type, async () => this.participant.receive(message));
 				break;
 			}
 
 			case 'map-propose':
 			case 'map-vote':
 			case 'map-question': {
-				void this.coordinator?.receive(message, this.options.clock());
+				runGuarded(this.options.log, message.type, async () => this.coordinator?.receive(message, this.options.clock()));
 				break;
 			}
 
 			case 'map-loads-wanted': {
-				void this.sendLoads(send);
+				runGuarded(this.options.log, message.type, async () => this.sendLoads(send));
 				break;
 			}
 
--- a/src/mesh/entry-mesh.ts
+++ b/src/mesh/entry-mesh.ts
@@ -6,6 +6,7 @@
 import {type StoreView} from '../view/store-view.js';
 import {isLater} from '../key-value/is-later.js';
 import {type Revision} from '../key-value/revision.js';
+import {runGuarded} from '../log/run-guarded.js';
 import {type EntryDigest} from './entry-digest.js';
 
 type MeshOptions = {
@@ -136,7 +137,9 @@
 		const now = this.options.clock();
 		this.timer ??= setTimeout(() => {
 			this.timer = undefined;
-			this.report(this.options.clock());
+			runGuarded(this.options.log, 'report to peers', () => {
+				this.report(this.options.clock());
+			});
 		}, Math.max(0, this.sentAt + Math.min(maximumReportMs, reportMsPerPeer * this.peers.size) - now));
 	}
 
--- a/src/mesh/registration.ts
+++ b/src/mesh/registration.ts
@@ -48,9 +48,13 @@
 		}
 
 		this.isBusy = true;
-		const isDone = this.lease === undefined ? await this.register() : await this.renew();
-		this.isBusy = false;
-		this.nextAt = now + (isDone ? renewalIntervalMs : retryIntervalMs);
+		this.nextAt = now + retryIntervalMs;
+		try {
+			const isDone = this.lease === undefined ? await this.register() : await this.renew();
+			this.nextAt = now + (isDone ? renewalIntervalMs : retryIntervalMs);
+		} finally {
+			this.isBusy = false;
+		}
 	}
 
 	/*
--- a/src/table/table-controller.ts
+++ b/src/table/table-controller.ts
@@ -1,6 +1,7 @@
 import {type LinkMessage} from '../link/link-message.js';
 import {type MessageOf} from '../link/message-of.js';
 import {type KeyValue} from '../key-value/key-value.js';
+import {runGuarded} from '../log/run-guarded.js';
 import {fetchTable} from './fetch-table.js';
 import {fetchSnapshot} from './fetch-snapshot.js';
 import {TableHead} from './table-head.js';
@@ -74,9 +75,9 @@
 	tick(now: number): void {
 		if (!this.isFetching && now >= this.nextFetchAt && !(this.isWatcher && this.watchAbort)) {
 			this.isFetching = true;
-			void this.fetch(now).finally(() => {
+			runGuarded(this.options.log, 'reading of the platform', async () => this.fetch(now).finally(() => {
 				this.isFetching = false;
-			});
+			}));
 		}
 	}
 
@@ -147,7 +148,7 @@
 		this.nextFetchAt = now + (pollIntervalMs * (0.5 + this.options.random()));
 		this.reconcile(stored.value.snapshot);
 		if (this.isWatcher) {
-			void this.watchHead(stored.value.revision, now);
+			runGuarded(this.options.log, 'watch of the platform', async () => this.watchHead(stored.value.revision, now));
 		}
 	}
 
@@ -161,7 +162,7 @@
 		const abortController = new AbortController();
 		this.watchAbort = abortController;
 		const result = await this.options.keyValue.watch(tableKeys.head, revision, change => {
-			void this.applyHeadChange(change.value);
+			runGuarded(this.options.log, 'reading of a changed table', async () => this.applyHeadChange(change.value));
 		}, abortController.signal);
 		if (this.watchAbort === abortController) {
 			this.watchAbort = undefined;
--- a/src/target/start-target.ts
+++ b/src/target/start-target.ts
@@ -7,6 +7,7 @@
 import {listenForLinks} from '../link/listen-for-links.js';
 import {type MessageOf} from '../link/message-of.js';
 import {getLogger} from '../log/get-logger.js';
+import {runGuarded} from '../log/run-guarded.js';
 import {GroupMember} from '../map-switch/group-member.js';
 import {makeIncarnation} from '../membership/make-incarnation.js';
 import {ProcessMetrics} from '../metrics/process-metrics.js';
@@ -24,6 +25,10 @@
 import {type RunningTarget} from './running-target.js';
 
 const logger = getLogger('target');
+const logError = (message: string): void => {
+	logger.error(message);
+};
+
 /** Age below which tombstones and records of keys are never evicted, milliseconds. */
 const minimumTombstoneAgeMs = 600_000;
 /** Interval of load reports, milliseconds. A busy target refuses at once, so stale reports do little harm and rare ones save bandwidth. */
@@ -209,11 +214,15 @@
 		},
 	});
 	const ticker = setInterval(() => {
-		requests.tick(clock());
+		runGuarded(logError, 'periodic check of requests', () => {
+			requests.tick(clock());
+		});
 	}, tickIntervalMs);
 	const reporter = setInterval(() => {
-		metrics.measureControlCpu(() => {
-			links.broadcast({type: 'load', load: getLoad(), tableVersion});
+		runGuarded(logError, 'load report', () => {
+			metrics.measureControlCpu(() => {
+				links.broadcast({type: 'load', load: getLoad(), tableVersion});
+			});
 		});
 	}, loadReportIntervalMs);
 
--- a/src/view/store-view.ts
+++ b/src/view/store-view.ts
@@ -168,7 +168,7 @@
 			const startedAt = this.options.clock();
 			const before = this.revision;
 			this.calledAt = startedAt;
-			const result = await this.callStore();
+			const result = await this.tryCall();
 			this.calledAt = undefined;
 			if (result === 'updated') {
 				this.backoffMs = initialBackoffMs;
@@ -265,6 +265,16 @@
 		return hasChanged;
 	}
 
+	/* What a change causes elsewhere must not end the following of the store. */
+	private async tryCall(): Promise<CallResult> {
+		try {
+			return await this.callStore();
+		} catch (error) {
+			this.options.log(`a call of the store failed with an internal error: ${(error as Error).stack}`);
+			return 'failed';
+		}
+	}
+
 	/* A view that has been kept since before the store was restored knows which registrations were removed; one that started later does not. */
 	private mergePresumed(snapshot: ViewSnapshot, now: number): boolean {
 		const {era} = this.revision;
