Accept bounds that are fractions of a second in an entry's settings

Cause: the template made milliseconds of seconds by appending three zeros, which multiplies whole numbers only.

Test: "The settings of an entry are rendered from bounds in seconds", five rows over the template of the deploy file and the entry's schema: four failed before, all pass. The rank's template has no such value.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -189,3 +189,16 @@
   Scenario: Thousands of parts and long ids are bounded
     When a request bears a prompt of 5000 parts with ids of 500 characters
     Then at most 256 parts of at most 32 characters are considered
+
+  # Guards against an entry that does not start, or stops after milliseconds, since a bound is a fraction of a second.
+  Scenario Outline: The settings of an entry are rendered from bounds in seconds: <grace> and <window>
+    When the settings of an entry are rendered with a grace period of <grace> s and a budget window of <window> s
+    Then it has a grace period of <graceMs> ms and a budget window of <windowMs> ms
+
+    Examples:
+      | grace     | window | graceMs   | windowMs |
+      | 8         | 10     | 8000      | 10000    |
+      | 7.5       | 2.5    | 7500      | 2500     |
+      | 8.0       | 0.75   | 8000      | 750      |
+      | 6.0625    | 1.3333 | 6062.5    | 1333.3   |
+      | 6.1234567 | 3      | 6123.4567 | 3000     |
--- a/src/config/forward-entry-settings.ts
+++ b/src/config/forward-entry-settings.ts
@@ -31,7 +31,7 @@
 		defaultDeadlineMs: z.int().min(1).default(60_000).meta({description: 'Deadline of a request that sets none, milliseconds; the route may set a shorter one'}),
 	}).prefault({}),
 	stop: z.strictObject({
-		graceMs: z.int().min(1000).default(8000).meta({description: 'Time between the stop signal and the forced end of the process, milliseconds'}),
+		graceMs: z.number().min(1000).default(8000).meta({description: 'Time between the stop signal and the forced end of the process, milliseconds'}),
 		noticeMs: z.int().min(0).default(2500).meta({description: 'Time during which connections are still accepted after readiness is withdrawn, so that the balancer notices, milliseconds'}),
 	}).prefault({}),
 	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info').meta({description: 'Lowest level of log lines that are written'}),
