--- a/src/expert-balance/rank-process.ts
+++ b/src/expert-balance/rank-process.ts
@@ -8,6 +8,7 @@
 import {entryRegistrations} from '../mesh/entry-registrations.js';
 import {StoreView} from '../view/store-view.js';
 import {unorderedItems} from '../view/unordered-items.js';
+import {runGuarded} from '../log/run-guarded.js';
 import {type BalanceSettings} from './balance-settings.js';
 import {getPlannerKey} from './get-planner-key.js';
 import {GroupPublication} from './group-publication.js';
@@ -101,9 +102,11 @@
 	/** Starts to report, to follow the current planner and to campaign when there is none. */
 	start(): void {
 		this.timer = setInterval(() => {
-			this.tick();
+			runGuarded(this.options.log, 'periodic check', () => {
+				this.tick();
+			});
 		}, tickMs);
-		void this.report();
+		runGuarded(this.options.log, 'report', async () => this.report());
 	}
 
 	close(): void {
@@ -132,7 +135,7 @@
 			election: new PlannerElection({...this.options, key, address: this.options.ownAddress}),
 			publication: new GroupPublication({...this.options, group}),
 		};
-		void view.run();
+		runGuarded(this.options.log, `view of ${key}`, async () => view.run());
 	}
 
 	private createView(key: string): StoreView {
@@ -217,14 +220,17 @@
 	}
 
 	private async report(): Promise<void> {
-		await this.agent.tick(this.options.clock());
-		this.scheduleReport();
+		try {
+			await this.agent.tick(this.options.clock());
+		} finally {
+			this.scheduleReport();
+		}
 	}
 
 	private scheduleReport(): void {
 		clearTimeout(this.reportTimer);
 		this.reportTimer = setTimeout(() => {
-			void this.report();
+			runGuarded(this.options.log, 'report', async () => this.report());
 		}, Math.max(minimumDelayMs, this.agent.getDelayMs(this.options.clock())));
 	}
 
@@ -237,7 +243,7 @@
 		}
 
 		if (this.isPlanner) {
-			void this.orderProxy.tick(now);
+			runGuarded(this.options.log, 'choice of an entry for orders', async () => this.orderProxy.tick(now));
 		} else {
 			this.orderProxy.close();
 		}
@@ -252,7 +258,7 @@
 		const known = {
 			era: view.asOf.era, holder: view.get(key), planner, stored: view.getStored(key),
 		};
-		void election.tick(now, view.isLoaded ? known : undefined, isStuck);
+		runGuarded(this.options.log, 'election', async () => election.tick(now, view.isLoaded ? known : undefined, isStuck));
 		this.plannerServer.tick(election.term === undefined ? undefined : {term: election.term, group}, now);
 		if (election.term !== undefined) {
 			publication.tick(this.plannerServer.getListing(now), view.asOf.era, now);
