Bound the answers of the store, engines and the list of VMs

Seen: a store that sends a body without end is read at full speed until the call times out: 300 MB in 0.9 s by one call of a process whose VM has 350 MB; 65 MB in 0.25 s from the engine of a rank. The list of VMs and the engines of groups were read without an end (their timeouts start again with each byte or interim answer). `store-era: 0x10` was taken for era 16, `1e3` for 1000.

Ruled out: heads without end (the HTTP client's limit), status lines (its timeout does not start again).

Open: an era that is a number but far too high is taken as it is. The command line still reads answers without a limit.

--- a/features/endless-answers.feature
+++ b/features/endless-answers.feature
@@ -73,3 +73,19 @@
     And 3 of them get their whole answers as they read, and the others get status 502
     When 3 callers get large answers at once and read nothing yet
     Then 3 of them get their whole answers as they read, and the others get status 502
+
+  # Guards against reading without a limit what the store, an engine or the platform sends.
+  Scenario Outline: A client gives up an answer without end: <client>, <what>
+    Given a server that answers "<what>" without end
+    When the client of "<client>" calls it
+    Then the call has failed, and the client has closed the connection after <most> MB at most
+
+    Examples:
+      | client                | what                    | most |
+      | the store             | a body without a length | 40   |
+      | the store             | interim answers         | 500  |
+      | the engine of a rank  | a body without a length | 40   |
+      | the engine of a rank  | interim answers         | 500  |
+      | the engine of a group | a body without a length | 40   |
+      | the list of VMs       | a body without a length | 40   |
+      | the list of VMs       | interim answers         | 500  |
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -59,6 +59,8 @@
       | soon                 |
       | 3, 3                 |
       | 99999999999999999999 |
+      | 0x10                 |
+      | 1e3                  |
 
   Scenario: A list whose pages are of two eras fails
     Given a store with 5 keys
--- a/src/key-value/create-etcd-key-value.ts
+++ b/src/key-value/create-etcd-key-value.ts
@@ -2,6 +2,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {request, type Dispatcher} from 'undici';
 import {z} from 'zod';
+import {documentAgent} from '../http/document-agent.js';
 import {type KeyValue} from './key-value.js';
 import {PlatformError} from './platform-error.js';
 import {type StoredValue} from './stored-value.js';
@@ -15,6 +16,9 @@
 const keepAnswer = z.object({result: z.object({TTL: integer.default(0)})});
 const watchAnswer = z.object({result: z.object({canceled: z.boolean().default(false), events: z.array(z.object({type: z.string().default('PUT'), kv: pair})).default([])})});
 
+/** Limit on one line of a watch, which holds events that came together, characters. */
+const maximumLineLength = 16 * 1024 * 1024;
+
 const toBase64 = (text: string): string => Buffer.from(text, 'utf8').toString('base64');
 const fromBase64 = (text: string): string => Buffer.from(text, 'base64').toString('utf8');
 
@@ -51,8 +55,7 @@
 			headers: {'content-type': 'application/json'},
 			body: JSON.stringify(body),
 			headersTimeout: options.timeoutMs,
-			bodyTimeout: signal ? 0 : options.timeoutMs,
-			signal,
+			...(signal ? {bodyTimeout: 0, signal} : {dispatcher: documentAgent, signal: AbortSignal.timeout(options.timeoutMs)}),
 		});
 	};
 
@@ -111,6 +114,10 @@
 					text += String(chunk);
 					const lines = text.split('\n');
 					text = lines.pop()!;
+					if (text.length > maximumLineLength) {
+						return err(new PlatformError(`watch: an event has more than ${maximumLineLength} characters`, 'no'));
+					}
+
 					for (const line of lines.filter(Boolean)) {
 						const {result} = watchAnswer.parse(JSON.parse(line));
 						if (result.canceled) {
--- a/src/map-switch/create-engine-client.ts
+++ b/src/map-switch/create-engine-client.ts
@@ -1,5 +1,6 @@
 import {request} from 'undici';
 import {z} from 'zod';
+import {documentAgent} from '../http/document-agent.js';
 import {EngineMapState} from './engine-map-state.js';
 import {type EngineClient} from './engine-client.js';
 
@@ -16,7 +17,9 @@
 			method: 'POST',
 			headers: {'content-type': 'application/json'},
 			body: JSON.stringify(body),
+			dispatcher: documentAgent,
 			headersTimeout: answerMs,
+			signal: AbortSignal.timeout(answerMs),
 		});
 		await answer.body.dump();
 		if (answer.statusCode !== takenStatus && answer.statusCode !== refusedStatus) {
@@ -28,7 +31,7 @@
 
 	return {
 		async read() {
-			const answer = await request(`${url}/maps`, {headersTimeout: timeoutMs, bodyTimeout: timeoutMs});
+			const answer = await request(`${url}/maps`, {dispatcher: documentAgent, signal: AbortSignal.timeout(timeoutMs)});
 			return z.parse(EngineMapState, await answer.body.json());
 		},
 		stage: async message => order('stage', message, stageTimeoutMs),
--- a/src/map-switch/group-member.ts
+++ b/src/map-switch/group-member.ts
@@ -1,6 +1,7 @@
 import {request} from 'undici';
 import {z} from 'zod';
 import {type TargetSettings} from '../config/target-settings.js';
+import {documentAgent} from '../http/document-agent.js';
 import {type LinkConnection} from '../link/link-connection.js';
 import {type LinkMessage} from '../link/link-message.js';
 import {type MessageOf} from '../link/message-of.js';
@@ -27,6 +28,9 @@
 
 type Send = (message: LinkMessage) => boolean;
 
+/** Timeout for reading the loads of the experts from the engine, milliseconds. */
+const loadsTimeoutMs = 5000;
+
 /** Time between two ticks, and between two checks that the platform has recorded the map in use, milliseconds. */
 const tickMs = 100;
 const recordIntervalMs = 5000;
@@ -166,7 +170,7 @@
 	}
 
 	private async readLoads(): Promise<z.infer<typeof expertLoads>> {
-		const answer = await request(`${this.options.settings.url}/expert-loads`);
+		const answer = await request(`${this.options.settings.url}/expert-loads`, {dispatcher: documentAgent, signal: AbortSignal.timeout(loadsTimeoutMs)});
 		return z.parse(expertLoads, await answer.body.json());
 	}
 
--- a/src/vm-list/fetch-vm-list.ts
+++ b/src/vm-list/fetch-vm-list.ts
@@ -1,6 +1,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {request} from 'undici';
 import {z} from 'zod';
+import {documentAgent} from '../http/document-agent.js';
 import {PlatformError} from '../key-value/platform-error.js';
 import {type VmList} from './vm-list.js';
 import {Vm} from './vm.js';
@@ -19,7 +20,7 @@
 export async function fetchVmList({url, timeoutMs, previous}: FetchOptions): Promise<Result<VmList, PlatformError>> {
 	try {
 		const headers = previous?.tag ? {'if-none-match': previous.tag} : {};
-		const answer = await request(url, {headers, headersTimeout: timeoutMs, bodyTimeout: timeoutMs});
+		const answer = await request(url, {headers, dispatcher: documentAgent, signal: AbortSignal.timeout(timeoutMs)});
 		if (answer.statusCode === notModified && previous) {
 			await answer.body.dump();
 			return ok(previous);
