Take a refusal that names no request as no proof on a used connection

Cause: targets may send an answer twice, the copy where the next answer is expected. `isForeign` took an answer without an id for that of the request just sent if it says "not run", so the copy of an earlier refusal did. Class: an answer is taken for that of a request by its place on the connection.

Change: a refusal without an id counts only on a connection that has carried no other request; on a used one the attempt is lost, so an idempotent request goes on elsewhere and any other is answered 502, "unknown". A connection that brought a refusal without an id is closed, so that a late copy of it meets no other request. On a new connection it counts as before, also with 421.

--- a/features/forward.feature
+++ b/features/forward.feature
@@ -68,6 +68,23 @@
       | late-refusal   | 502    | unknown | 1    |
       | unsigned       | 502    | unknown | 1    |
 
+  # Guards against telling a caller that its request has not run by a copy of a refusal that names no request.
+  Scenario: A refusal that names no request proves nothing on a connection that was used before
+    Given an entry before 1 target
+    When a caller posts 1 requests one after another
+    And the next target answers "late-unnamed-refusal"
+    And a caller posts "a block" to "/release/7"
+    Then the caller gets status 502 with outcome "unknown"
+
+  # Guards against losing the next request to a copy of a refusal that names no request.
+  Scenario: A refusal that names no request counts on a new connection, which is not used again
+    Given an entry before 1 target
+    And the next target answers "unnamed-refusal"
+    When a caller posts "a block" to "/release/7"
+    Then the caller gets status 503 with outcome "not-run"
+    When a caller posts "a block" to "/release/7"
+    Then the caller gets the complete answer to that request
+
   Scenario: An answer without a length that ends with its connection is complete
     Given an entry before 1 target
     And the next target answers "unframed"
--- a/src/forward/target-connection.ts
+++ b/src/forward/target-connection.ts
@@ -51,6 +51,7 @@
 	/** Whether the target has closed its side, and everything it sent before was read. */
 	private hasEnded = false;
 	private framing = new FramingMeter(0);
+	private requests = 0;
 
 	constructor(target: Target) {
 		this.client = new Client(`http://${target.address}:${target.port}`, {
@@ -71,6 +72,11 @@
 		return this.socket !== undefined;
 	}
 
+	/** Whether another request was sent before the present one. */
+	get isReused(): boolean {
+		return this.requests > 1;
+	}
+
 	/** Whether another request can be sent on the connection. */
 	get isReusable(): boolean {
 		return this.socket !== undefined && !this.socket.destroyed && !this.hasSocketError && this.socket.writableLength === 0 && !this.client.destroyed;
@@ -79,6 +85,7 @@
 	/** Sends a request; the receiver is called with the answer. */
 	send(request: OutgoingRequest, receiver: Receiver): void {
 		let isFramed = true;
+		this.requests++;
 		this.framing = new FramingMeter(this.socket?.bytesRead ?? 0);
 		this.client.dispatch({
 			method: request.method,
--- a/src/forward/target-sender.ts
+++ b/src/forward/target-sender.ts
@@ -1,6 +1,7 @@
 import {type Buffer} from 'node:buffer';
 import {type Target} from '../fleet/target.js';
 import {type AnswerBudget} from './answer-budget.js';
+import {type AnswerMetadata} from './answer-metadata.js';
 import {ChunkList} from './chunk-list.js';
 import {type ConnectionPool} from './connection-pool.js';
 import {dropHopHeaders} from './drop-hop-headers.js';
@@ -54,6 +55,8 @@
 	private bufferedBytes = 0;
 	private cause: 'busy' | 'group-down' | 'gone' = 'busy';
 	private retryAfter: string | undefined;
+	/** Whether the refusal names this request. */
+	private isNamed = false;
 	private isSettled = false;
 	/** When the last part of a stream arrived, milliseconds. */
 	private eventAt: number | undefined;
@@ -144,8 +147,7 @@
 		const index = indexHeaders(headers);
 		const metadata = this.sender.dialect.readAnswer(status, index);
 		this.sender.onHead(target, metadata, this.sentAt);
-		// If a target answers twice, a refusal may belong to an earlier request, and does not prove that this one did not run.
-		const isForeign = metadata.requestId !== exchange.metadata.id && (metadata.requestId !== undefined || !metadata.isNotRun);
+		const isForeign = this.isForeign(metadata);
 		if (isForeign) {
 			this.fail('the answer belongs to another request');
 			return;
@@ -155,6 +157,7 @@
 			this.cause = metadata.isMisdirected ? 'gone' : (metadata.isGroupDown ? 'group-down' : 'busy');
 			this.retryAfter = metadata.retryAfterText;
 			this.mode = 'refused';
+			this.isNamed = metadata.requestId !== undefined;
 			return;
 		}
 
@@ -175,6 +178,19 @@
 		}
 	}
 
+	/*
+	 * Whether an answer may be that to another request: targets may send an answer twice, also a refusal. One that names no
+	 * request proves that this one did not run only if the connection has carried no other request.
+	 */
+	private isForeign({requestId, isNotRun}: AnswerMetadata): boolean {
+		const ownId = this.options.exchange.metadata.id;
+		if (requestId !== undefined) {
+			return requestId !== ownId;
+		}
+
+		return isNotRun ? this.connection.isReused : ownId !== undefined;
+	}
+
 	private handleData(chunk: Buffer): boolean {
 		if (this.isSettled) {
 			return true;
@@ -260,7 +276,8 @@
 	private handleEnd(): void {
 		switch (this.mode) {
 			case 'refused': {
-				this.settle(this.makeRefusal(), true);
+				// A copy of a refusal that names no request must not be taken for that of the next one.
+				this.settle(this.makeRefusal(), this.isNamed);
 				break;
 			}
 
--- a/stand-ins/forward/http-target.ts
+++ b/stand-ins/forward/http-target.ts
@@ -4,7 +4,8 @@
 import {type writeLargeAnswer} from './write-large-answer.js';
 
 type Behaviour = 'answer' | 'fail' | 'refuse' | 'unsigned' | 'wrong-id' | 'cut' | 'unframed' | 'unframed-reset' | 'unframed-cut' | 'unframed-line'
-	| 'extra' | 'late-refusal' | 'forget' | 'reset' | 'silent' | 'slow' | `endless ${Parameters<typeof writeEndlessAnswer>[1]}` | `large ${Parameters<typeof writeLargeAnswer>[1]}`;
+	| 'extra' | 'late-refusal' | 'late-unnamed-refusal' | 'unnamed-refusal' | 'forget' | 'reset' | 'silent' | 'slow'
+	| `endless ${Parameters<typeof writeEndlessAnswer>[1]}` | `large ${Parameters<typeof writeLargeAnswer>[1]}`;
 
 /** A running stand-in target. */
 export type HttpTarget = {
--- a/stand-ins/forward/start-http-target.ts
+++ b/stand-ins/forward/start-http-target.ts
@@ -87,6 +87,12 @@
 		return;
 	}
 
+	if (behaviour === 'unnamed-refusal') {
+		resetOnNextRequest.add(request.socket);
+		response.writeHead(503, {'x-not-run': '1'}).end();
+		return;
+	}
+
 	running.runs.push({
 		id, method: request.method!, path: request.url!, headers: request.headers, body: new TextDecoder().decode(new Uint8Array(chunks.flatMap(chunk => [...chunk]))),
 	});
@@ -181,6 +187,11 @@
 			break;
 		}
 
+		case 'late-unnamed-refusal': {
+			socket.write('HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n');
+			break;
+		}
+
 		case 'reset': {
 			resetConnection(socket);
 			break;
