Take an empty answer without a length for a cut one

What callers saw: 200 with no body for a request whose target had closed the connection right after the head of its answer.

Cause: an answer that has neither a length nor chunks ends with its connection; when that ends after the head, HTTP cannot tell an empty answer from a cut one. The entry took it for an empty one and gave it a length of 0.

Decision: a successful answer without a length and without a body is lost (idempotent requests go on elsewhere, others are answered 502). A target that means an empty answer can say so by a length of 0, chunks, or status 204 or 205; a caller that is told 200 for nothing cannot recover, one that is told 502 can. Not for error statuses, HEAD, or a stream whose caller has events already: a resumed stream may have nothing left. The content type is not looked at: many targets send none.

Ruled out, by a test through a whole entry: a head cut at any other byte.

--- /dev/null
+++ b/features/steps/cut-answer-steps.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import {Then, When} from '@cucumber/cucumber';
+import {type Cut} from '../../stand-ins/forward/write-cut-answer.js';
+import {type ForwardSystem} from '../support/forward-system.js';
+import {type SystemWorld} from '../support/system-world.js';
+
+/** Bytes between two places at which a head is cut; the last ones are all tried. */
+const stride = 4;
+const lastBytes = 5;
+/** Timeout of the step, which sends some 100 requests, milliseconds. */
+const timeoutMs = 30_000;
+
+const getSystem = (world: SystemWorld): ForwardSystem => world.notes.get('forward') as ForwardSystem;
+
+type Ended = {readonly id: string; readonly missing: number; readonly status: number};
+
+// eslint-disable-next-line require-unicode-regexp -- Cucumber does not take the flag v
+When(/^the heads of answers "(.*)" are cut everywhere, and the target (ends|resets) its (new|used) connection$/, {timeout: timeoutMs}, async function (this: SystemWorld, form: Cut['form'], ending: Cut['ending'], connection: string) {
+	const system = getSystem(this);
+	const target = system.targets.get('target-1')!;
+	const ended: Ended[] = [];
+	target.cutBytes = 1;
+	for (let missing = 0; target.cutBytes > 0; missing += missing < lastBytes ? 1 : stride) {
+		if (connection === 'used') {
+			assert.equal((await system.call({path: '/release/1', method: 'POST', id: `before-${missing}`})).status, 200); // eslint-disable-line unicorn/no-await-expression-member
+		}
+
+		target.cut = {form, ending, missing};
+		const id = `cut-${missing}`;
+		const {status} = await system.call({path: '/release/1', method: 'POST', id});
+		ended.push({id, missing, status});
+	}
+
+	this.notes.set('ended', ended);
+});
+
+Then('each of these requests has ended with status {int}, and its target has run it once', function (this: SystemWorld, status: number) {
+	const ended = this.notes.get('ended') as Ended[];
+	const runs = getSystem(this).listRuns();
+	assert.deepEqual(ended.filter(request => request.status !== status), []);
+	assert.deepEqual(runs.filter(id => id.startsWith('cut-')), ended.map(({id}) => id));
+});
--- a/src/forward/target-sender.ts
+++ b/src/forward/target-sender.ts
@@ -25,6 +25,9 @@
 /** Answers that are not streams are buffered up to this size, bytes; larger ones are not relayed. */
 const maximumAnswerBytes = 16 * 1024 * 1024;
 
+/** Statuses of successful answers that have no body. */
+const statusesWithoutBody: ReadonlySet<number> = new Set([204, 205]);
+
 /** The body of a refusal is discarded, up to this size, so that its connection can be used again. Bytes. */
 const maximumRefusalBytes = 64 * 1024;
 
@@ -49,6 +52,9 @@
 	private mode: Mode = 'awaiting-head';
 	private status = 0;
 	private headers: string[] = [];
+	/** Whether the answer is whole without a body. */
+	private isEmptyAllowed = true;
+	private hasBody = false;
 	private readonly chunks = new ChunkList();
 	private discardedBytes = 0;
 	/** Bytes of the answer that count against the budget. */
@@ -171,6 +177,7 @@
 
 		const isStream = isSuccess && exchange.route?.kind === 'stream' && index.get('content-type')?.startsWith('text/event-stream');
 		this.mode = isStream ? 'stream' : 'buffer';
+		this.isEmptyAllowed = !isSuccess || this.mayBeEmpty(index);
 		if (isStream) {
 			delivery.start(status, headers);
 		} else if (exchange.incoming.method !== 'HEAD' && Number(index.get('content-length') ?? 0) > maximumAnswerBytes) {
@@ -191,6 +198,16 @@
 		return isNotRun ? this.connection.isReused : ownId !== undefined;
 	}
 
+	/*
+	 * An answer without a length that ends right after its head is far more often cut than meant to be empty; a target that
+	 * means it can say so by a length of 0 or a status. A stream may have nothing left for a caller that has events already.
+	 */
+	private mayBeEmpty(index: ReadonlyMap<string, string>): boolean {
+		const {exchange, delivery} = this.options;
+		const isFramed = index.has('content-length') || index.has('transfer-encoding');
+		return isFramed || delivery.lastEventId !== undefined || exchange.incoming.method === 'HEAD' || statusesWithoutBody.has(this.status);
+	}
+
 	private handleData(chunk: Buffer): boolean {
 		if (this.isSettled) {
 			return true;
@@ -200,6 +217,7 @@
 			this.noteProgress(this.options.target);
 		}
 
+		this.hasBody ||= chunk.length > 0;
 		if (this.mode !== 'refused' && this.status < 300) {
 			this.options.onAnswerPart();
 		}
@@ -274,6 +292,11 @@
 	}
 
 	private handleEnd(): void {
+		if (!this.hasBody && !this.isEmptyAllowed) {
+			this.fail('the answer ended after its head', {isCut: true});
+			return;
+		}
+
 		switch (this.mode) {
 			case 'refused': {
 				// A copy of a refusal that names no request must not be taken for that of the next one.
--- a/stand-ins/forward/http-target.ts
+++ b/stand-ins/forward/http-target.ts
@@ -1,5 +1,6 @@
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Target} from '../../src/fleet/target.js';
+import {type Cut} from './write-cut-answer.js';
 import {type writeEndlessAnswer} from './write-endless-answer.js';
 import {type writeLargeAnswer} from './write-large-answer.js';
 
@@ -25,6 +26,10 @@
 	refusal: {readonly status: number; readonly headers: Readonly<Record<string, string>>} | undefined;
 	/** Headers about the target itself, added to its answers. */
 	extraHeaders: Readonly<Record<string, string>>;
+	/** Where the next answer is cut; undefined once it was. */
+	cut: Cut | undefined;
+	/** Bytes of the latest answer that was cut. */
+	cutBytes: number;
 	/** Body of the latest answer with behaviour `large`. */
 	largeBody: string;
 	/** Sends the rest of the answer with behaviour `slow`. */
--- a/stand-ins/forward/start-http-target.ts
+++ b/stand-ins/forward/start-http-target.ts
@@ -6,6 +6,7 @@
 import {type Target} from '../../src/fleet/target.js';
 import {type HttpTarget} from './http-target.js';
 import {resetConnection} from './reset-connection.js';
+import {writeCutAnswer} from './write-cut-answer.js';
 import {writeEndlessAnswer} from './write-endless-answer.js';
 import {writeLargeAnswer} from './write-large-answer.js';
 
@@ -41,6 +42,8 @@
 		hasCrashed: false,
 		refusal: undefined,
 		extraHeaders: {},
+		cut: undefined,
+		cutBytes: 0,
 		largeBody: '',
 		releaseAnswer() {
 			slowAnswers.get(running)?.();
@@ -107,7 +110,10 @@
 			running.abortedRequests.push(id);
 		}
 	});
-	if (behaviour.startsWith('endless ')) {
+	if (running.cut) {
+		running.cutBytes = writeCutAnswer(response.socket!, running.cut, makeRawHead(id));
+		running.cut = undefined;
+	} else if (behaviour.startsWith('endless ')) {
 		writeEndlessAnswer(response.socket!, behaviour.slice('endless '.length) as Parameters<typeof writeEndlessAnswer>[1], makeRawHead(id));
 	} else if (behaviour.startsWith('large ')) {
 		running.largeBody = writeLargeAnswer(response, behaviour.slice('large '.length) as Parameters<typeof writeLargeAnswer>[1], makeHeaders(running, id, ''));
