--- a/stand-ins/forward/start-http-target.ts
+++ b/stand-ins/forward/start-http-target.ts
@@ -6,6 +6,7 @@
 import {type Target} from '../../src/fleet/target.js';
 import {type HttpTarget} from './http-target.js';
 import {resetConnection} from './reset-connection.js';
+import {writeCutAnswer} from './write-cut-answer.js';
 import {writeEndlessAnswer} from './write-endless-answer.js';
 import {writeLargeAnswer} from './write-large-answer.js';
 
@@ -44,6 +45,8 @@
 		hasCrashed: false,
 		refusal: undefined,
 		extraHeaders: {},
+		cut: undefined,
+		cutBytes: 0,
 		largeBody: '',
 		releaseAnswer() {
 			slowAnswers.get(running)?.shift()?.();
@@ -90,6 +93,12 @@
 		return;
 	}
 
+	if (behaviour === 'unnamed-refusal') {
+		resetOnNextRequest.add(request.socket);
+		response.writeHead(503, {'x-not-run': '1'}).end();
+		return;
+	}
+
 	running.runs.push({
 		id, method: request.method!, path: request.url!, headers: request.headers, body: new TextDecoder().decode(new Uint8Array(chunks.flatMap(chunk => [...chunk]))),
 	});
@@ -107,7 +116,10 @@
 			running.abortedRequests.push(id);
 		}
 	});
-	if (behaviour.startsWith('endless ')) {
+	if (running.cut) {
+		running.cutBytes = writeCutAnswer(response.socket!, running.cut, makeRawHead(id));
+		running.cut = undefined;
+	} else if (behaviour.startsWith('endless ')) {
 		writeEndlessAnswer(response.socket!, behaviour.slice('endless '.length) as Parameters<typeof writeEndlessAnswer>[1], makeRawHead(id));
 	} else if (behaviour.startsWith('large ')) {
 		running.largeBody = writeLargeAnswer(response, behaviour.slice('large '.length) as Parameters<typeof writeLargeAnswer>[1], makeHeaders(running, id, ''));
@@ -196,6 +208,11 @@
 			break;
 		}
 
+		case 'late-unnamed-refusal': {
+			socket.write('HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n');
+			break;
+		}
+
 		case 'reset': {
 			resetConnection(socket);
 			break;
