Arm ranks only under a planner's own hold, with no release of it in flight

A release of a hold that had no answer took effect while the ranks were armed under the same hold by the next planner: passes began on two maps, for good. A late order to prepare replaced the map that the other ranks were armed with: the group was held for good.

Cause: a planner decided by the ranks' reports alone. They do not show the orders of earlier planners that may still take effect.

Ruled out: a check of `sequence` in each order. It is read only to tell that nothing was ever ordered (0).

Change (src/expert-balance/decide-orders.ts, hold-record.ts): - ranks are armed only under a hold that this planner ordered, saw in effect and did not release; a version is armed for one step. If a rank is armed, no release was ordered, and any planner completes the switch, as before; - a hold of another planner is released when every rank has prepared a later version: orders to switch to what was prepared before are refused then. Unsigned reports are answered with a heartbeat at once. Placements are sent to a new planner at once. - a proposal whose hold has ended is logged as dropped, not as in force; in a new epoch the planner plans at once.

Existing tests: the engine's report has the number of orders, as in the stand-in's answer (engine-steps). No check or bound changed.

--- a/features/expert-balance.feature
+++ b/features/expert-balance.feature
@@ -78,6 +78,66 @@
     Then no pass began on two maps
     And no rank is held
 
+  # Guards against arming under a hold whose release is in flight: passes began on two maps, for good.
+  Scenario: A release takes effect late, when a later planner could arm the ranks under the same hold
+    Given a lock-step group with a planner
+    And the order to hold the group waits, and its planner is replaced
+    When the next planner orders other maps to be prepared, and the hold takes effect
+    And the release of the hold waits, and its planner is replaced
+    And the release takes effect as soon as a rank is armed, or 2 seconds later
+    And 3 seconds pass
+    Then no pass began on two maps
+    And no rank is held
+    And the group goes on, and changes its map again
+    And no pass began on two maps
+
+  # Guards against a group that is held for good: a late order replaced the map that the other ranks were armed with.
+  Scenario: An order to prepare takes effect late, when the other ranks are armed for an earlier map
+    Given a lock-step group with a planner
+    And the order to hold the group waits, and its planner is replaced
+    And its order to prepare rank 2 waits, and it is replaced
+    When the hold takes effect, and the order to prepare as soon as all other ranks are armed, or 2 seconds later
+    And 3 seconds pass
+    Then no pass began on two maps
+    And no rank is held
+    And the group goes on, and changes its map again
+    And no pass began on two maps
+
+  # Guards against a planner that resumes and takes reports that waited for it, in answer to another planner, for fresh ones.
+  Scenario Outline: Reports whose age is not known decide nothing: <sign>
+    Given a tracker of a planner's term 5
+    When all ranks' reports arrive <waited> ms after they were sent, <sign>
+    Then the tracker has reports for a decision: <has>
+
+    Examples:
+      | sign                          | waited | has |
+      | in answer to term 5           | 0      | yes |
+      | in answer to term 5           | 500    | yes |
+      | in answer to term 5           | 10000  | no  |
+      | in answer to term 6           | 0      | no  |
+      | in answer to no planner       | 0      | no  |
+
+  # Guards against ranks that switch alone, or for two different passes, by orders of an earlier planner.
+  Scenario Outline: Orders of <type> to rank <rank> take effect <ms> ms after the planner was replaced
+    Given a lock-step group with a planner
+    And the orders of <type> to rank <rank> wait, and the planner is replaced as soon as there is one
+    When the orders of <type> take effect after <ms> ms
+    Then the group goes on, and changes its map again
+    And no pass began on two maps
+
+    Examples:
+      | type    | rank | ms   |
+      | arm     | 0    | 40   |
+      | arm     | 1    | 200  |
+      | arm     | 2    | 1000 |
+      | arm     | 3    | 4000 |
+      | release | 1    | 40   |
+      | release | 1    | 2000 |
+      | prepare | 0    | 200  |
+      | prepare | 3    | 2000 |
+      | hold    | 1    | 200  |
+      | hold    | 1    | 5000 |
+
   Scenario Outline: Random mixes of message loss, late orders, crashes and concurrent planners, seeds <first> to <last>
     When groups run with injected faults, seeds <first> to <last>
     Then none of them began a pass on two maps
--- a/src/expert-balance/group-controller.ts
+++ b/src/expert-balance/group-controller.ts
@@ -4,6 +4,7 @@
 import {type ExpertMap} from '../maps/expert-map.js';
 import {type BalanceSettings} from './balance-settings.js';
 import {decideOrders} from './decide-orders.js';
+import {HoldRecord} from './hold-record.js';
 import {LoadEstimator} from './load-estimator.js';
 import {planGroupMap} from './plan-group-map.js';
 import {type RankEngine} from './rank-engine.js';
@@ -38,6 +39,8 @@
 	readonly version: number;
 	readonly epoch: number;
 	readonly map: ExpertMap;
+	/** Whether it only replaces prepared maps and is never put in force. */
+	readonly isReplacement: boolean;
 	readonly proposedAt: number;
 	/** Copies that the rank with the most copies must load. */
 	readonly maximumCopies: number;
@@ -78,6 +81,7 @@
 	private proposalCount = 0;
 	private lastOrderNumber = 0;
 	private nextPlanAt = 0;
+	private readonly holds = new HoldRecord();
 	private phase: Phase = 'idle';
 	private phaseSince = 0;
 	/** Whether this planner has armed a rank since it last ordered a hold. */
@@ -99,15 +103,15 @@
 
 	/** Records a rank's report. */
 	handleReport(message: MessageOf<'rank-status'>, now: number): void {
-		const {report, counts, term} = message;
+		const {report, counts, term, sign} = message;
 		this.isSuperseded ||= term > this.options.term;
-		if (term < this.options.term) {
+		// Without this planner's heartbeat, the age of a report is not known.
+		if (term < this.options.term || sign?.term !== this.options.term) {
 			this.options.send(report.rank, {type: 'rank-term', term: this.options.term, sentAt: now});
 		}
 
 		if (this.tracker.recordReport(message, now)) {
-			this.proposal = undefined;
-			this.lastOrders.clear();
+			this.startEpoch();
 		}
 
 		if (counts?.epoch === this.tracker.epoch) {
@@ -122,8 +126,13 @@
 			return;
 		}
 
-		this.lastOrders.delete(rank);
-		if (outcome === 'refused' && this.phase === 'prepare') {
+		// A replacement is refused while a later planner's maps are prepared; it is not repeated at once.
+		if (this.phase !== 'finish') {
+			this.lastOrders.delete(rank);
+		}
+
+		const isPreparing = this.phase === 'prepare' || this.phase === 'finish';
+		if (outcome === 'refused' && isPreparing && !this.proposal?.isReplacement) {
 			this.dropProposal(`rank ${rank} refused to prepare it`);
 		}
 	}
@@ -145,8 +154,13 @@
 			return;
 		}
 
+		this.holds.noteReports(reports);
 		const decision = this.decide(reports, now);
-		this.updatePhase(decision.phase, now);
+		if (decision.needsReplacement) {
+			this.proposeReplacement(reports, now);
+		}
+
+		this.updatePhase(decision.phase, reports, now);
 		for (const {rank, order} of decision.orders) {
 			this.sendOrder(rank, order, now);
 		}
@@ -167,10 +181,16 @@
 
 	/* Returns the next orders, or none while a rank that may be lost must report first. */
 	private decide(reports: readonly RankReport[], now: number): ReturnType<typeof decideOrders> {
+		const nextStep = this.holds.findNextStep(reports, this.timing.getLeadSteps(this.tracker.getMaximumRoundTripMs()));
+		if (this.phase === 'hold' && nextStep === undefined) {
+			// No hold has been tried yet.
+			this.phaseSince = now;
+		}
+
 		const decision = decideOrders({
-			reports, proposal: this.proposal, holder: this.chooseHolder(reports.length, now), leadSteps: this.timing.getLeadSteps(this.tracker.getMaximumRoundTripMs()),
+			reports, proposal: this.proposal, holder: this.chooseHolder(reports.length, now), nextStep, holds: this.holds,
 		});
-		const areReportsRecent = this.tracker.haveReportedSince(now - maximumReportAgeMs);
+		const areReportsRecent = this.tracker.haveReadSince(now - maximumReportAgeMs);
 		// If a rank is lost during the hold, the group stays held once another is armed: every rank must report again first.
 		const isFirstArming = decision.phase === 'arm' && !this.hasArmed && this.proposal !== undefined;
 		const haveAllReported = !isFirstArming || this.tracker.haveReadSince(this.holdOrderedAt);
@@ -187,6 +207,29 @@
 		return (this.options.ownRank() + 1 + tries) % size;
 	}
 
+	private startEpoch(): void {
+		this.proposal = undefined;
+		this.lastOrders.clear();
+		this.holds.startEpoch();
+		this.nextPlanAt = 0;
+	}
+
+	/* The map in use, under a new version: every rank prepares it at once, and refuses to switch to what it had prepared before. */
+	private proposeReplacement(reports: readonly RankReport[], now: number): void {
+		const map = this.tracker.getMap(reports);
+		if (map) {
+			this.propose({map, isReplacement: true, maximumCopies: 0}, now);
+			this.options.log(`group ${this.options.group} epoch ${this.tracker.epoch}: map ${this.proposal!.version} replaces those that were prepared, to release the group`);
+		}
+	}
+
+	private propose(proposal: Pick<Proposal, 'map' | 'isReplacement' | 'maximumCopies'>, now: number): void {
+		this.proposalCount++;
+		this.proposal = {
+			...proposal, version: (this.options.term * versionsPerTerm) + this.proposalCount, epoch: this.tracker.epoch, proposedAt: now,
+		};
+	}
+
 	private plan(reports: readonly RankReport[], now: number): void {
 		const shape = this.options.getShape();
 		const map = this.tracker.getMap(reports);
@@ -211,12 +254,9 @@
 			return;
 		}
 
-		this.proposalCount++;
-		this.proposal = {
-			version: (this.options.term * versionsPerTerm) + this.proposalCount, epoch: this.tracker.epoch, map: plan.map, proposedAt: now, maximumCopies: plan.maximumCopies,
-		};
+		this.propose({map: plan.map, isReplacement: false, maximumCopies: plan.maximumCopies}, now);
 		const expectation = `${plan.copies} copies, at most ${plan.maximumCopies} a rank, skew ${plan.skewBefore.toFixed(2)} to ${plan.skewAfter.toFixed(2)}`;
-		this.options.log(`group ${this.options.group} epoch ${this.tracker.epoch}: map ${this.proposal.version} proposed, ${expectation}`);
+		this.options.log(`group ${this.options.group} epoch ${this.tracker.epoch}: map ${this.proposal!.version} proposed, ${expectation}`);
 	}
 
 	private sendOrder(rank: number, order: RankOrder, now: number): void {
@@ -241,7 +281,8 @@
 			type: 'rank-order', group: this.options.group, term: this.options.term, number: this.lastOrderNumber, order,
 		});
 		const isOutOfReach = !isSent || this.tracker.isLost(rank, now);
-		if (isOutOfReach && order.type !== 'prepare' && order.type !== 'hold') {
+		const mayGoDirectly = order.type === 'prepare' ? this.proposal?.isReplacement : order.type !== 'hold';
+		if (isOutOfReach && mayGoDirectly) {
 			void this.sendOrderDirectly(rank, order);
 		}
 	}
@@ -249,11 +290,19 @@
 	private recordOrder(order: RankOrder, now: number): void {
 		if (order.type === 'hold') {
 			this.hasArmed = false;
+			this.holds.noteHold(order.step);
 			this.holdOrderedAt = now;
 			this.requestReports(now);
 		}
 
-		this.hasArmed ||= order.type === 'arm';
+		if (order.type === 'arm') {
+			this.hasArmed = true;
+			this.holds.noteArm(order.version, order.step);
+		}
+
+		if (order.type === 'release') {
+			this.holds.noteRelease(order.step);
+		}
 	}
 
 	/* A heartbeat makes every rank report at once. */
@@ -287,14 +336,22 @@
 		}
 	}
 
-	private updatePhase(phase: Phase, now: number): void {
+	private endProposal({version, proposedAt}: Proposal, reports: readonly RankReport[], now: number): void {
+		if (reports.some(({mapVersion}) => mapVersion === version)) {
+			this.options.log(`group ${this.options.group}: map ${version} in force after ${Math.round(now - proposedAt)} ms`);
+			this.proposal = undefined;
+		} else {
+			this.dropProposal('the group is not held any more');
+		}
+	}
+
+	private updatePhase(phase: Phase, reports: readonly RankReport[], now: number): void {
 		if (phase === this.phase) {
 			return;
 		}
 
 		if (phase === 'idle' && this.proposal) {
-			this.options.log(`group ${this.options.group}: map ${this.proposal.version} in force after ${Math.round(now - this.proposal.proposedAt)} ms`);
-			this.proposal = undefined;
+			this.endProposal(this.proposal, reports, now);
 		} else if (phase !== 'idle') {
 			this.recordCopyTime(phase, now);
 			const lateMs = Math.round(this.tracker.getMaximumRoundTripMs());
--- /dev/null
+++ b/src/expert-balance/hold-record.ts
@@ -0,0 +1,79 @@
+import {maximumLeadSteps} from './maximum-lead-steps.js';
+import {type RankReport} from './rank-report.js';
+
+type Hold = {isReleased: boolean; readonly armedVersions: Set<number>};
+
+const getStep = (reports: readonly RankReport[]): number => Math.max(...reports.map(({step}) => step));
+
+/** The holds that one planner has ordered in the present epoch, by step, and what it has ordered for them since. */
+export class HoldRecord {
+	private readonly holds = new Map<number, Hold>();
+	/** First step of the group at which a hold may be ordered; undefined until all ranks have reported to this planner. */
+	private firstStep: number | undefined;
+
+	/** Whether this planner has ordered a hold of this step. */
+	isOwn(step: number): boolean {
+		return this.holds.has(step);
+	}
+
+	/** Whether no release of this step can be in flight: the hold is this planner's own, and it has not ordered its release. */
+	isReliable(step: number): boolean {
+		return this.holds.get(step)?.isReleased === false;
+	}
+
+	/** The step for which ranks were ordered to switch to a version; undefined if none was. */
+	getArmedStep(version: number): number | undefined {
+		return [...this.holds].find(([, {armedVersions}]) => armedVersions.has(version))?.[0];
+	}
+
+	/** Records the order of a hold. */
+	noteHold(step: number): void {
+		this.holds.set(step, {isReleased: false, armedVersions: new Set()});
+	}
+
+	/** Records that a rank was ordered to switch to a version at a step. */
+	noteArm(version: number, step: number): void {
+		this.holds.get(step)?.armedVersions.add(version);
+	}
+
+	/** Records that the release of a step was ordered. */
+	noteRelease(step: number): void {
+		const hold = this.holds.get(step);
+		if (hold) {
+			hold.isReleased = true;
+		}
+	}
+
+	/**
+	 * Records the first reports of all ranks to this planner. A release of an earlier planner's hold may take effect at any time, so no own
+	 * hold may have the same step. Earlier planners chose steps within the maximum lead of the steps that they knew of, and only when every
+	 * rank had prepared a map.
+	 */
+	noteReports(reports: readonly RankReport[]): void {
+		const mayHaveHeld = reports.every(({orders}) => orders !== 0);
+		this.firstStep ??= mayHaveHeld ? getStep(reports) + maximumLeadSteps : 0;
+	}
+
+	/**
+	 * Finds the step of the next hold. Steps increase, so that a late release of one hold does not release the next, and stay within the
+	 * maximum lead.
+	 *
+	 * @param leadSteps - passes until every rank can be armed
+	 * @returns the step; undefined while no hold may be ordered
+	 */
+	findNextStep(reports: readonly RankReport[], leadSteps: number): number | undefined {
+		const step = getStep(reports);
+		const next = Math.max(step + leadSteps, 1 + Math.max(...this.holds.keys()));
+		const isAllowed = this.firstStep !== undefined && step >= this.firstStep && next <= step + maximumLeadSteps;
+		return isAllowed ? next : undefined;
+	}
+
+	/**
+	 * Forgets all holds, which do not survive the epoch. Once all ranks have reported to this planner, no earlier one can order anything in a
+	 * new epoch.
+	 */
+	startEpoch(): void {
+		this.holds.clear();
+		this.firstStep = this.firstStep === undefined ? undefined : 0;
+	}
+}
--- a/src/expert-balance/rank-agent.ts
+++ b/src/expert-balance/rank-agent.ts
@@ -30,6 +30,7 @@
 	prepare: [{untilMs: 500, intervalMs: 80}],
 	hold: [{untilMs: 500, intervalMs: 40}],
 	arm: [{untilMs: 120, intervalMs: 40}, {untilMs: 500, intervalMs: 80}],
+	disarm: [{untilMs: 500, intervalMs: 40}],
 	release: [{untilMs: 500, intervalMs: 80}],
 } as const;
 
@@ -49,6 +50,8 @@
 	private idleIntervalMs = minimumIdleIntervalMs;
 	private lastOrder: {readonly type: RankOrder['type']; readonly at: number} | undefined;
 	private placement: RankPlacement | undefined;
+	/** Term of the planner to which the placement was last sent. */
+	private placementTerm = 0;
 	/** The planner's last heartbeat, and when it was received. */
 	private heartbeat: {readonly term: number; readonly sentAt: number; readonly receivedAt: number} | undefined;
 	private isUnreachable = false;
@@ -71,7 +74,11 @@
 		switch (message.type) {
 			case 'rank-term': {
 				this.recordTerm(message.term);
-				this.heartbeat = {term: message.term, sentAt: message.sentAt, receivedAt: this.options.clock()};
+				// A planner of an earlier term may not know yet that it is superseded.
+				if (message.term === this.highestTerm) {
+					this.heartbeat = {term: message.term, sentAt: message.sentAt, receivedAt: this.options.clock()};
+				}
+
 				this.nextReportAt = 0;
 				break;
 			}
@@ -157,16 +164,18 @@
 				this.placement = await engine.readPlacement();
 			}
 
-			send({
+			// Sent at once when it changes, since the next map is planned from it, and to newly elected planners; later with each counts.
+			const includesPlacement = areCountsDue || hasMapChanged || term !== this.placementTerm;
+			const isSent = send({
 				type: 'rank-status',
 				term,
 				engineAddress,
 				sign: this.heartbeat && {term: this.heartbeat.term, sentAt: this.heartbeat.sentAt, agoMs: clock() - this.heartbeat.receivedAt},
 				report,
 				counts,
-				// Sent at once when it changes, since the next map is planned from it, and with each counts for newly elected planners.
-				placement: areCountsDue || hasMapChanged ? this.placement : undefined,
+				placement: includesPlacement ? this.placement : undefined,
 			});
+			this.placementTerm = isSent && includesPlacement ? term : this.placementTerm;
 			this.isUnreachable = false;
 		} catch (error) {
 			if (!this.isUnreachable) {
--- a/src/expert-balance/rank-order.ts
+++ b/src/expert-balance/rank-order.ts
@@ -12,6 +12,7 @@
 	z.object({
 		type: z.literal('arm'), ...expectation, version: z.int().min(1), step: z.int(),
 	}),
+	z.object({type: z.literal('disarm'), ...expectation, version: z.int().min(1)}),
 	z.object({type: z.literal('hold'), ...expectation, step: z.int()}),
 	z.object({type: z.literal('release'), ...expectation, step: z.int()}),
 ]);
--- a/src/expert-balance/rank-tracker.ts
+++ b/src/expert-balance/rank-tracker.ts
@@ -70,12 +70,13 @@
 
 		// A restarted engine has lost the state that it reported before.
 		const hasRestarted = known !== undefined && known.report.bornAt !== report.bornAt;
-		// A heartbeat of another term was stamped by another planner's clock.
-		const roundTripMs = sign?.term === this.options.term ? now - sign.sentAt - sign.agoMs : 0;
+		// A heartbeat of another term was stamped by another planner's clock. Without one of this term, the report may have waited for any time.
+		const isSigned = sign?.term === this.options.term;
+		const roundTripMs = isSigned ? now - sign.sentAt - sign.agoMs : 0;
 		this.ranks.set(report.rank, {
 			report,
 			receivedAt: now,
-			readAt: now - roundTripMs,
+			readAt: isSigned ? now - roundTripMs : Number.NEGATIVE_INFINITY,
 			processReceivedAt: now,
 			term,
 			engineAddress,
@@ -117,11 +118,6 @@
 		return isComplete ? current.map(({report}) => report).toSorted((one, other) => one.rank - other.rank) : undefined;
 	}
 
-	/** Whether the processes of all ranks have reported after a moment. */
-	haveReportedSince(moment: number): boolean {
-		return this.listCurrent().every(({processReceivedAt}) => processReceivedAt > moment);
-	}
-
 	/** Whether the last reports from all ranks' processes were read from the engines after a moment. */
 	haveReadSince(moment: number): boolean {
 		return this.listCurrent().every(({processReceivedAt, roundTripMs}) => processReceivedAt - roundTripMs > moment);
@@ -199,9 +195,10 @@
 
 		this.pendingReads.add(engineAddress);
 		try {
-			const report = await this.options.openEngine(engineAddress).readReport();
+			const engine = this.options.openEngine(engineAddress);
+			const report = await engine.readReport();
 			this.unreachable.delete(engineAddress);
-			this.recordRead(report, engineAddress, now);
+			this.recordRead(report, await this.readPlacement(engine, report), engineAddress, now);
 		} catch (error) {
 			this.recordUnreachable(engineAddress, error as Error);
 		} finally {
@@ -209,7 +206,14 @@
 		}
 	}
 
-	private recordRead(report: RankReport, engineAddress: string, now: number): void {
+	/* Read only when it is not known: each read pauses the group. */
+	private async readPlacement(engine: RankEngine, report: RankReport): Promise<RankPlacement | undefined> {
+		const known = this.ranks.get(report.rank)?.placement;
+		const isKnown = known?.version === report.mapVersion && known.epoch === report.epoch;
+		return isKnown || report.group !== this.options.group ? known : engine.readPlacement();
+	}
+
+	private recordRead(report: RankReport, placement: RankPlacement | undefined, engineAddress: string, now: number): void {
 		if (report.group !== this.options.group) {
 			this.foreign.set(engineAddress, now);
 			return;
@@ -223,7 +227,7 @@
 			processReceivedAt: known?.processReceivedAt ?? Number.NEGATIVE_INFINITY,
 			term: this.options.term,
 			engineAddress,
-			placement: known?.placement,
+			placement,
 			roundTripMs: known?.roundTripMs ?? 0,
 		});
 	}
--- a/src/expert-balance/switch-timing.ts
+++ b/src/expert-balance/switch-timing.ts
@@ -1,10 +1,11 @@
+import {maximumLeadSteps} from './maximum-lead-steps.js';
+
 /**
  * Time from the newest report to the switch, milliseconds, and its bounds in passes. The hold must be noticed and every
  * rank armed before the group reaches the step, or all streams pause. That takes 60 to 150 ms.
  */
 const leadMs = 350;
 const minimumLeadSteps = 3;
-const maximumLeadSteps = 60;
 /** Added to the lead if every order stays unanswered, milliseconds, in proportion if some do: orders are retried until they are taken. */
 const lossLeadMs = 2000;
 /** Round trips until every rank is armed: the hold is ordered and reported, then every rank reports again and is armed. */
--- a/stand-ins/engine/lockstep-group.ts
+++ b/stand-ins/engine/lockstep-group.ts
@@ -15,9 +15,13 @@
 	armed: {version: number; step: number} | undefined;
 	heldStep: number | undefined;
 	highestVersion: number;
+	/** Orders that were begun. */
+	orders: number;
 	chosen: number[][];
 };
 type DelayedOrder = {readonly at: number; readonly rank: number; readonly order: RankOrder};
+/** Whether an order gets no answer and waits until `carryOut`. */
+type HoldBack = (rank: number, order: RankOrder) => boolean;
 
 type GroupOptions = {
 	/** Group name that ranks report; `group` by default. */
@@ -25,7 +29,7 @@
 	readonly shape: Shape;
 	readonly random: () => number;
 	/** Time of one step, milliseconds. */
-	readonly stepMs: number;
+	stepMs: number;
 	/** Share of the orders that get no answer and are executed 2 to 12 s later. */
 	delayedShare: number;
 	/** Share of the orders that are executed but get no answer. */
@@ -50,6 +54,10 @@
 	/** Map changes that took effect, and accepted holds. */
 	switches = 0;
 	holds = 0;
+	/** Chooses orders that wait until the scenario lets them take effect. */
+	isHeldBack: HoldBack;
+	/** The orders that wait, in order of arrival. */
+	heldBack: Array<{readonly rank: number; readonly order: RankOrder}> = [];
 	private ranks: Rank[] = [];
 	private delayedOrders: DelayedOrder[] = [];
 	private nextStepAt = 0;
@@ -59,6 +67,7 @@
 	private demand: number[][] = [];
 
 	constructor(readonly options: GroupOptions) {
+		this.isHeldBack = () => false;
 		this.shiftDemand();
 		this.resetRanks();
 	}
@@ -104,6 +113,15 @@
 		this.beginStep();
 	}
 
+	/** Lets the orders of a type that wait take effect now. */
+	carryOut(type: RankOrder['type']): void {
+		const due = this.heldBack.filter(({order}) => order.type === type);
+		this.heldBack = this.heldBack.filter(({order}) => order.type !== type);
+		for (const {rank, order} of due) {
+			this.execute(rank, order);
+		}
+	}
+
 	/** Opens the engine of one rank for the rank's process. */
 	openEngine(rank: number): RankEngine {
 		return {
@@ -125,6 +143,7 @@
 			armed: undefined,
 			heldStep: undefined,
 			highestVersion: 0,
+			orders: this.ranks[rank]?.orders ?? 0,
 			chosen: Array.from({length: layers}, () => Array.from({length: experts}, () => 0)),
 		}));
 	}
@@ -156,7 +175,7 @@
 	}
 
 	private report(index: number): RankReport {
-		const {map, prepared, preparedAt, armed, heldStep} = this.ranks[index];
+		const {map, prepared, preparedAt, armed, heldStep, orders} = this.ranks[index];
 		return {
 			group: this.options.name ?? 'group',
 			epoch: this.epoch,
@@ -169,11 +188,17 @@
 			preparedVersion: prepared && this.now - preparedAt >= expertCopyMs ? prepared.version : undefined,
 			armed: armed && {...armed},
 			heldStep,
+			orders,
 			pace: 1,
 		};
 	}
 
 	private order(rank: number, order: RankOrder): RankOutcome {
+		if (this.isHeldBack(rank, order)) {
+			this.heldBack.push({rank, order});
+			return 'unknown';
+		}
+
 		const {random, delayedShare, unansweredShare} = this.options;
 		if (random() < delayedShare) {
 			this.delayedOrders.push({at: this.now + minimumDelayMs + (random() * delaySpreadMs), rank, order});
@@ -202,6 +227,7 @@
 				}
 
 				rank.armed = {version: order.version, step: order.step};
+				rank.orders++;
 				return 'taken';
 			}
 
@@ -211,13 +237,25 @@
 				}
 
 				rank.heldStep = order.step;
+				rank.orders++;
 				this.holds++;
 				return 'taken';
 			}
 
+			case 'disarm': {
+				if (rank.map.version === order.version) {
+					return 'refused';
+				}
+
+				rank.armed = rank.armed?.version === order.version ? undefined : rank.armed;
+				rank.orders++;
+				return 'taken';
+			}
+
 			default: {
 				if (rank.heldStep === order.step) {
 					rank.heldStep = undefined;
+					rank.orders++;
 				}
 
 				return 'taken';
@@ -235,6 +273,7 @@
 		}
 
 		rank.highestVersion = order.version;
+		rank.orders++;
 		rank.prepared = {version: order.version, experts};
 		rank.preparedAt = this.now;
 		return 'taken';
