--- a/features/expert-balance.feature
+++ b/features/expert-balance.feature
@@ -103,6 +103,17 @@
     And the group goes on, and changes its map again
     And no pass began on two maps
 
+  # Guards against a group that is held for good: one rank is armed late, when the others have replaced its map.
+  Scenario: An order to arm takes effect late, when the next planner has replaced the map at the other ranks
+    Given a lock-step group with a planner
+    And the orders to arm wait under a hold, and the planner is replaced
+    When the next planner has replaced the map at all ranks but 0, and rank 0 is armed
+    And 3 seconds pass
+    Then rank 0 was ordered to disarm
+    And no rank is held
+    And the group goes on, and changes its map again
+    And no pass began on two maps
+
   # Guards against a planner that resumes and takes reports that waited for it, in answer to another planner, for fresh ones.
   Scenario Outline: Reports whose age is not known decide nothing: <sign>
     Given a tracker of a planner's term 5
--- a/features/steps/late-order-steps.ts
+++ b/features/steps/late-order-steps.ts
@@ -121,6 +121,40 @@
 	harness.group.options.stepMs = usualStepMs;
 });
 
+Given('the orders to arm wait under a hold, and the planner is replaced', async function (this: SystemWorld) {
+	const harness = getHarness(this);
+	holdBack(harness, ['arm']);
+	await until(harness, () => waitsFor(harness, 'arm', ranks.length));
+	replacePlanner(harness);
+});
+
+When('the next planner has replaced the map at all ranks but {int}, and rank {int} is armed', async function (this: SystemWorld, rank: number, armedRank: number) {
+	const harness = getHarness(this);
+	const version = harness.planners.at(-1)!.term * 100_000;
+	holdBack(harness, ['prepare'], rank);
+	await until(harness, async () => {
+		const reports = await readReports(harness);
+		return reports.filter(({preparedVersion}) => (preparedVersion ?? 0) > version).length === ranks.length - 1;
+	});
+	harness.group.heldBack = harness.group.heldBack.filter(waiting => waiting.order.type === 'arm' && waiting.rank === armedRank);
+	harness.group.carryOut('arm');
+	const reports = await readReports(harness);
+	assert.deepEqual(reports.map(({armed}) => armed !== undefined), ranks.map(index => index === armedRank));
+	// Records the orders, and lets all take effect.
+	const orders: string[] = [];
+	harness.group.isHeldBack = (to, {type}) => {
+		orders.push(`${type} ${to}`);
+		return false;
+	};
+
+	this.notes.set('orders', orders);
+});
+
+Then('rank {int} was ordered to disarm', function (this: SystemWorld, rank: number) {
+	const orders = this.notes.get('orders') as string[];
+	assert.ok(orders.includes(`disarm ${rank}`), orders.join(', '));
+});
+
 Then('the group goes on, and changes its map again', async function (this: SystemWorld) {
 	const harness = getHarness(this);
 	const {step, switches} = harness.group;
