--- a/features/platform.feature
+++ b/features/platform.feature
@@ -60,6 +60,13 @@
       | 3, 3                 |
       | 99999999999999999999 |
 
+  # Guards against processes that end, or never read the store, because of a key that is no text at the end of a page.
+  Scenario: All pages of a list are read beside a key with half of a character
+    Given a store with 5 keys
+    And a key that ends a page with half of a character
+    When all keys are listed
+    Then all 6 keys are listed
+
   Scenario: A list whose pages are of two eras fails
     Given a store with 5 keys
     When the keys are listed while the store goes from era "3" to "4" after the first page
