Try extreme values of a valid configuration

Rules out the same fault for values that the schema allows: a timeout or objective of 1e300 ms, weights of 0 and 1e308, an empty prefix, 5000 more routes, a key named __proto__, limits of 1e15, as many attempts as an integer holds.

--- a/features/odd-entries.feature
+++ b/features/odd-entries.feature
@@ -26,6 +26,23 @@
     When another writer leaves odd items of all kinds
     Then every request is served until a target that registers later is used
 
+  Scenario Outline: Requests are served with extreme values in a valid configuration: <what>
+    Given 2 entries before 1 target that know each other
+    When the configuration has <what>
+    Then every request is served until a target that registers later is used
+
+    Examples:
+      | what                       |
+      | a timeout of 1e300 ms      |
+      | an objective of 1e300 ms   |
+      | weights of 0               |
+      | weights of 1e308           |
+      | an empty prefix            |
+      | 5000 more routes           |
+      | a key named __proto__      |
+      | limits of 1e15             |
+      | 9007199254740991 attempts  |
+
   # Guards against shares of rate limits, and of retries, for entries that do not exist.
   Scenario: Odd registrations do not count as entries
     Given 2 entries that follow a store with a target
--- a/features/steps/odd-entries-steps.ts
+++ b/features/steps/odd-entries-steps.ts
@@ -125,6 +125,59 @@
 	}
 });
 
+type Configuration = ForwardSystem['configuration'];
+
+const makeRoutes = (change: (read: Configuration['routes'][number]) => void) => (configuration: Configuration): void => {
+	change(configuration.routes[0]);
+};
+
+const extremes: Readonly<Record<string, (configuration: Configuration) => void>> = {
+	'a timeout of 1e300 ms': makeRoutes(read => {
+		read.timeoutMs = 1e300;
+	}),
+	'an objective of 1e300 ms': makeRoutes(read => {
+		read.targetLatencyMs = 1e300;
+	}),
+	'weights of 0': makeRoutes(read => {
+		read.destinations = [{service: 'desk', weight: 0}];
+	}),
+	'weights of 1e308': makeRoutes(read => {
+		read.destinations = [{service: 'desk', weight: 1e308}, {service: 'desk', weight: 1e308}];
+	}),
+	'an empty prefix': makeRoutes(read => {
+		read.prefix = '';
+	}),
+	'9007199254740991 attempts': makeRoutes(read => {
+		read.maximumAttempts = Number.MAX_SAFE_INTEGER;
+	}),
+	'5000 more routes'({routes}) {
+		routes.push(...Array.from({length: 5000}, (_empty, index) => ({...routes[0], name: `more-${index}`, prefix: `/more/${index}/`})));
+	},
+	'a key named __proto__'({organisations}) {
+		organisations.push({name: '__proto__', keys: ['__proto__']});
+	},
+	'limits of 1e15'({limits}) {
+		Object.assign(limits, {
+			maximumHeaderBytes: 1e15, maximumBodyBytes: 1e15, headerTimeoutMs: 1e15, idleTimeoutMs: 1e15,
+		});
+	},
+};
+
+When('the configuration has {}', async function (this: SystemWorld, what: string) {
+	const system = getSystem(this);
+	system.configure(extremes[what]);
+	// The next version shows that the extreme one was read.
+	system.configure(({routes}) => {
+		routes.push({
+			...routes[1], name: 'next', prefix: '/next/', kind: 'idempotent',
+		});
+	});
+	await system.until(async () => {
+		const {status} = await system.call({path: '/next/1'});
+		return status === 200;
+	});
+});
+
 Then('every request is served until a target that registers later is used', async function (this: SystemWorld) {
 	const system = getSystem(this);
 	const statuses = new Set<number>();
