--- a/src/forward/target-sender.ts
+++ b/src/forward/target-sender.ts
@@ -205,7 +205,7 @@
 			return requestId !== ownId;
 		}
 
-		return isNotRun ? this.connection.isReused : ownId !== undefined;
+		return isNotRun ? this.connection!.isReused : ownId !== undefined;
 	}
 
 	/*
