--- a/src/balance/part-suspects.ts
+++ b/src/balance/part-suspects.ts
@@ -1,6 +1,7 @@
 import {evictOldest} from './evict-oldest.js';
 import {formatIncarnation} from './format-incarnation.js';
 import {type LostRequest} from './lost-request.js';
+import {PartBlock} from './part-block.js';
 import {PartCrashRecord} from './part-crash-record.js';
 import {type PartDigest} from './part-digest.js';
 import {PartEvidence} from './part-evidence.js';
@@ -9,23 +10,6 @@
 import {RequestContrast} from './request-contrast.js';
 import {SoundParts} from './sound-parts.js';
 
-/** A part that is refused. Times in milliseconds. */
-type Block = {
-	/** Crashes that it explains. */
-	crashes: ReadonlySet<string>;
-	/** Other parts that explain the same crashes. */
-	rivals: readonly string[];
-	/** Number of moments at which targets crashed. */
-	events: number;
-	/** Since when it is known that requests without the part fared better before the last crash; undefined if it is not. */
-	confirmedAt: number | undefined;
-	/** How requests fared before the last crash, and when that was. */
-	contrast: RequestContrast;
-	crashedAt: number;
-	until: number;
-	seenAt: number;
-};
-
 type Question = {
 	/** Identifies the request, which may have begun a trial already. */
 	readonly request: unknown;
@@ -39,22 +23,8 @@
 const crashWindowMs = 250;
 /** A part is sound once a target has been answering a request with it for this time, milliseconds. */
 const soundAfterMs = 400;
-/** A part is refused for this time, milliseconds, and with each further crash `blockGrowth` times as long: most do not change within a day. */
-const firstBlockMs = 120_000;
-const blockGrowth = 8;
-const maximumBlockMs = 86_400_000;
-/**
- * As long as requests without the part do not fare better, as when all have it, the block is short, milliseconds, so that a probe soon ends
- * it if the part is sound. It doubles with each further event. After a while any entry may probe, if the elected one gets no requests.
- */
-const firstDoubtfulBlockMs = 2000;
-const maximumDoubtfulBlockMs = 30_000;
-const electedProbeMs = 1000;
-/** Time for which a probe waits for requests without the part to be answered first, milliseconds, so that its end tells something: a group takes as long to form. */
-const contrastWaitMs = 6000;
-/** When a request returns that meets the trial of another one, or a probe that a peer has to send, milliseconds. */
+/** When a request returns that meets the trial of another one, milliseconds. */
 const trialWaitMs = 500;
-const probeWaitMs = 10_000;
 /** A refused part that nobody asks for any more is forgotten after this time, milliseconds. */
 const blockRetentionMs = 86_400_000;
 /** Time for which a change is included in reports to peers, milliseconds: more than twice the maximum interval between reports. */
@@ -72,13 +42,6 @@
 const toTags = (parts: readonly ReportedPart[]): Record<string, string> => Object.fromEntries(parts.map(([part, tag]) => [part, tag]));
 const listTried = (parts: readonly ReportedPart[]): string[] => parts.filter(reported => reported[2]).map(([part]) => part);
 
-const getBlockMs = (events: number, isConfirmed: boolean): number => {
-	const further = Math.max(0, events - 2);
-	return isConfirmed
-		? Math.min(maximumBlockMs, firstBlockMs * (blockGrowth ** further))
-		: Math.min(maximumDoubtfulBlockMs, firstDoubtfulBlockMs * (2 ** further));
-};
-
 /**
  * Detects parts of prompts that crash the targets that begin to answer requests with them, and blocks them.
  *
@@ -89,7 +52,7 @@
 	readonly trials = new PartTrials();
 	/** How requests with a part fare, compared with others. */
 	readonly contrast = new RequestContrast();
-	private readonly blocks = new Map<string, Block>();
+	private readonly blocks = new Map<string, PartBlock>();
 	private readonly evidence = new PartEvidence({hasPart: part => this.blocks.has(part), hasCrash: crash => this.isExplained(crash)});
 	private readonly sound = new SoundParts();
 	/** Suspects that were found to be sound, and when, milliseconds. */
@@ -224,7 +187,7 @@
 		}
 
 		const tried = listTried(parts);
-		return {parts: toTags(parts), ...(tried.length > 0 && {tried}), refused: parts.map(([part]) => part).filter(part => this.blocks.get(part)?.confirmedAt !== undefined)};
+		return {parts: toTags(parts), ...(tried.length > 0 && {tried}), refused: parts.map(([part]) => part).filter(part => this.blocks.get(part)?.isConfirmed)};
 	}
 
 	/** Merges the record of a crash that was read from the store. Throws if it is not valid. */
@@ -264,29 +227,15 @@
 		}
 
 		block.seenAt = now;
-		if (block.rivals.length > 0 && !block.rivals.some(rival => parts.includes(rival))) {
+		if (!block.isAmbiguousFor(parts)) {
 			return 0;
 		}
 
-		if (block.confirmedAt === undefined && block.contrast.compare(service, part, block.crashedAt) === 'sound') {
-			this.confirm(part, block, now);
-		}
-
-		if (now < block.until) {
-			return block.until - now;
+		if (!block.isConfirmed && block.hasContrast(service)) {
+			this.confirm(block, now);
 		}
 
-		const isConfirmed = block.confirmedAt !== undefined;
-		if (!isConfirmed && now < block.until + contrastWaitMs && this.contrast.compare(service, part, now) === 'pending') {
-			return trialWaitMs;
-		}
-
-		const mayTry = mayProbe(part) || (!isConfirmed && now >= block.until + electedProbeMs);
-		if (mayTry) {
-			return 0;
-		}
-
-		return isConfirmed ? probeWaitMs : trialWaitMs;
+		return block.getWaitMs(service, this.contrast, mayProbe(part), now);
 	}
 
 	/* Lists the parts that are held against a crash, each with the tag of its request; of old crashes only those that are refused. */
@@ -323,20 +272,17 @@
 		}
 	}
 
-	private block(part: string, {crashes, events, rivals}: Pick<Block, 'crashes' | 'events' | 'rivals'>, now: number): void {
-		const known = this.blocks.get(part);
-		if (known?.crashes.size === crashes.size) {
-			known.rivals = rivals;
+	private block(part: string, accusation: ConstructorParameters<typeof PartBlock>[1], now: number): void {
+		const former = this.blocks.get(part);
+		if (former?.crashes.size === accusation.crashes.size) {
+			former.rivals = accusation.rivals;
 			return;
 		}
 
-		const confirmedAt = known?.confirmedAt ?? (this.recorded.has(part) ? now : undefined);
-		const block = {
-			crashes, events, rivals, confirmedAt, contrast: this.contrast.copy(), crashedAt: now, until: now + getBlockMs(events, confirmedAt !== undefined), seenAt: known?.seenAt ?? now,
-		};
+		const block = new PartBlock(part, accusation, this.contrast.copy(), {former, isConfirmed: this.recorded.has(part)}, now);
 		this.blocks.set(part, block);
 		this.trials.settle(part);
-		this.logBlock(part, block, now);
+		this.log(block.describe(now));
 		if (this.blocks.size > maximumBlocks) {
 			this.forget([...this.blocks.keys()][0]);
 		}
@@ -353,25 +299,19 @@
 
 			this.recorded.add(part);
 			evictOldest(this.recorded, maximumBlocks);
-			if (block && block.confirmedAt === undefined) {
-				this.confirm(part, block, now);
+			if (block && !block.isConfirmed) {
+				this.confirm(block, now);
 			}
 		}
 	}
 
-	private confirm(part: string, block: Block, now: number): void {
-		block.confirmedAt = now;
-		block.until = now + getBlockMs(block.events, true);
+	private confirm(block: PartBlock, now: number): void {
+		block.confirm(now);
 		for (const crash of block.crashes) {
 			this.noteUnsaved(crash);
 		}
 
-		this.logBlock(part, block, now);
-	}
-
-	private logBlock(part: string, {crashes, rivals, confirmedAt, until}: Block, now: number): void {
-		const doubts = [...(rivals.length > 0 ? [`, or it was ${rivals.join(' or ')}`] : []), ...(confirmedAt === undefined ? ['; requests without it have not fared better yet'] : [])];
-		this.log(`part ${part} is refused for ${Math.round(until - now)} ms: targets crashed as they began to answer requests with it (${[...crashes].join(', ')})${doubts.join('')}`);
+		this.log(block.describe(now));
 	}
 
 	private clear(part: string, now: number): void {
