--- a/src/balance/part-suspects.ts
+++ b/src/balance/part-suspects.ts
@@ -1,55 +1,30 @@
 import {evictOldest} from './evict-oldest.js';
 import {formatIncarnation} from './format-incarnation.js';
 import {type LostRequest} from './lost-request.js';
+import {PartBlock} from './part-block.js';
 import {PartCrashRecord} from './part-crash-record.js';
 import {type PartDigest} from './part-digest.js';
 import {PartEvidence} from './part-evidence.js';
 import {PartTrials} from './part-trials.js';
 import {type PartVerdict} from './part-verdict.js';
+import {RequestContrast} from './request-contrast.js';
 import {SoundParts} from './sound-parts.js';
 
-/** A part that is refused. Times in milliseconds. */
-type Block = {
-	/** Crashes that it explains. */
-	crashes: ReadonlySet<string>;
-	/** Other parts that explain the same crashes. */
-	rivals: readonly string[];
-	/** Number of moments at which targets crashed. */
-	events: number;
-	/** Whether requests without the part fare better. */
-	isConfirmed: boolean;
-	until: number;
-	seenAt: number;
-};
-
 type Question = {
 	/** Identifies the request, which may have begun a trial already. */
 	readonly request: unknown;
+	readonly service: string;
 	readonly parts: readonly string[];
 	/** Whether this entry, rather than a peer, may send a request with a part whose block is over. */
 	readonly mayProbe: (part: string) => boolean;
-	/** Whether requests without a part fare better, so that it explains crashes. */
-	readonly isTelling: (part: string) => boolean;
 };
 
 /** A target that crashes under a part does so before it has answered for this time, milliseconds. */
 const crashWindowMs = 250;
 /** A part is sound once a target has been answering a request with it for this time, milliseconds. */
 const soundAfterMs = 400;
-/** A part is refused for this time, milliseconds, and with each further crash `blockGrowth` times as long: most do not change within a day. */
-const firstBlockMs = 120_000;
-const blockGrowth = 8;
-const maximumBlockMs = 86_400_000;
-/**
- * As long as requests without the part do not fare better, as when all have it, the block is short, milliseconds, so that a probe soon ends
- * it if the part is sound. It doubles with each further event. After a while any entry may probe, if the elected one gets no requests.
- */
-const firstDoubtfulBlockMs = 2000;
-const maximumDoubtfulBlockMs = 30_000;
-const electedProbeMs = 1000;
-/** When a request returns that meets the trial of another one, or a probe that a peer has to send, milliseconds. */
+/** When a request returns that meets the trial of another one, milliseconds. */
 const trialWaitMs = 500;
-const probeWaitMs = 10_000;
 /** A refused part that nobody asks for any more is forgotten after this time, milliseconds. */
 const blockRetentionMs = 86_400_000;
 /** Time for which a change is included in reports to peers, milliseconds: more than twice the maximum interval between reports. */
@@ -67,13 +42,6 @@
 const toTags = (parts: readonly ReportedPart[]): Record<string, string> => Object.fromEntries(parts.map(([part, tag]) => [part, tag]));
 const listTried = (parts: readonly ReportedPart[]): string[] => parts.filter(reported => reported[2]).map(([part]) => part);
 
-const getBlockMs = (events: number, isConfirmed: boolean): number => {
-	const further = Math.max(0, events - 2);
-	return isConfirmed
-		? Math.min(maximumBlockMs, firstBlockMs * (blockGrowth ** further))
-		: Math.min(maximumDoubtfulBlockMs, firstDoubtfulBlockMs * (2 ** further));
-};
-
 /**
  * Detects parts of prompts that crash the targets that begin to answer requests with them, and blocks them.
  *
@@ -82,12 +50,14 @@
  */
 export class PartSuspects {
 	readonly trials = new PartTrials();
-	private readonly blocks = new Map<string, Block>();
+	/** How requests with a part fare, compared with others. */
+	readonly contrast = new RequestContrast();
+	private readonly blocks = new Map<string, PartBlock>();
 	private readonly evidence = new PartEvidence({hasPart: part => this.blocks.has(part), hasCrash: crash => this.isExplained(crash)});
 	private readonly sound = new SoundParts();
 	/** Suspects that were found to be sound, and when, milliseconds. */
 	private readonly cleared = new Map<string, number>();
-	/** Parts that were refused by an entry, as the store says. */
+	/** Parts whose block another entry has confirmed, as it or the store says. */
 	private readonly recorded = new Set<string>();
 	/** Crashes whose records in the store are out of date. */
 	private readonly unsaved = new Set<string>();
@@ -166,17 +136,21 @@
 		const partCrashes = reported.map(crash => [crash, this.listReported(crash, recent.includes(crash))] as const);
 		const triedParts = partCrashes.map(([crash, parts]) => [crash, listTried(parts)] as const).filter(([, parts]) => parts.length > 0);
 		const soundParts = [...this.cleared].filter(([, at]) => now - at <= digestRetentionMs).slice(-maximumDigestItems).map(([part]) => part);
+		const confirmed = [...this.blocks].filter(([, {confirmedAt}]) => confirmedAt !== undefined && (isFull || now - confirmedAt <= digestRetentionMs));
+		const refusedParts = confirmed.slice(-maximumDigestItems).map(([part]) => part);
 		const trialParts = this.trials.list(now).slice(-maximumDigestItems);
 		return {
 			...(partCrashes.length > 0 && {partCrashes: Object.fromEntries(partCrashes.map(([crash, parts]) => [crash, toTags(parts)]))}),
 			...(triedParts.length > 0 && {triedParts: Object.fromEntries(triedParts)}),
+			...(refusedParts.length > 0 && {refusedParts}),
 			...(soundParts.length > 0 && {soundParts}),
 			...(trialParts.length > 0 && {trialParts}),
 		};
 	}
 
 	/** Merges a peer's digest. Suspects that this entry knows to be sound are reported back. */
-	merge({partCrashes, triedParts, soundParts, trialParts}: PartDigest, now: number): void {
+	merge({partCrashes, triedParts, refusedParts, soundParts, trialParts}: PartDigest, now: number): void {
+		this.noteConfirmed(refusedParts ?? [], now);
 		for (const part of soundParts ?? []) {
 			this.clear(part, now);
 		}
@@ -219,11 +193,7 @@
 	/** Merges the record of a crash that was read from the store. Throws if it is not valid. */
 	mergeRecord(crash: string, document: unknown, now: number): void {
 		const {parts, tried, refused} = PartCrashRecord.parse(document);
-		for (const part of refused.filter(found => !this.sound.has(found, now))) {
-			this.recorded.add(part);
-			evictOldest(this.recorded, maximumBlocks);
-		}
-
+		this.noteConfirmed(refused, now);
 		this.merge({partCrashes: {[crash]: parts}, ...(tried && {triedParts: {[crash]: tried}})}, now);
 	}
 
@@ -250,31 +220,22 @@
 	}
 
 	/* A request with only one of several parts that explain the same crashes shows which of them is the cause. */
-	private getBlockMs(part: string, {parts, mayProbe, isTelling}: Question, now: number): number {
+	private getBlockMs(part: string, {service, parts, mayProbe}: Question, now: number): number {
 		const block = this.blocks.get(part);
 		if (!block) {
 			return 0;
 		}
 
 		block.seenAt = now;
-		if (block.rivals.length > 0 && !block.rivals.some(rival => parts.includes(rival))) {
+		if (!block.isAmbiguousFor(parts)) {
 			return 0;
 		}
 
-		if (!block.isConfirmed && isTelling(part)) {
-			this.confirm(part, block, now);
-		}
-
-		if (now < block.until) {
-			return block.until - now;
-		}
-
-		const mayTry = mayProbe(part) || (!block.isConfirmed && now >= block.until + electedProbeMs);
-		if (mayTry) {
-			return 0;
+		if (!block.isConfirmed && block.hasContrast(service)) {
+			this.confirm(block, now);
 		}
 
-		return block.isConfirmed ? probeWaitMs : trialWaitMs;
+		return block.getWaitMs(service, this.contrast, mayProbe(part), now);
 	}
 
 	/* Lists the parts that are held against a crash, each with the tag of its request; of old crashes only those that are refused. */
@@ -311,38 +272,46 @@
 		}
 	}
 
-	private block(part: string, {crashes, events, rivals}: Pick<Block, 'crashes' | 'events' | 'rivals'>, now: number): void {
-		const known = this.blocks.get(part);
-		if (known?.crashes.size === crashes.size) {
-			known.rivals = rivals;
+	private block(part: string, accusation: ConstructorParameters<typeof PartBlock>[1], now: number): void {
+		const former = this.blocks.get(part);
+		if (former?.crashes.size === accusation.crashes.size) {
+			former.rivals = accusation.rivals;
 			return;
 		}
 
-		const isConfirmed = (known?.isConfirmed ?? false) || this.recorded.has(part);
-		const block = {
-			crashes, events, rivals, isConfirmed, until: now + getBlockMs(events, isConfirmed), seenAt: known?.seenAt ?? now,
-		};
+		const block = new PartBlock(part, accusation, this.contrast.copy(), {former, isConfirmed: this.recorded.has(part)}, now);
 		this.blocks.set(part, block);
 		this.trials.settle(part);
-		this.logBlock(part, block, now);
+		this.log(block.describe(now));
 		if (this.blocks.size > maximumBlocks) {
 			this.forget([...this.blocks.keys()][0]);
 		}
 	}
 
-	private confirm(part: string, block: Block, now: number): void {
-		block.isConfirmed = true;
-		block.until = now + getBlockMs(block.events, true);
+	/* Takes over what another entry has found, unless answers have shown otherwise here. */
+	private noteConfirmed(parts: readonly string[], now: number): void {
+		for (const part of parts) {
+			const block = this.blocks.get(part);
+			if (this.sound.has(part, now)) {
+				this.cleared.set(part, now);
+				continue;
+			}
+
+			this.recorded.add(part);
+			evictOldest(this.recorded, maximumBlocks);
+			if (block && !block.isConfirmed) {
+				this.confirm(block, now);
+			}
+		}
+	}
+
+	private confirm(block: PartBlock, now: number): void {
+		block.confirm(now);
 		for (const crash of block.crashes) {
 			this.noteUnsaved(crash);
 		}
 
-		this.logBlock(part, block, now);
-	}
-
-	private logBlock(part: string, {crashes, rivals, isConfirmed, until}: Block, now: number): void {
-		const doubts = [...(rivals.length > 0 ? [`, or it was ${rivals.join(' or ')}`] : []), ...(isConfirmed ? [] : ['; no request without it has fared better'])];
-		this.log(`part ${part} is refused for ${Math.round(until - now)} ms: targets crashed as they began to answer requests with it (${[...crashes].join(', ')})${doubts.join('')}`);
+		this.log(block.describe(now));
 	}
 
 	private clear(part: string, now: number): void {
--- a/src/forward/crash-detector.ts
+++ b/src/forward/crash-detector.ts
@@ -3,7 +3,6 @@
 import {type LostRequest} from '../balance/lost-request.js';
 import {LostRequests} from '../balance/lost-requests.js';
 import {PartSuspects} from '../balance/part-suspects.js';
-import {RequestContrast} from '../balance/request-contrast.js';
 import {type PartVerdict} from '../balance/part-verdict.js';
 import {type TargetHealth} from '../balance/target-health.js';
 import {type Target} from '../fleet/target.js';
@@ -39,6 +38,7 @@
 	readonly log: (message: string) => void;
 };
 
+const listSubjects = ({fingerprint, metadata: {promptParts}}: ForwardExchange): string[] => [fingerprint, ...promptParts];
 const describe = ({id, fingerprint, promptParts, answeringMs}: LostRequest): string => {
 	const progress = answeringMs === undefined ? 'not answered' : `answered for ${Math.round(answeringMs)} ms`;
 	return `${id ?? '-'} (${fingerprint}, prompt ${promptParts.join(' ') || '-'}, ${progress})`;
@@ -53,7 +53,8 @@
 	readonly suspects: CrashSuspects;
 	readonly parts: PartSuspects;
 	private readonly lostRequests = new LostRequests();
-	private readonly contrast = new RequestContrast();
+	/** Requests that were sent after a crash was known in which the same request was lost. */
+	private readonly repeated = new WeakSet<ForwardExchange>();
 	/** Requests that have been counted as sound. */
 	private readonly counted = new WeakSet<ForwardExchange>();
 	/** Targets being checked. */
@@ -76,7 +77,10 @@
 	refuse(exchange: ForwardExchange, now: number): Refusal | undefined {
 		const {fingerprint} = exchange;
 		const {isElected} = this.options;
-		const blockMs = this.suspects.getBlockMs(fingerprint, () => isElected(fingerprint, now), now);
+		const blockMs = this.suspects.getBlockMs(fingerprint, {
+			mayProbe: () => isElected(fingerprint, now),
+			isTelling: () => this.parts.contrast.compare(exchange.service, fingerprint, now) === 'sound',
+		}, now);
 		if (blockMs > 0) {
 			return {spread: 0, unavailableMs: blockMs, detail: `targets crashed as they ran this request (${fingerprint}), which is refused for ${Math.round(blockMs)} ms more`};
 		}
@@ -101,7 +105,11 @@
 
 	/** Notes that a request is about to be sent: as a trial if parts of its prompt are suspected, until `endTrial`. */
 	beginTrial(exchange: ForwardExchange, now: number): void {
-		this.contrast.noteSent(exchange.service, exchange.metadata.promptParts);
+		this.parts.contrast.noteSent(exchange.service, listSubjects(exchange));
+		if (this.suspects.has(exchange.fingerprint)) {
+			this.repeated.add(exchange);
+		}
+
 		const verdict = this.judgeParts(exchange, () => true, now);
 		if (verdict.kind === 'trial') {
 			exchange.noteDecision(`sent as the only request with part ${verdict.parts.join(', ')}, as a target crashed with it`);
@@ -142,7 +150,7 @@
 	async noteLost(exchange: ForwardExchange, target: Target, {isConnectionClosed, answeringMs}: Lost): Promise<void> {
 		const {fingerprint, metadata: {id, promptParts}} = exchange;
 		this.lostRequests.add({
-			id, fingerprint, promptParts, triedParts: this.parts.trials.listTried(exchange), incarnation: target, answeringMs,
+			id, fingerprint, promptParts, triedParts: this.parts.trials.listTried(exchange), isRepeated: this.repeated.has(exchange), incarnation: target, answeringMs,
 		}, this.options.clock());
 		if (!isConnectionClosed) {
 			return;
@@ -194,9 +202,8 @@
 	}
 
 	private judgeParts(exchange: ForwardExchange, mayProbe: (part: string) => boolean, now: number): PartVerdict {
-		const isTelling = (part: string): boolean => this.contrast.isTelling(exchange.service, part, now);
 		return this.parts.judge({
-			request: exchange, parts: exchange.metadata.promptParts, mayProbe, isTelling,
+			request: exchange, service: exchange.service, parts: exchange.metadata.promptParts, mayProbe,
 		}, now);
 	}
 
@@ -206,7 +213,7 @@
 		const isSound = this.parts.noteAnswering(promptParts, answeringMs, now);
 		if (isSound && !this.counted.has(exchange)) {
 			this.counted.add(exchange);
-			this.contrast.noteSound(service, promptParts, now);
+			this.parts.contrast.noteSound(service, listSubjects(exchange), now);
 		}
 
 		return isSound;
