--- a/src/callers/caller-server.ts
+++ b/src/callers/caller-server.ts
@@ -211,8 +211,9 @@
 		});
 		socket.resume();
 		this.add(connection, incoming, () => {
-			socket.end(tunnelRefusal);
+			socket.write(tunnelRefusal);
 			connection.end();
+			connection.finish();
 		}, () => undefined);
 	}
 
--- a/src/forward/target-sender.ts
+++ b/src/forward/target-sender.ts
@@ -1,6 +1,7 @@
 import {type Buffer} from 'node:buffer';
 import {type Target} from '../fleet/target.js';
 import {type AnswerBudget} from './answer-budget.js';
+import {type AnswerMetadata} from './answer-metadata.js';
 import {ChunkList} from './chunk-list.js';
 import {type ConnectionPool} from './connection-pool.js';
 import {dropHopHeaders} from './drop-hop-headers.js';
@@ -24,6 +25,9 @@
 /** Answers that are not streams are buffered up to this size, bytes; larger ones are not relayed. */
 const maximumAnswerBytes = 16 * 1024 * 1024;
 
+/** Statuses of successful answers that have no body. */
+const statusesWithoutBody: ReadonlySet<number> = new Set([204, 205]);
+
 /** The body of a refusal is discarded, up to this size, so that its connection can be used again. Bytes. */
 const maximumRefusalBytes = 64 * 1024;
 
@@ -53,12 +57,17 @@
 	private mode: Mode = 'awaiting-head';
 	private status = 0;
 	private headers: string[] = [];
+	/** Whether the answer is whole without a body. */
+	private isEmptyAllowed = true;
+	private hasBody = false;
 	private readonly chunks = new ChunkList();
 	private discardedBytes = 0;
 	/** Bytes of the answer that count against the budget. */
 	private bufferedBytes = 0;
 	private cause: 'busy' | 'group-down' | 'gone' = 'busy';
 	private retryAfter: string | undefined;
+	/** Whether the refusal names this request. */
+	private isNamed = false;
 	private isSettled = false;
 	/** When the last part of a stream arrived, milliseconds. */
 	private eventAt: number | undefined;
@@ -154,8 +163,7 @@
 		const index = indexHeaders(headers);
 		const metadata = this.sender.dialect.readAnswer(status, index);
 		this.sender.onHead(target, metadata, this.sentAt);
-		// If a target answers twice, a refusal may belong to an earlier request, and does not prove that this one did not run.
-		const isForeign = metadata.requestId !== exchange.metadata.id && (metadata.requestId !== undefined || !metadata.isNotRun);
+		const isForeign = this.isForeign(metadata);
 		if (isForeign) {
 			this.fail('the answer belongs to another request');
 			return;
@@ -165,6 +173,7 @@
 			this.cause = metadata.isMisdirected ? 'gone' : (metadata.isGroupDown ? 'group-down' : 'busy');
 			this.retryAfter = metadata.retryAfterText;
 			this.mode = 'refused';
+			this.isNamed = metadata.requestId !== undefined;
 			return;
 		}
 
@@ -178,6 +187,7 @@
 
 		const isStream = isSuccess && exchange.route?.kind === 'stream' && index.get('content-type')?.startsWith('text/event-stream');
 		this.mode = isStream ? 'stream' : 'buffer';
+		this.isEmptyAllowed = !isSuccess || this.mayBeEmpty(index);
 		if (isStream) {
 			delivery.start(status, headers);
 		} else if (exchange.incoming.method !== 'HEAD' && Number(index.get('content-length') ?? 0) > maximumAnswerBytes) {
@@ -185,6 +195,29 @@
 		}
 	}
 
+	/*
+	 * Whether an answer may be that to another request: targets may send an answer twice, also a refusal. One that names no
+	 * request proves that this one did not run only if the connection has carried no other request.
+	 */
+	private isForeign({requestId, isNotRun}: AnswerMetadata): boolean {
+		const ownId = this.options.exchange.metadata.id;
+		if (requestId !== undefined) {
+			return requestId !== ownId;
+		}
+
+		return isNotRun ? this.connection!.isReused : ownId !== undefined;
+	}
+
+	/*
+	 * An answer without a length that ends right after its head is far more often cut than meant to be empty; a target that
+	 * means it can say so by a length of 0 or a status. A stream may have nothing left for a caller that has events already.
+	 */
+	private mayBeEmpty(index: ReadonlyMap<string, string>): boolean {
+		const {exchange, delivery} = this.options;
+		const isFramed = index.has('content-length') || index.has('transfer-encoding');
+		return isFramed || delivery.lastEventId !== undefined || exchange.incoming.method === 'HEAD' || statusesWithoutBody.has(this.status);
+	}
+
 	private handleData(chunk: Buffer): boolean {
 		if (this.isSettled) {
 			return true;
@@ -194,6 +227,7 @@
 			this.noteProgress(this.options.target);
 		}
 
+		this.hasBody ||= chunk.length > 0;
 		if (this.mode !== 'refused' && this.status < 300) {
 			this.options.onAnswerPart();
 		}
@@ -268,9 +302,15 @@
 	}
 
 	private handleEnd(): void {
+		if (!this.hasBody && !this.isEmptyAllowed) {
+			this.fail('the answer ended after its head', {isCut: true});
+			return;
+		}
+
 		switch (this.mode) {
 			case 'refused': {
-				this.settle(this.makeRefusal(), true);
+				// A copy of a refusal that names no request must not be taken for that of the next one.
+				this.settle(this.makeRefusal(), this.isNamed);
 				break;
 			}
 
