Serve no request that arrives while its connection closes

Cause: after an answer with an unread body Node closes the connection; what arrives until it is closed was taken for a new request, since the connection had no open one any more. Ruled out: the order of requests that wait already, which are dropped then. Change: a connection that can no longer be written takes no request.

--- a/features/caller-connection.feature
+++ b/features/caller-connection.feature
@@ -123,3 +123,9 @@
       | body             |
       | half of its body |
       | no body          |
+
+  # Guards against running a request that arrives while its connection closes, so that its caller gets no answer.
+  Scenario: A request that arrives after its connection has begun to close is not served
+    Given a connection of a caller that has begun to close
+    When a request arrives on it
+    Then the request is not served
--- a/features/steps/caller-connection-steps.ts
+++ b/features/steps/caller-connection-steps.ts
@@ -1,5 +1,10 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {
+	connect as openSocket, createServer, type AddressInfo, type Socket,
+} from 'node:net';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {CallerConnection} from '../../src/callers/caller-connection.js';
 import {plainDialect} from '../../stand-ins/forward/plain-dialect.js';
 import {ForwardSystem} from '../support/forward-system.js';
 import {type RawCaller} from '../support/raw-caller.js';
@@ -190,3 +195,29 @@
 	const runs = [...getSystem(this).targets.values()].flatMap(target => target.runs);
 	assert.equal(runs.map(({method, path}) => `${method} ${path}`).join(', '), list);
 });
+
+Given('a connection of a caller that has begun to close', async function (this: SystemWorld) {
+	const server = createServer({allowHalfOpen: true}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const caller = openSocket((server.address() as AddressInfo).port, '127.0.0.1');
+	const [socket] = await once(server, 'connection') as [Socket];
+	this.onClose(() => {
+		caller.destroy();
+		server.close();
+	});
+	this.notes.set('connection', new CallerConnection(socket));
+	socket.destroySoon();
+});
+
+When('a request arrives on it', function (this: SystemWorld) {
+	const serve = (): void => {
+		this.notes.set('isServed', true);
+	};
+
+	this.notes.set('isAdded', (this.notes.get('connection') as CallerConnection).add({serve, drop: serve}));
+});
+
+Then('the request is not served', function (this: SystemWorld) {
+	assert.equal(this.notes.get('isAdded'), false);
+	assert.equal(this.notes.get('isServed'), undefined);
+});
--- a/src/callers/caller-connection.ts
+++ b/src/callers/caller-connection.ts
@@ -50,7 +50,8 @@
 
 	/** Adds a request, which is served when the earlier ones have their answers; false if the connection closes before its turn. */
 	add(request: OpenRequest): boolean {
-		if (this.isEnding) {
+		// After an answer to a request whose body was not read whole, Node closes the connection, on which more may arrive meanwhile.
+		if (this.isEnding || !this.socket.writable) {
 			return false;
 		}
 
