Keep a target process alive when its engine's answer ends while it is paused

What callers saw (trials with callEngine on the code before): an answer of an engine without a length, 131,072 bytes or more, that ended while its reader was slow ended the target process by an assertion of undici; a reset 100 ms after the last bytes made a cut answer a whole one.

Cause: as for the entry: undici asserts that such an answer is not paused at its end, and takes ECONNRESET for its end.

Change: the agent for engines resumes paused answers when a connection ends, and gives a reset a code of its own (markReset, which TargetConnection uses as well).

--- a/features/cut-answers.feature
+++ b/features/cut-answers.feature
@@ -24,3 +24,15 @@
       | with a length, after an interim answer | ends   | used       |
       | with a length, after an interim answer | resets | new        |
       | with a length, after an interim answer | resets | used       |
+
+  # Guards against taking a reset for the end of an engine's answer, and against an assertion of the HTTP client that ends the process.
+  Scenario Outline: An engine <ending> its connection after <bytes> bytes of an answer without a length that is read later
+    When an engine <ending> its connection after <bytes> bytes of an answer without a length that is read later
+    Then the answer of the engine is <outcome>
+
+    Examples:
+      | ending | bytes  | outcome |
+      | ends   | 100    | whole   |
+      | ends   | 140000 | whole   |
+      | resets | 100    | cut     |
+      | resets | 140000 | cut     |
--- a/src/forward/target-connection.ts
+++ b/src/forward/target-connection.ts
@@ -2,6 +2,7 @@
 import {connect, type Socket} from 'node:net';
 import {Client, type Dispatcher} from 'undici';
 import {type Target} from '../fleet/target.js';
+import {markReset} from '../http/mark-reset.js';
 import {ExcessError} from './excess-error.js';
 import {FramingMeter} from './framing-meter.js';
 import {indexHeaders} from './index-headers.js';
@@ -32,8 +33,6 @@
 const idleMs = 2000;
 /** A connection is closed this long before the target would close it, milliseconds. */
 const idleMarginMs = 500;
-/** Code of the error of a connection that its target has reset. */
-const resetCode = 'ERR_TARGET_RESET';
 /** Lowest status of an answer that is not an interim one. */
 const minimumFinalStatus = 200;
 /** Limit of the HTTP client's parser on the fields of a head or trailer, bytes; a head that is too large is noticed before it is parsed. */
@@ -171,13 +170,10 @@
 			this.hasEnded = true;
 			this.resume();
 		});
-		socket.on('error', (error: NodeJS.ErrnoException) => {
+		socket.on('error', () => {
 			this.hasSocketError = true;
-			// With its own code, the HTTP client would take a reset for the end of such an answer.
-			if (error.code === 'ECONNRESET') {
-				error.code = resetCode;
-			}
 		});
+		markReset(socket);
 	}
 
 	private open(target: Target, callback: (...result: [Error, null] | [null, Socket]) => void): void {
--- a/src/target/start-target.ts
+++ b/src/target/start-target.ts
@@ -1,6 +1,6 @@
-import {Agent} from 'undici';
 import {AdmissionQueue} from '../admission/admission-queue.js';
 import {type TargetSettings} from '../config/target-settings.js';
+import {openStreamAgent} from '../http/open-stream-agent.js';
 import {connectLink} from '../link/connect-link.js';
 import {type LinkMessage} from '../link/link-message.js';
 import {linkProtocolVersion} from '../link/link-protocol-version.js';
@@ -37,7 +37,7 @@
 export async function startTarget(settings: TargetSettings, clock: () => number): Promise<RunningTarget> {
 	const incarnation = makeIncarnation(clock());
 	const metrics = new ProcessMetrics();
-	const dispatcher = new Agent({connections: settings.admission.concurrency * 2});
+	const dispatcher = openStreamAgent(settings.admission.concurrency * 2);
 	const tracer = createTracer(settings.tracing.otlpUrl);
 	const queue = new AdmissionQueue(settings.admission);
 	let tableVersion = 0;
