Add failing scenarios on what follows a request on its connection

What callers saw, in runs against (in-process entries, raw sockets): a slowly read stream stands still and is cut when CONNECT follows it; a target works on for a caller that has left while a body of 200 kB waits behind (never told in 3.2 s; on told after 2 to 5 ms); a planned stop takes its whole grace period for a caller that always writes ahead, and cuts a request that has run; sound requests get 400 for bytes that arrive in the same packet; a request behind a refused one, whose body has arrived, is dropped; on the own interface, a request is dropped without notice in a planned stop, and half a head keeps the connection open for good after it. Cause: not mended here; this is a review.

--- /dev/null
+++ b/features/steps/written-ahead-steps.ts
@@ -0,0 +1,105 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {RawCaller} from '../support/raw-caller.js';
+import {type ForwardSystem} from '../support/forward-system.js';
+import {sendRequest} from '../support/send-request.js';
+import {type SystemWorld} from '../support/system-world.js';
+import {tokens} from '../support/tokens.js';
+
+const noRequest = '\u0000\u0001 no request\r\n\r\n';
+const getSystem = (world: SystemWorld): ForwardSystem => world.notes.get('forward') as ForwardSystem;
+const getCaller = (world: SystemWorld): RawCaller => world.notes.get('caller') as RawCaller;
+
+const keep = (world: SystemWorld, caller: RawCaller): RawCaller => {
+	world.notes.set('caller', caller);
+	world.onClose(() => {
+		caller.close();
+	});
+	return caller;
+};
+
+const connect = (world: SystemWorld): RawCaller => keep(world, getSystem(world).connect());
+
+const format = (request: string, {key = 'key-of-barre', body = ''}: {readonly key?: string; readonly body?: string} = {}): string =>
+	`${request} HTTP/1.1\r\nhost: desk.example\r\nauthorization: Bearer ${key}\r\nx-request: ${request.replaceAll(' ', '-')}\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+
+Given('the next answer of target 1 is a stream of many events', function (this: SystemWorld) {
+	getSystem(this).targets.get('target-1')!.behaviours.push('large a stream of many events');
+});
+
+Given('all routes have a timeout of {int} ms', async function (this: SystemWorld, ms: number) {
+	const system = getSystem(this);
+	system.configure(({routes}) => {
+		for (const route of routes) {
+			route.timeoutMs = ms;
+		}
+	});
+	await system.until(() => system.entries.get('entry-1')!.getRevision() >= system.store.lastRevision);
+});
+
+When('it asks for a tunnel once the request runs', async function (this: SystemWorld) {
+	await getSystem(this).until(() => getSystem(this).listRuns().length > 0);
+	getCaller(this).write('CONNECT desk.example:80 HTTP/1.1\r\nhost: desk.example\r\n\r\n');
+});
+
+When('a caller writes {string}, and a request with a body of {int} bytes after it', async function (this: SystemWorld, request: string, bytes: number) {
+	const caller = connect(this);
+	caller.write(`${format(request)}${format('POST /release/2', {body: 'x'.repeat(bytes)})}`);
+	await caller.flushed();
+});
+
+When('the entry is told to stop while a caller always has a request written ahead', async function (this: SystemWorld) {
+	const system = getSystem(this);
+	const target = system.targets.get('target-1')!;
+	const caller = connect(this);
+	caller.write(format('POST /release/0'));
+	for (let count = 1; !caller.isClosed && !caller.text.includes('onnection: close'); count++) {
+		caller.write(format(`POST /release/${count}`));
+		await system.until(() => caller.isClosed || target.runs.length >= count);
+		if (count === 1) {
+			this.notes.set('stop', system.entries.get('entry-1')!.stop());
+		}
+
+		target.releaseAnswer();
+		await system.until(() => caller.isClosed || caller.wholeCount >= count);
+	}
+
+	// Requests whose answers are not the last on the connection may have begun to run.
+	await system.until(() => {
+		target.releaseAnswer();
+		return caller.isClosed;
+	});
+});
+
+When('a caller writes {string} and bytes of no request at once', function (this: SystemWorld, request: string) {
+	connect(this).write(`${format(request, {body: request.startsWith('POST') ? 'a block' : ''})}${noRequest}`);
+});
+
+When('a caller writes a request with an unknown key and a body, and {string}, at once', function (this: SystemWorld, request: string) {
+	connect(this).write(`${format('POST /release/1', {key: 'unknown', body: 'a block'})}${format(request)}`);
+});
+
+When('it asks once more while an engine runs the next request', async function (this: SystemWorld) {
+	await this.system.waitUntil('an engine runs the request', () => [...this.system.engines.values()].some(({active}) => active.size > 0));
+	const body = JSON.stringify({model: 'stone-drafts', max_tokens: 6, messages: [{role: 'user', content: 'granite'}]});
+	getCaller(this).request('POST', '/v1/chat/completions', {id: 'chat-3', body});
+});
+
+When('a caller has written {} on a connection of its own', async function (this: SystemWorld, bytes: string) {
+	const [{httpPort}] = this.system.entries.values();
+	const caller = keep(this, new RawCaller(httpPort, tokens.granite));
+	caller.write(bytes === 'nothing' ? '' : 'POST /v1/chat/completions HTTP/1.1\r\nhost: ya');
+	// The entry reads what came before a request that it has answered.
+	await sendRequest({port: httpPort, path: '/nothing-here'});
+});
+
+Then('it gets whole answers with status {string}', async function (this: SystemWorld, list: string) {
+	const caller = getCaller(this);
+	const expected = list.split(', ').map(status => [Number(status), true]);
+	await getSystem(this).until(() => caller.isClosed || caller.wholeCount >= expected.length);
+	assert.deepEqual(caller.answers.map(answer => [answer.status, answer.isWhole]), expected, caller.text.slice(0, 1000));
+});
+
+Then('each request that has run has a whole answer', function (this: SystemWorld) {
+	assert.equal(getCaller(this).wholeCount, getSystem(this).listRuns().length);
+});
--- a/stand-ins/forward/write-large-answer.ts
+++ b/stand-ins/forward/write-large-answer.ts
@@ -16,6 +16,9 @@
 	'a stream with a large event': {
 		contentType: 'text/event-stream', isChunked: true, body: () => makeEvents(10, megabyte - 100, 10), chunkBytes: 5000,
 	},
+	'a stream of many events': {
+		contentType: 'text/event-stream', isChunked: true, body: () => makeEvents(...Array.from({length: 160}, () => 100_000)), chunkBytes: 100_000,
+	},
 	'a stream of events without ids': {
 		contentType: 'text/event-stream', isChunked: true, body: () => 'data: x\r\n\r\n'.repeat(3 * megabyte / 11), chunkBytes: 4095,
 	},
