--- a/features/steps/internal-error-steps.ts
+++ b/features/steps/internal-error-steps.ts
@@ -19,20 +19,24 @@
 	}
 };
 
-const openStream = async (port: number): Promise<IncomingMessage> => {
-	for (;;) {
-		const request = httpRequest({
-			host: address, port, agent: false, path: '/stream/1', headers: {host: 'desk.example', 'x-request': 'the-request'},
-		});
-		request.end();
-		const [answer] = await once(request, 'response') as [IncomingMessage];
-		if (answer.statusCode === 200) {
-			return answer;
-		}
+const get = async (port: number, path: string): Promise<IncomingMessage> => {
+	const request = httpRequest({
+		host: address, port, agent: false, path, headers: {host: 'desk.example', 'x-request': 'the-request'},
+	});
+	request.end();
+	const [answer] = await once(request, 'response') as [IncomingMessage];
+	return answer;
+};
 
-		// The entry does not know its configuration yet.
+/* Asked for readiness, an entry logs nothing: requests that it refuses until then would fill its log, which drops lines. */
+const untilReady = async (port: number): Promise<void> => {
+	for (;;) {
+		const answer = await get(port, '/readyz');
 		answer.resume();
 		await once(answer, 'close');
+		if (answer.statusCode === 200) {
+			return;
+		}
 	}
 };
 
@@ -49,7 +53,9 @@
 	}
 
 	await untilContains(child.stdout, () => running.text, 'listening on');
-	const stream = await openStream(Number(/listening on (?<port>\d+)/v.exec(running.text)!.groups!.port));
+	const {port, readyPort} = /listening on (?<port>\d+), ready on (?<readyPort>\d+)/v.exec(running.text)!.groups!;
+	await untilReady(Number(readyPort));
+	const stream = await get(Number(port), '/stream/1');
 	const complete: Running = Object.assign(running, {stream});
 	stream.on('data', chunk => {
 		complete.body += String(chunk);
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -347,6 +347,7 @@
 			id: 'the-request', deadlineMs: 5000, lastEventId: undefined, promptParts: [],
 		},
 		mayKeepAlive: () => true,
+		readAhead: undefined,
 		inputFailure: new AbortController().signal,
 		disconnection: new AbortController(),
 	});
--- a/features/support/fleet-simulation.ts
+++ b/features/support/fleet-simulation.ts
@@ -347,6 +347,7 @@
 				id: 'request', deadlineMs, lastEventId: undefined, promptParts: call.promptParts,
 			},
 			mayKeepAlive: () => true,
+			readAhead: undefined,
 			inputFailure: new AbortController().signal,
 			disconnection: new AbortController(),
 		});
--- a/src/callers/caller-connection.ts
+++ b/src/callers/caller-connection.ts
@@ -1,3 +1,4 @@
+import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {Problem} from '../requests/problem.js';
 
@@ -7,8 +8,13 @@
 	readonly serve: () => void;
 	/** Called when the connection closes before the request is served: it has reached no target. */
 	readonly drop: () => void;
+	/** The response; undefined for a request that Node has not parsed as one. */
+	readonly response?: ServerResponse | undefined;
 };
 
+/** Requests that may wait on a connection; a caller that has written more gets the answers to these, and the connection closes. */
+const maximumWaiting = 100;
+
 /**
  * The requests on one connection of a caller. They are served one after the other, since whatever cuts an answer takes those of all
  * later requests with it: these must not have reached a target yet.
@@ -50,6 +56,8 @@
 
 	/** Adds a request, which is served when the earlier ones have their answers; false if the connection closes before its turn. */
 	add(request: OpenRequest): boolean {
+		// All later ones must be dropped as well: answers are matched to requests by their order.
+		this.isEnding ||= this.open.length > maximumWaiting;
 		// After an answer to a request whose body was not read whole, Node closes the connection, on which more may arrive meanwhile.
 		if (this.isEnding || !this.socket.writable) {
 			return false;
@@ -94,6 +102,11 @@
 		this.end();
 	}
 
+	/** Notes that the connection takes more of the present answer, where Node does not. */
+	resumeAnswer(): void {
+		this.open[0]?.response?.emit('drain');
+	}
+
 	private dropWaiting(): void {
 		for (const {drop} of this.open.splice(1)) {
 			drop();
--- a/src/callers/caller-request.ts
+++ b/src/callers/caller-request.ts
@@ -1,8 +1,11 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type ReadAhead} from './read-ahead.js';
 
 /** A request of a caller, as its connection delivers it. */
 export type CallerRequest = {
 	readonly incoming: IncomingMessage;
+	/** What has been read of the body while the request waited; undefined if it did not wait. */
+	readonly readAhead: ReadAhead | undefined;
 	readonly response: ServerResponse;
 	/** Milliseconds, on the server's clock; the request may have waited for earlier ones on its connection since. */
 	readonly arrivedAt: number;
--- a/src/callers/caller-server.ts
+++ b/src/callers/caller-server.ts
@@ -5,6 +5,7 @@
 import {type CallerRequest} from './caller-request.js';
 import {formatInputRefusal} from './format-input-refusal.js';
 import {IdleAwareServer} from './idle-aware-server.js';
+import {ReadAhead} from './read-ahead.js';
 
 type ServerOptions = {
 	readonly address: string;
@@ -20,6 +21,8 @@
 
 /** Interval of the check for connections that exceed the header or idle timeout, milliseconds. */
 const connectionCheckMs = 500;
+/** Time after the begin of a drain in which requests that callers have written ahead are still accepted, milliseconds. */
+const lastRequestsMs = 1000;
 /** Answer to CONNECT: the server opens no tunnels. */
 const tunnelRefusal = 'HTTP/1.1 405 Method Not Allowed\r\nallow: GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
 
@@ -84,10 +87,15 @@
 		this.isStopping = true;
 	}
 
-	/** Accepts no more connections, and resolves when all open requests have been answered. */
+	/** Accepts no more connections, soon no more requests, and resolves when all open requests have been answered. */
 	async drain(): Promise<void> {
 		this.isStopping = true;
 		this.server.close();
+		setTimeout(() => {
+			for (const connection of this.connections.values()) {
+				connection.end();
+			}
+		}, lastRequestsMs).unref();
 		if (this.openCount > 0) {
 			await new Promise<void>(resolve => {
 				this.onDrained = resolve;
@@ -113,6 +121,8 @@
 		const connection = this.connections.get(incoming.socket)!;
 		const request: CallerRequest = {
 			incoming,
+			// The end of a connection is noticed only while it is read.
+			readAhead: connection.hasOpen ? new ReadAhead(incoming) : undefined,
 			response,
 			arrivedAt: this.options.clock(),
 			mayKeepAlive: () => this.mayKeepAlive(connection),
@@ -124,18 +134,18 @@
 		};
 
 		this.openCount++;
-		this.add(connection, incoming, serve, () => {
+		this.add(connection, request, serve, () => {
 			this.noteRequestEnd();
 		});
 	}
 
-	private add(connection: CallerConnection, {method, url}: IncomingMessage, serve: () => void, onDrop: () => void): void {
+	private add(connection: CallerConnection, {incoming: {method, url}, response}: Pick<CallerRequest, 'incoming'> & Partial<CallerRequest>, serve: () => void, onDrop: () => void): void {
 		const drop = (): void => {
 			this.options.log(`${method} ${url} was not served: its connection closed before the earlier answers on it were complete`);
 			onDrop();
 		};
 
-		if (!connection.add({serve, drop})) {
+		if (!connection.add({serve, drop, response})) {
 			drop();
 		}
 	}
@@ -209,8 +219,11 @@
 		socket.on('error', error => {
 			this.options.log(`connection of a caller failed: ${error.message}`);
 		});
+		socket.on('drain', () => {
+			connection.resumeAnswer();
+		});
 		socket.resume();
-		this.add(connection, incoming, () => {
+		this.add(connection, {incoming}, () => {
 			socket.write(tunnelRefusal);
 			connection.end();
 			connection.finish();
--- a/src/callers/read-body.ts
+++ b/src/callers/read-body.ts
@@ -4,7 +4,7 @@
 import {runAt} from './run-at.js';
 import {type CallerRequest} from './caller-request.js';
 
-type Input = Pick<CallerRequest, 'incoming' | 'inputFailure'>;
+type Input = Pick<CallerRequest, 'incoming' | 'readAhead' | 'inputFailure'>;
 type ReadOptions = {
 	readonly maximumBytes: number;
 	/** Time by which the body must have arrived, milliseconds on `clock`. */
@@ -13,11 +13,13 @@
 };
 
 /** Reads the whole body of a request; returns the problem to send to its caller when it is too large, too late or breaks off. */
-export async function readBody({incoming, inputFailure}: Input, {maximumBytes, deadline, clock}: ReadOptions): Promise<Result<Uint8Array<ArrayBuffer>, Problem>> {
+export async function readBody({incoming, readAhead, inputFailure}: Input, {maximumBytes, deadline, clock}: ReadOptions): Promise<Result<Uint8Array<ArrayBuffer>, Problem>> {
 	const chunks: Buffer[] = [];
 	let bytes = 0;
+	let isSettled = false;
 	return new Promise(resolve => {
 		const settle = (result: Result<Uint8Array<ArrayBuffer>, Problem>): void => {
+			isSettled = true;
 			cancel();
 			inputFailure.removeEventListener('abort', handleFailure);
 			incoming.off('data', handleData).off('end', handleEnd).off('error', handleError).off('close', handleClose);
@@ -33,7 +35,10 @@
 		};
 
 		const handleFailure = (): void => {
-			settle(err(inputFailure.reason as Problem));
+			// What cannot be read may follow the request.
+			if (!incoming.complete) {
+				settle(err(inputFailure.reason as Problem));
+			}
 		};
 
 		const handleData = (chunk: Buffer): void => {
@@ -59,10 +64,22 @@
 		const cancel = runAt(deadline, clock, () => {
 			fail(408, 'Body too late', 'the body had not arrived at the deadline');
 		});
-		incoming.on('data', handleData).on('end', handleEnd).on('error', handleError).on('close', handleClose);
 		inputFailure.addEventListener('abort', handleFailure);
-		if (inputFailure.aborted && !incoming.complete) {
+		for (const chunk of readAhead?.take() ?? []) {
+			handleData(chunk);
+		}
+
+		if (isSettled) {
+			return;
+		}
+
+		incoming.on('data', handleData).on('end', handleEnd).on('error', handleError).on('close', handleClose);
+		if (incoming.readableEnded) {
+			handleEnd();
+		} else if (inputFailure.aborted) {
 			handleFailure();
 		}
+
+		incoming.resume();
 	});
 }
--- a/src/entry/request-server.ts
+++ b/src/entry/request-server.ts
@@ -71,11 +71,10 @@
 		const id = randomUUID();
 		const span = startSpan(tracer, 'entry', incoming.headers);
 		const exchange = new Exchange({
-			id, method: incoming.method ?? 'GET', url: incoming.url ?? '/', headers: incoming.headers, response, arrivedAt, span, tracer, callerAbort: disconnection,
+			id, method: incoming.method ?? 'GET', url: incoming.url ?? '/', headers: incoming.headers, response, arrivedAt, span, tracer, mayKeepAlive, callerAbort: disconnection,
 		});
 		writeTraceParent(span, exchange.headers);
 		response.setHeader('wardswitch-request-id', id);
-		response.shouldKeepAlive &&= mayKeepAlive();
 		const readBody = makeBodyFilter(request, {maximumBytes: maximumBodyBytes, deadline: arrivedAt + bodyTimeoutMs, clock});
 		try {
 			this.finishExchange(exchange, await runFilters([readBody, ...this.listFilters(request)], exchange));
@@ -102,6 +101,7 @@
 			return;
 		}
 
+		exchange.prepareHead();
 		writeProblem(new Problem({
 			status: 500, title: 'Internal error', detail: 'the request failed within the entry', outcome: 'unknown',
 		}), exchange.id, exchange.response);
@@ -113,6 +113,7 @@
 		if (result.isErr()) {
 			({outcome} = result.error.options);
 			exchange.noteDecision(`${outcome}: ${result.error.message}`);
+			exchange.prepareHead();
 			writeProblem(result.error, exchange.id, exchange.response);
 		} else if (!exchange.response.writableEnded) {
 			outcome = 'unknown';
--- a/src/entry/start-entry.ts
+++ b/src/entry/start-entry.ts
@@ -250,6 +250,7 @@
 			controller.startLeaving();
 			await delay(settings.stopDelayMs);
 			await server.drain();
+			server.close();
 			await close();
 		},
 		async kill() {
--- a/src/forward/exchange-runner.ts
+++ b/src/forward/exchange-runner.ts
@@ -1,3 +1,4 @@
+import {setImmediate} from 'node:timers/promises';
 import {err, ok, type Result} from 'neverthrow';
 import {type CallerRequest} from '../callers/caller-request.js';
 import {type Filter} from '../requests/filter.js';
@@ -53,6 +54,11 @@
 	private async runFilters(exchange: ForwardExchange): Promise<void> {
 		try {
 			const result = await runFilters(this.options.filters, exchange);
+			if (result.isErr() && !exchange.incoming.complete) {
+				// A body that came with the head is read whole then, so that the connection can stay open.
+				await setImmediate();
+			}
+
 			this.finish(exchange, result);
 		} catch (error) {
 			this.fail(exchange, error);
--- a/src/forward/forward-exchange.ts
+++ b/src/forward/forward-exchange.ts
@@ -1,9 +1,10 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type CallerRequest} from '../callers/caller-request.js';
 import {type Route} from '../fleet/route.js';
 import {fingerprintRequest} from './fingerprint-request.js';
 import {type RequestMetadata} from './request-metadata.js';
 
-type Origin = Pick<ForwardExchange, 'incoming' | 'response' | 'arrivedAt' | 'metadata' | 'mayKeepAlive' | 'inputFailure' | 'disconnection'>;
+type Origin = Pick<ForwardExchange, 'incoming' | 'response' | 'arrivedAt' | 'metadata' | 'mayKeepAlive' | 'readAhead' | 'inputFailure' | 'disconnection'>;
 
 /** A caller's request and its response, with the state that filters and the dispatcher add. */
 export class ForwardExchange {
@@ -26,6 +27,7 @@
 	readonly metadata: RequestMetadata;
 	/** Whether the caller's connection may stay open after the answer. */
 	readonly mayKeepAlive: () => boolean;
+	readonly readAhead: CallerRequest['readAhead'];
 	/** Aborted with a problem when nothing more can be read from the caller. */
 	readonly inputFailure: AbortSignal;
 	/** Aborted when the connection to the caller closes before the answer is complete. */
@@ -38,6 +40,7 @@
 		this.arrivedAt = origin.arrivedAt;
 		this.metadata = origin.metadata;
 		this.mayKeepAlive = origin.mayKeepAlive;
+		this.readAhead = origin.readAhead;
 		this.inputFailure = origin.inputFailure;
 		this.disconnection = origin.disconnection;
 	}
--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -3,7 +3,7 @@
 import {traceHop} from '../tracing/trace-hop.js';
 import {type Row} from '../table/row.js';
 
-type ExchangeOptions = Pick<Exchange, 'id' | 'method' | 'url' | 'headers' | 'response' | 'arrivedAt' | 'span' | 'tracer' | 'callerAbort'>;
+type ExchangeOptions = Pick<Exchange, 'id' | 'method' | 'url' | 'headers' | 'response' | 'arrivedAt' | 'span' | 'tracer' | 'mayKeepAlive' | 'callerAbort'>;
 
 /** One request of a caller and its response, passed along the chain of filters; each filter sets the fields that it determines. */
 export class Exchange {
@@ -41,6 +41,8 @@
 	readonly arrivedAt: number;
 	readonly span: Span;
 	readonly tracer: Tracer;
+	/** Whether the connection may stay open after the answer; must be asked once, before the head of the answer is written. */
+	readonly mayKeepAlive: () => boolean;
 	/** Aborted when the caller disconnects before its response is complete. */
 	readonly callerAbort: AbortController;
 
@@ -53,6 +55,7 @@
 		this.arrivedAt = options.arrivedAt;
 		this.span = options.span;
 		this.tracer = options.tracer;
+		this.mayKeepAlive = options.mayKeepAlive;
 		this.callerAbort = options.callerAbort;
 	}
 
@@ -61,6 +64,11 @@
 		return traceHop(this.tracer, name, this.span, work);
 	}
 
+	/** Decides whether the connection stays open after the answer; must be called before the head of the answer is written. */
+	prepareHead(): void {
+		this.response.shouldKeepAlive &&= this.mayKeepAlive();
+	}
+
 	/** Records a decision for `/explain`. */
 	noteDecision(decision: string): void {
 		this.decisions.push(decision);
--- a/src/requests/filters/make-ticket-filter.ts
+++ b/src/requests/filters/make-ticket-filter.ts
@@ -49,6 +49,7 @@
 		const ticket = {
 			id: randomUUID(), service: parsed.service, organisation: exchange.organisation, target: link.vm.id, incarnation: link.incarnation, expiresAt: now + ticketLifetimeMs,
 		};
+		exchange.prepareHead();
 		exchange.response.writeHead(201, {'content-type': 'application/json'});
 		exchange.response.end(JSON.stringify({ticket: signTicket(ticket, options.linkKey), target: ticket.target, expiresAt: new Date(ticket.expiresAt).toISOString()}));
 		return ok();
--- a/src/requests/follow-call.ts
+++ b/src/requests/follow-call.ts
@@ -52,7 +52,7 @@
 	const event = await call.nextEvent();
 	switch (event.type) {
 		case 'head': {
-			return {kind: 'answered', isComplete: await relayAnswer(event, call, exchange.response)};
+			return {kind: 'answered', isComplete: await relayAnswer(event, call, exchange)};
 		}
 
 		case 'refused': {
--- a/src/requests/relay-answer.ts
+++ b/src/requests/relay-answer.ts
@@ -2,6 +2,7 @@
 import {type ServerResponse} from 'node:http';
 import {type Call} from '../calls/call.js';
 import {type CallEvent} from '../calls/call-event.js';
+import {type Exchange} from './exchange.js';
 
 type Head = Extract<CallEvent, {type: 'head'}>;
 
@@ -30,7 +31,9 @@
  *
  * @returns whether the answer was relayed completely; if not, the response was aborted
  */
-export async function relayAnswer(head: Head, call: Call, response: ServerResponse): Promise<boolean> {
+export async function relayAnswer(head: Head, call: Call, exchange: Exchange): Promise<boolean> {
+	const {response} = exchange;
+	exchange.prepareHead();
 	response.writeHead(head.status, head.headers);
 	for (;;) {
 		const event = await call.nextEvent();
