--- a/src/balance/part-block.ts
+++ b/src/balance/part-block.ts
@@ -27,7 +27,7 @@
 const firstDoubtfulBlockMs = 2000;
 const maximumDoubtfulBlockMs = 30_000;
 const electedProbeMs = 1000;
-/** Time for which a probe waits for requests without the part to be answered first, milliseconds, so that its end tells something: a group takes as long to form. */
+/** Time for which a probe waits for requests without the part to be answered first, milliseconds, so that its outcome can be compared: a group takes as long to form. */
 const contrastWaitMs = 6000;
 /** When a request returns that meets a probe that a peer has to send, milliseconds: soon, or after a confirmed block. */
 const soonMs = 500;
--- a/src/callers/caller-server.ts
+++ b/src/callers/caller-server.ts
@@ -19,9 +19,12 @@
 	readonly log: (message: string) => void;
 };
 
+/** A request as Node has parsed it; one for a tunnel has no response. */
+type ParsedRequest = {readonly incoming: IncomingMessage; readonly response?: ServerResponse};
+
 /** Interval of the check for connections that exceed the header or idle timeout, milliseconds. */
 const connectionCheckMs = 500;
-/** Time after the begin of a drain in which requests that callers have written ahead are still accepted, milliseconds. */
+/** Time after the start of a drain in which requests that callers have written ahead are still accepted, milliseconds. */
 const lastRequestsMs = 1000;
 /** Answer to CONNECT: the server opens no tunnels. */
 const tunnelRefusal = 'HTTP/1.1 405 Method Not Allowed\r\nallow: GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
@@ -139,7 +142,7 @@
 		});
 	}
 
-	private add(connection: CallerConnection, {incoming: {method, url}, response}: Pick<CallerRequest, 'incoming'> & Partial<CallerRequest>, serve: () => void, onDrop: () => void): void {
+	private add(connection: CallerConnection, {incoming: {method, url}, response}: ParsedRequest, serve: () => void, onDrop: () => void): void {
 		const drop = (): void => {
 			this.options.log(`${method} ${url} was not served: its connection closed before the earlier answers on it were complete`);
 			onDrop();
