Hold events without an id on a resumable stream until one with an id follows

Cause: events without an id were relayed as they came, though another target does not repeat or skip them. Class: what cannot be taken back was sent before it was known to belong to the answer. Ruled out: the limit on such events, which ended the attempt as it should. Change: on a resumable stream they are held, within the limit that there was, until an event with an id or the end of the stream follows; a target that is given up takes them with it.

--- a/features/steps/forward-steps.ts
+++ b/features/steps/forward-steps.ts
@@ -258,6 +258,7 @@
 	const ids = [...answer.body.matchAll(/id: (\d+)\ndata: target-\d \d+\n\n/gv)].map(match => Number(match[1]));
 	assert.deepEqual(ids, Array.from({length: last - first + 1}, (_empty, index) => first + index));
 	assert.doesNotMatch(answer.body, /half/v);
+	assert.doesNotMatch(answer.body, /(?:^|\n\n)(?!id:)./v);
 });
 
 Then('the answer is visibly broken after event {int}', async function (this: SystemWorld, last: number) {
--- a/src/forward/stream-delivery.ts
+++ b/src/forward/stream-delivery.ts
@@ -26,6 +26,8 @@
 	private numberedBytes = 0;
 	/** Bytes of the events since the last one with a new id. */
 	private unnumberedBytes = 0;
+	/** On a resumable stream, events without an id since the last one with a new id: another target would not repeat these. */
+	private held: Buffer[] = [];
 
 	constructor(private readonly exchange: ForwardExchange) {
 		this.lastId = exchange.metadata.lastEventId;
@@ -41,9 +43,9 @@
 		return this.lastId;
 	}
 
-	/** Bytes kept of an incomplete event. */
+	/** Bytes kept of events that are incomplete, or have no id. */
 	get pendingBytes(): number {
-		return this.splitter.pendingBytes;
+		return this.splitter.pendingBytes + this.held.reduce((bytes, {length}) => bytes + length, 0);
 	}
 
 	/** Which limit the present target has exceeded; undefined for none. */
@@ -62,6 +64,7 @@
 		this.head ??= {status, headers};
 		this.splitter = new EventSplitter();
 		this.unnumberedBytes = 0;
+		this.held = [];
 	}
 
 	/**
@@ -72,19 +75,7 @@
 	push(chunk: Buffer): boolean {
 		const accepted: Buffer[] = [];
 		for (const {id, bytes} of this.splitter.push(chunk)) {
-			// A target that resumes from an earlier event repeats events that the caller has.
-			const isRepeated = id !== undefined && this.lastId !== undefined && id <= this.lastId;
-			if (id === undefined || isRepeated) {
-				this.unnumberedBytes += bytes.length;
-			} else {
-				this.lastId = id;
-				this.numberedBytes += bytes.length;
-				this.unnumberedBytes = 0;
-			}
-
-			if (!isRepeated) {
-				accepted.push(bytes);
-			}
+			accepted.push(...this.accept(id, bytes));
 		}
 
 		return accepted.length === 0 || this.write(accepted.length === 1 ? accepted[0] : Buffer.concat(accepted));
@@ -97,10 +88,41 @@
 		}
 
 		this.begin();
-		this.exchange.response.end();
+		this.exchange.response.end(Buffer.concat(this.held));
 		return true;
 	}
 
+	/* Returns the events to relay now that one has arrived. */
+	private accept(id: number | undefined, bytes: Buffer): Buffer[] {
+		// A target that resumes from an earlier event repeats events that the caller has.
+		const isRepeated = id !== undefined && this.lastId !== undefined && id <= this.lastId;
+		if (id === undefined || isRepeated) {
+			this.unnumberedBytes += bytes.length;
+			return isRepeated ? this.dropHeld() : this.hold(bytes);
+		}
+
+		this.lastId = id;
+		this.numberedBytes += bytes.length;
+		this.unnumberedBytes = 0;
+		const events = [...this.held, bytes];
+		this.held = [];
+		return events;
+	}
+
+	private hold(bytes: Buffer): Buffer[] {
+		if (!this.exchange.route?.isResumable) {
+			return [bytes];
+		}
+
+		this.held.push(bytes);
+		return [];
+	}
+
+	private dropHeld(): Buffer[] {
+		this.held = [];
+		return [];
+	}
+
 	private write(bytes: Buffer): boolean {
 		this.begin();
 		return this.exchange.response.write(bytes);
