--- a/features/steps/engine-answer-steps.ts
+++ b/features/steps/engine-answer-steps.ts
@@ -36,6 +36,10 @@
 		replayBytes,
 		arrivedAt: 0,
 	});
+	const acknowledge = (): void => {
+		execution.acknowledge(Number.MAX_SAFE_INTEGER);
+	};
+
 	let reader: NodeJS.Timeout | undefined;
 	let isOver = false;
 	const server = createServer(socket => {
@@ -44,11 +48,7 @@
 			socket.write(`HTTP/1.1 200 OK\r\n\r\n${'x'.repeat(Number(bytes))}`, async () => {
 				await close(socket, ending);
 				// A short answer is read without being acknowledged, so that the scenario may have ended by now.
-				if (!isOver) {
-					reader = setInterval(() => {
-						execution.acknowledge(Number.MAX_SAFE_INTEGER);
-					});
-				}
+				reader = isOver ? undefined : setInterval(acknowledge);
 			});
 		});
 	});
