Add a failing scenario on how much of one answer a turn of the event loop reads

A target that sends faster than its answer is read keeps a turn of the entry's event loop for up to 32 reads of 64 KB, as libuv allows for one socket: 2,097,152 bytes in the scenario.

--- a/features/endless-answers.feature
+++ b/features/endless-answers.feature
@@ -47,6 +47,11 @@
       | ends   | part whole |
       | resets | part cut   |
 
+  # Guards against reading one answer for so long that the other requests of the process wait.
+  Scenario: An answer that arrives faster than it is read leaves turns of the event loop to other requests
+    When a target has sent an answer of 8 MB before more than its beginning is read
+    Then no turn of the event loop reads more than 128 KB of it
+
   # Guards against reading until the deadline what brings an answer no further.
   Scenario Outline: An answer without end ends the attempt at once: <what>
     Given an entry before 2 targets
