Read 64 KB of an answer a turn of the event loop

Cause: libuv reads a socket up to 32 times in one turn of the event loop, 64 KB each, and undici passes on what was read at once. A target that sends faster than its answer is read so got 2 MB of events split, checked and written within one turn; two such streams of 15 bytes an event took a quarter of a second, in which nobody else's request was read.

Ruled out: backpressure of the caller, which is honoured as before; these callers read as fast as they can. The cost of an event alone: 2.6 ms for 64 KB of such events, measured.

Change: after 64 KB of an answer its connection waits until the other sockets had their turn. One chunk more may be under way, so a turn reads 128 KB at most.

--- a/src/forward/target-connection.ts
+++ b/src/forward/target-connection.ts
@@ -33,6 +33,11 @@
 const idleMs = 2000;
 /** A connection is closed this long before the target would close it, milliseconds. */
 const idleMarginMs = 500;
+/**
+ * After this many bytes of an answer the rest waits for the next turn of the event loop, since other requests would wait for as long as its
+ * target sends faster than it is read.
+ */
+const turnBytes = 64 * 1024;
 /** Lowest status of an answer that is not an interim one. */
 const minimumFinalStatus = 200;
 /** Limit of the HTTP client's parser on the fields of a head or trailer, bytes; a head that is too large is noticed before it is parsed. */
@@ -51,6 +56,11 @@
 	private hasEnded = false;
 	private framing = new FramingMeter(0);
 	private requests = 0;
+	/** Whether the receiver has paused the answer. */
+	private isPaused = false;
+	/** Bytes of answers since one last waited for the next turn. */
+	private bytesInTurn = 0;
+	private isTurnOver = false;
 
 	constructor(target: Target) {
 		this.client = new Client(`http://${target.address}:${target.port}`, {
@@ -85,6 +95,7 @@
 	send(request: OutgoingRequest, receiver: Receiver): void {
 		let isFramed = true;
 		this.requests++;
+		this.isPaused = false;
 		this.framing = new FramingMeter(this.socket?.bytesRead ?? 0);
 		this.client.dispatch({
 			method: request.method,
@@ -109,8 +120,10 @@
 			},
 			onResponseData: (controller, chunk) => {
 				this.framing.noteBody(chunk.length);
-				if (!receiver.onData(chunk) && !this.hasEnded) {
-					controller.pause();
+				this.isPaused = !receiver.onData(chunk);
+				this.bytesInTurn += chunk.length;
+				if (!this.hasEnded) {
+					this.pauseWhereDue(controller);
 				}
 			},
 			onResponseEnd: () => {
@@ -128,7 +141,10 @@
 
 	/** Resumes an answer that the receiver has paused. */
 	resume(): void {
-		this.controller?.resume();
+		this.isPaused = false;
+		if (!this.isTurnOver) {
+			this.controller?.resume();
+		}
 	}
 
 	/** Closes the connection at once; the target then aborts the request that it runs for it. */
@@ -137,6 +153,23 @@
 		this.socket?.destroy();
 	}
 
+	private pauseWhereDue(controller: Dispatcher.DispatchController): void {
+		this.isTurnOver ||= this.bytesInTurn >= turnBytes;
+		if (this.isPaused || this.isTurnOver) {
+			controller.pause();
+		}
+
+		if (this.bytesInTurn >= turnBytes) {
+			this.bytesInTurn = 0;
+			setImmediate(() => {
+				this.isTurnOver = false;
+				if (!this.isPaused) {
+					controller.resume();
+				}
+			});
+		}
+	}
+
 	/*
 	 * An answer without a length ends with its connection. undici treats a reset as such an end, and libuv reports a reset
 	 * that arrives together with the last bytes as an end. To distinguish them, an empty line is written, which HTTP allows
@@ -168,7 +201,7 @@
 	private prepareEnd(socket: Socket): void {
 		socket.on('end', () => {
 			this.hasEnded = true;
-			this.resume();
+			this.controller?.resume();
 		});
 		socket.on('error', () => {
 			this.hasSocketError = true;
