Soak: count the probes that are passed on as requests before the retry budget

Cause: the check of the budget counts every repeated arrival at a worker as a retry, also those of probes, but only the other requests as what earns retries. Probes are requests of callers like others, and entries count them so.

Ruled out: a window that is shifted by delays, and slack taken twice around a kill: the entries log that they stay within their parts, and nothing else is needed to explain it.

Change to a check: probes that were passed on for certain (not answered 404 or 503) count among the requests. It is as strict as the guarantee: resends of all requests against all requests; probes that may not have reached a worker add nothing. Three rows show that retries beyond that are still found.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -44,6 +44,24 @@
       | its entry had not read it                  |
       | its last byte was never sent               |
 
+  # Without it, a checker that counts retries of probes, but not the probes themselves, would fail for no fault.
+  Scenario: Probes that are passed on earn retries as other requests do
+    Given the history of a soak without violations
+    When 100 probes that are answered 200 and 48 retries arrive within a window
+    Then the checker reports nothing
+
+  # Guards against an allowance for more than what was sent and passed on.
+  Scenario Outline: The checker finds retries beyond what was sent: <retries> beside 100 probes that are answered <status>
+    Given the history of a soak without violations
+    When 100 probes that are answered <status> and <retries> retries arrive within a window
+    Then the checker reports a violation of "budget" only
+
+    Examples:
+      | retries | status |
+      | 52      | 200    |
+      | 48      | 404    |
+      | 48      | 503    |
+
   Scenario Outline: Six entries, faults of eight seconds, seed <seed>
     When a soak with 6 entries runs for 8 seconds, seed <seed>
     Then the soak has no violation
