Soak: leave no process when it is interrupted while it starts

Cause: an interrupted soak ends its entries, but what was still being started went on starting them: a soak that got SIGTERM in its third second on a busy machine left six entries and did not end (seen for ten minutes, ended by hand). After the faults it started ended entries again without looking whether it was over.

Ruled out: entries that do not end on SIGKILL; each one was started after the others had been ended.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -62,6 +62,11 @@
       | 48      | 404    |
       | 48      | 503    |
 
+  # Guards against processes of an interrupted soak that start after it has ended the others, and run on.
+  Scenario: A soak that is interrupted while it starts leaves no process
+    When a soak is closed as soon as it has begun
+    Then none of its processes runs
+
   Scenario Outline: Six entries, faults of eight seconds, seed <seed>
     When a soak with 6 entries runs for 8 seconds, seed <seed>
     Then the soak has no violation
