--- a/features/soak.feature
+++ b/features/soak.feature
@@ -67,6 +67,27 @@
     When a soak is closed as soon as it has begun
     Then none of its processes runs
 
+  # Without it, a run by hand could pass over seeds.
+  Scenario Outline: A soak is asked for seeds: <asked>
+    Then a soak asked for "<asked>" runs seeds <first> to <last>
+
+    Examples:
+      | asked            | first | last |
+      | first 3, last 5  | 3     | 5    |
+      | seed 127         | 127   | 127  |
+      | seeds 50         | 1     | 50   |
+      | first 7, seeds 2 | 7     | 8    |
+
+  Scenario Outline: A soak refuses what it cannot run: <asked>
+    Then a soak cannot be asked for "<asked>"
+
+    Examples:
+      | asked               |
+      | first 3             |
+      | seed 0              |
+      | seeds many          |
+      | seed 3, callers all |
+
   Scenario Outline: Six entries, faults of eight seconds, seed <seed>
     When a soak with 6 entries runs for 8 seconds, seed <seed>
     Then the soak has no violation
