--- a/features/soak.feature
+++ b/features/soak.feature
@@ -44,6 +44,50 @@
       | its entry had not read it                  |
       | its last byte was never sent               |
 
+  # Without it, a checker that counts retries of probes, but not the probes themselves, would fail for no fault.
+  Scenario: Probes that are passed on earn retries as other requests do
+    Given the history of a soak without violations
+    When 100 probes that are answered 200 and 48 retries arrive within a window
+    Then the checker reports nothing
+
+  # Guards against an allowance for more than what was sent and passed on.
+  Scenario Outline: The checker finds retries beyond what was sent: <retries> beside 100 probes that are answered <status>
+    Given the history of a soak without violations
+    When 100 probes that are answered <status> and <retries> retries arrive within a window
+    Then the checker reports a violation of "budget" only
+
+    Examples:
+      | retries | status |
+      | 52      | 200    |
+      | 48      | 404    |
+      | 48      | 503    |
+
+  # Guards against processes of an interrupted soak that start after it has ended the others, and run on.
+  Scenario: A soak that is interrupted while it starts leaves no process
+    When a soak is closed as soon as it has begun
+    Then none of its processes runs
+
+  # Without it, a run by hand could pass over seeds.
+  Scenario Outline: A soak is asked for seeds: <asked>
+    Then a soak asked for "<asked>" runs seeds <first> to <last>
+
+    Examples:
+      | asked            | first | last |
+      | first 3, last 5  | 3     | 5    |
+      | seed 127         | 127   | 127  |
+      | seeds 50         | 1     | 50   |
+      | first 7, seeds 2 | 7     | 8    |
+
+  Scenario Outline: A soak refuses what it cannot run: <asked>
+    Then a soak cannot be asked for "<asked>"
+
+    Examples:
+      | asked               |
+      | first 3             |
+      | seed 0              |
+      | seeds many          |
+      | seed 3, callers all |
+
   Scenario Outline: Six entries, faults of eight seconds, seed <seed>
     When a soak with 6 entries runs for 8 seconds, seed <seed>
     Then the soak has no violation
