End the reader of the scenarios on cut answers of an engine with the scenario

Seen: a run of cut-answers.feature alone prints its verdict and then does not end (4 of 4 runs, stopped after 60 s to 10 min), at 5 in 100 of a core.

Cause: the step's stand-in begins to read the answer some turns of the event loop after the connection has ended. When the answer is over earlier, the scenario has ended by then, and an interval that begins afterwards is never cleared. Ruled out: the agent for engines; it has no open connection then.

Change: the reader is a loop that ends with the scenario. What is read, when, and what is checked stay as they were.

--- a/features/steps/engine-answer-steps.ts
+++ b/features/steps/engine-answer-steps.ts
@@ -36,20 +36,21 @@
 		replayBytes,
 		arrivedAt: 0,
 	});
-	let reader: NodeJS.Timeout | undefined;
+	const over = new AbortController();
 	const server = createServer(socket => {
 		socket.on('error', () => undefined);
 		socket.once('data', () => {
 			socket.write(`HTTP/1.1 200 OK\r\n\r\n${'x'.repeat(Number(bytes))}`, async () => {
 				await close(socket, ending);
-				reader = setInterval(() => {
+				while (!over.signal.aborted) {
 					execution.acknowledge(Number.MAX_SAFE_INTEGER);
-				});
+					await nextTurn();
+				}
 			});
 		});
 	});
 	this.onClose(() => {
-		clearInterval(reader);
+		over.abort();
 		server.close();
 	});
 	server.listen(0, '127.0.0.1');
