Tell a cut answer of an engine as broken off when its reset comes right with its last bytes

What callers saw: an answer of an engine without a length that the engine had cut by a reset came as a whole one, at the program's own interface.

Cause: libuv reports an end without reading the error when a connection hangs up within a partial read, so neither Node nor undici sees the reset.

Ruled out: keeping the answer flowing, since the reset is hidden in the same turn in which the last bytes are read; a conservative rule that takes every answer without a length for cut, since sound engines send such answers.

Change: the check that TargetConnection makes (an empty line, which HTTP allows before a request) is a function of its own, and the agent for engines makes it as well for answers that end with their connection. Each of its clients knows its one connection and its one answer, so an end resumes only the answer that it belongs to. A reset that follows an end before that is read counts as a cut, as at the entry.

--- a/src/forward/target-connection.ts
+++ b/src/forward/target-connection.ts
@@ -2,6 +2,7 @@
 import {connect, type Socket} from 'node:net';
 import {Client, type Dispatcher} from 'undici';
 import {type Target} from '../fleet/target.js';
+import {confirmEnd} from '../http/confirm-end.js';
 import {markReset} from '../http/mark-reset.js';
 import {ExcessError} from './excess-error.js';
 import {FramingMeter} from './framing-meter.js';
@@ -137,24 +138,16 @@
 		this.socket?.destroy();
 	}
 
-	/*
-	 * An answer without a length ends with its connection. undici treats a reset as such an end, and libuv reports a reset
-	 * that arrives together with the last bytes as an end. To distinguish them, an empty line is written, which HTTP allows
-	 * before a request: this succeeds on a connection that the target has only half-closed, and fails after a reset.
-	 */
+	/* An answer without a length ends with its connection. undici treats a reset as such an end. */
 	private confirmEnd(receiver: Receiver): void {
-		const fail = (): void => {
-			receiver.onError(new Error('connection reset within an answer'));
-		};
-
 		if (this.hasSocketError || !this.socket) {
-			fail();
+			receiver.onError(new Error('connection reset within an answer'));
 			return;
 		}
 
-		this.socket.write('\r\n', error => {
+		confirmEnd(this.socket, error => {
 			if (error) {
-				fail();
+				receiver.onError(error);
 			} else {
 				receiver.onEnd();
 			}
--- a/src/http/open-stream-agent.ts
+++ b/src/http/open-stream-agent.ts
@@ -1,27 +1,27 @@
-import {Agent, buildConnector, type Dispatcher} from 'undici';
+import {type Socket} from 'node:net';
+import {
+	Agent, buildConnector, Client, Pool, type Dispatcher,
+} from 'undici';
+import {confirmEnd} from './confirm-end.js';
 import {markReset} from './mark-reset.js';
 
-/**
- * Opens an agent for answers that are read as they arrive, of any length. One without a length that is cut by a reset
- * fails, and it may end while its reader is slow.
- *
- * @param connections - limit on the connections to each server
- */
-export function openStreamAgent(connections: number): Dispatcher {
-	const answers = new Set<Dispatcher.DispatchController>();
-	const connect = buildConnector({});
-	const agent = new Agent({
-		connections,
-		connect(options, callback) {
-			connect(options, (...result) => {
-				const [, socket] = result;
-				if (socket) {
-					markReset(socket);
-					// The HTTP client asserts that an answer without a length is not paused at its end. Any other answer pauses again.
-					socket.on('end', () => {
-						for (const answer of answers) {
-							answer.resume();
-						}
+const connect = buildConnector({});
+
+/* Opens a client, which has one connection and one answer at a time. */
+const openClient = (origin: string | URL, options: object): Client => {
+	let socket: Socket;
+	let answer: Dispatcher.DispatchController | undefined;
+	const client = new Client(origin, {
+		...options,
+		connect(target, callback) {
+			connect(target, (...result) => {
+				const [, opened] = result;
+				if (opened) {
+					socket = opened;
+					markReset(opened);
+					// The HTTP client asserts that an answer without a length is not paused at its end.
+					opened.on('end', () => {
+						answer?.resume();
 					});
 				}
 
@@ -29,9 +29,9 @@
 			});
 		},
 	});
-	return agent.compose(dispatch => (options, handler) => dispatch(options, {
+	const {dispatch} = client.compose(send => (request, handler) => send(request, {
 		onRequestStart(controller, context) {
-			answers.add(controller);
+			answer = controller;
 			handler.onRequestStart?.(controller, context);
 		},
 		onResponseStart(...head) {
@@ -44,12 +44,40 @@
 			}
 		},
 		onResponseEnd(controller, trailers) {
-			answers.delete(controller);
-			handler.onResponseEnd?.(controller, trailers);
+			answer = undefined;
+			const end = (error?: Error): void => {
+				if (error) {
+					handler.onResponseError?.(controller, error);
+				} else {
+					handler.onResponseEnd?.(controller, trailers);
+				}
+			};
+
+			// Only an answer without a length ends with its connection.
+			if (socket.readableEnded) {
+				confirmEnd(socket, end);
+			} else {
+				end();
+			}
 		},
 		onResponseError(controller, error) {
-			answers.delete(controller);
+			answer = undefined;
 			handler.onResponseError?.(controller, error);
 		},
 	}));
+	client.dispatch = dispatch;
+	return client;
+};
+
+/**
+ * Opens an agent for answers that are read as they arrive, of any length. One without a length that is cut by a reset
+ * fails, and it may end while its reader is slow.
+ *
+ * @param connections - limit on the connections to each server
+ */
+export function openStreamAgent(connections: number): Dispatcher {
+	return new Agent({
+		connections,
+		factory: (origin, options) => new Pool(origin, {...options, factory: openClient}),
+	});
 }
