--- a/features/steps/engine-answer-steps.ts
+++ b/features/steps/engine-answer-steps.ts
@@ -36,25 +36,21 @@
 		replayBytes,
 		arrivedAt: 0,
 	});
-	const acknowledge = (): void => {
-		execution.acknowledge(Number.MAX_SAFE_INTEGER);
-	};
-
-	let reader: NodeJS.Timeout | undefined;
-	let isOver = false;
+	const over = new AbortController();
 	const server = createServer(socket => {
 		socket.on('error', () => undefined);
 		socket.once('data', () => {
 			socket.write(`HTTP/1.1 200 OK\r\n\r\n${'x'.repeat(Number(bytes))}`, async () => {
 				await close(socket, ending);
-				// A short answer is read without being acknowledged, so that the scenario may have ended by now.
-				reader = isOver ? undefined : setInterval(acknowledge);
+				while (!over.signal.aborted) {
+					execution.acknowledge(Number.MAX_SAFE_INTEGER);
+					await nextTurn();
+				}
 			});
 		});
 	});
 	this.onClose(() => {
-		isOver = true;
-		clearInterval(reader);
+		over.abort();
 		server.close();
 	});
 	server.listen(0, '127.0.0.1');
