Read a connection on for a moment after its last answer

Cause: a caller who had not received all of an answer yet lost the rest, or a whole refusal, when the entry closed the connection while the caller still wrote: the next request after a planned stop had begun, or the body of a request that was refused. The entry closed its side as soon as the last byte had left the process. A close with unread bytes resets the connection, and so does whatever arrives after it; the system then drops what it has not sent yet.

Ruled out: the count of open requests; each of these answers had been counted as written. A caller that keeps still loses nothing.

Change: a connection that closes first tells the caller that no more follows, and is read for up to a second, until the caller closes it as well. What arrives meanwhile is not served. A planned stop waits for this, within its grace period. The body of a request that is not served is read and dropped, so that it does not fill the connection.

Conclusion: an answer that has been written reaches a caller that reads it within a second of its end.

--- a/features/steps/written-ahead-steps.ts
+++ b/features/steps/written-ahead-steps.ts
@@ -23,6 +23,10 @@
 const format = (request: string, {key = 'key-of-barre', body = ''}: {readonly key?: string; readonly body?: string} = {}): string =>
 	`${request} HTTP/1.1\r\nhost: desk.example\r\nauthorization: Bearer ${key}\r\nx-request: ${request.replaceAll(' ', '-')}\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
 
+/** Size of a body of which half is written, in parts, bytes. */
+const largeBodyBytes = 400_000;
+const bodyPartBytes = 20_000;
+
 Given('the next answer of target 1 is a stream of many events', function (this: SystemWorld) {
 	getSystem(this).targets.get('target-1')!.behaviours.push('large a stream of many events');
 });
@@ -37,6 +41,34 @@
 	await system.until(() => system.entries.get('entry-1')!.getRevision() >= system.store.lastRevision);
 });
 
+Given('the next answer of target 1 is a stream with a large event', function (this: SystemWorld) {
+	getSystem(this).targets.get('target-1')!.behaviours.push('large a stream with a large event');
+});
+
+When('the answer has left the target', async function (this: SystemWorld) {
+	await getSystem(this).until(() => getSystem(this).targets.get('target-1')!.finishedAnswers > 0);
+});
+
+When('a caller that reads nothing yet connects', function (this: SystemWorld) {
+	connect(this).pause();
+});
+
+When('it writes the next request after the entry has begun to stop', async function (this: SystemWorld) {
+	const system = getSystem(this);
+	this.notes.set('stop', system.entries.get('entry-1')!.stop());
+	await system.until(async () => !await system.isTakingConnections('entry-1'));
+	getCaller(this).write(format('GET /read/2'));
+});
+
+When('it writes a large body for a request that is refused', async function (this: SystemWorld) {
+	const request = format('POST /release/2', {key: 'unknown', body: 'x'.repeat(largeBodyBytes)});
+	// Meanwhile the entry handles the earlier parts.
+	for (let start = 0; start < request.length / 2; start += bodyPartBytes) {
+		getCaller(this).write(request.slice(start, start + bodyPartBytes));
+		await getSystem(this).call({path: '/read/other', isSeparate: true});
+	}
+});
+
 When('it asks for a tunnel once the request runs', async function (this: SystemWorld) {
 	await getSystem(this).until(() => getSystem(this).listRuns().length > 0);
 	getCaller(this).write('CONNECT desk.example:80 HTTP/1.1\r\nhost: desk.example\r\n\r\n');
--- a/features/written-ahead.feature
+++ b/features/written-ahead.feature
@@ -71,3 +71,26 @@
       | bytes          |
       | nothing        |
       | half of a head |
+
+  # Guards against a reset that takes an answer from a caller who has not received all of it, since its connection closes while it writes on.
+  Scenario Outline: An answer is whole though its connection closes while the caller <writes>
+    Given an entry before 1 target
+    And the next answer of target 1 is a stream with a large event
+    When a caller that reads nothing yet writes "GET /stream/1"
+    And the answer has left the target
+    And it <writes>
+    And the caller reads on
+    Then it gets whole answers with status "<statuses>"
+
+    Examples:
+      | writes                                                    | statuses |
+      | writes the next request after the entry has begun to stop | 200      |
+      | writes a large body for a request that is refused         | 200, 401 |
+
+  # Guards against a refusal that is lost to a caller who goes on writing the body.
+  Scenario: A caller that reads only after it has written on gets the refusal
+    Given an entry before 1 target
+    When a caller that reads nothing yet connects
+    And it writes a large body for a request that is refused
+    And the caller reads on
+    Then it gets whole answers with status "401"
--- a/src/callers/caller-connection.ts
+++ b/src/callers/caller-connection.ts
@@ -12,6 +12,11 @@
 	readonly response?: ServerResponse | undefined;
 };
 
+/**
+ * Time for which a connection is still read after its last answer, milliseconds. A close with unread bytes resets the connection, and so
+ * does a write of the caller after it; what the caller has not received by then of its answers would be lost.
+ */
+const lingerMs = 1000;
 /** Requests that may wait on a connection; a caller that has written more gets the answers to these, and the connection closes. */
 const maximumWaiting = 100;
 
@@ -24,6 +29,7 @@
 	private readonly open: OpenRequest[] = [];
 	/** Whether the caller has been told that the connection closes after the present answer, or nothing more can be read from it. */
 	private isEnding = false;
+	private isClosing = false;
 	private readonly input = new AbortController();
 	/** Bytes that had been read when the last request ended. */
 	private readBytes = 0;
@@ -32,6 +38,10 @@
 		socket.once('close', () => {
 			this.dropWaiting();
 		});
+		// Node closes a connection in this way after an answer that says so.
+		socket.destroySoon = () => {
+			this.close();
+		};
 	}
 
 	/** Aborted with a problem when nothing more can be read. */
@@ -86,6 +96,11 @@
 		}
 	}
 
+	/** Closes the connection at once, within an answer if there is one. */
+	destroy(): void {
+		this.socket.destroy();
+	}
+
 	/** Accepts no more requests, and closes the connection after the answers to those that are open. */
 	end(): void {
 		this.isEnding = true;
@@ -113,8 +128,25 @@
 		}
 	}
 
-	/* Closes the connection once all that was written has left the process. */
+	/* Tells the caller that no more follows, and reads what it still sends until it closes the connection as well, or the time is over. */
 	private close(): void {
-		this.socket.destroySoon();
+		if (this.isClosing) {
+			return;
+		}
+
+		this.isClosing = true;
+		this.socket.once('finish', () => {
+			this.linger();
+		});
+		this.socket.end();
+	}
+
+	private linger(): void {
+		const timer = setTimeout(() => {
+			this.socket.destroy();
+		}, lingerMs);
+		this.socket.once('close', () => {
+			clearTimeout(timer);
+		});
 	}
 }
--- a/src/callers/caller-server.ts
+++ b/src/callers/caller-server.ts
@@ -50,6 +50,9 @@
 			this.connections.set(socket, new CallerConnection(socket));
 			socket.once('close', () => {
 				this.connections.delete(socket);
+				if (this.connections.size === 0) {
+					this.onDrained?.();
+				}
 			});
 		});
 		this.server.on('request', (incoming, response) => {
@@ -90,16 +93,18 @@
 		this.isStopping = true;
 	}
 
-	/** Accepts no more connections, soon no more requests, and resolves when all open requests have been answered. */
+	/** Accepts no more connections, soon no more requests, and resolves when all open requests have been answered and all connections closed. */
 	async drain(): Promise<void> {
 		this.isStopping = true;
 		this.server.close();
 		setTimeout(() => {
-			for (const connection of this.connections.values()) {
-				connection.end();
-			}
+			this.endConnections();
 		}, lastRequestsMs).unref();
-		if (this.openCount > 0) {
+		if (this.openCount === 0) {
+			this.endConnections();
+		}
+
+		if (this.connections.size > 0) {
 			await new Promise<void>(resolve => {
 				this.onDrained = resolve;
 			});
@@ -109,7 +114,15 @@
 	/** Closes all connections at once. */
 	close(): void {
 		this.server.close();
-		this.server.closeAllConnections();
+		for (const connection of this.connections.values()) {
+			connection.destroy();
+		}
+	}
+
+	private endConnections(): void {
+		for (const connection of this.connections.values()) {
+			connection.end();
+		}
 	}
 
 	private endIdleConnections(): void {
@@ -138,6 +151,9 @@
 
 		this.openCount++;
 		this.add(connection, request, serve, () => {
+			// The connection is read on: a close with unread bytes would reset it.
+			request.readAhead?.take();
+			incoming.resume();
 			this.noteRequestEnd();
 		});
 	}
@@ -235,8 +251,8 @@
 
 	private noteRequestEnd(): void {
 		this.openCount--;
-		if (this.openCount === 0) {
-			this.onDrained?.();
+		if (this.openCount === 0 && this.onDrained) {
+			this.endConnections();
 		}
 	}
 }
