Refuse a request without a host in its turn, and serve the next one

Cause: after a request of HTTP/1.1 without a Host header on a kept connection, the next request that its caller had written ran, and the connection closed without an answer to it. Node refuses such a request by itself, with an answer that closes the connection; the server for callers did not know of it, and passed the next request on.

Ruled out: the order of answers, which Node keeps.

Change: the server refuses these requests itself, with the same status, like any other refusal.

Conclusion: no answer closes a connection without the server's knowledge, but for a caller's own wish to close it.

--- a/features/steps/written-ahead-steps.ts
+++ b/features/steps/written-ahead-steps.ts
@@ -111,6 +111,12 @@
 	connect(this).write(`${format('POST /release/1', {key: 'unknown', body: 'a block'})}${format(request)}`);
 });
 
+When('a caller writes {string}, a request without a host and {string} at once', function (this: SystemWorld, earlier: string, later: string) {
+	const withoutHost = format('GET /read/2').replace('host: desk.example\r\n', '');
+	this.notes.set('written', earlier === '' ? 0 : 1);
+	connect(this).write(`${earlier === '' ? '' : format(earlier)}${withoutHost}${format(later)}`);
+});
+
 When('it asks once more while an engine runs the next request', async function (this: SystemWorld) {
 	await this.system.waitUntil('an engine runs the request', () => [...this.system.engines.values()].some(({active}) => active.size > 0));
 	const body = JSON.stringify({model: 'stone-drafts', max_tokens: 6, messages: [{role: 'user', content: 'granite'}]});
--- a/features/written-ahead.feature
+++ b/features/written-ahead.feature
@@ -94,3 +94,16 @@
     And it writes a large body for a request that is refused
     And the caller reads on
     Then it gets whole answers with status "401"
+
+  # Guards against a request that runs although its connection is closed by the refusal of the one before it.
+  Scenario Outline: A request written after one without a host is answered, <moment>
+    Given an entry before 1 target
+    And the next <waiting> answers of target 1 wait
+    When a caller writes "<earlier>", a request without a host and "POST /release/3" at once
+    And the waiting answers go on, one after another
+    Then it gets whole answers with status "<statuses>"
+
+    Examples:
+      | moment               | waiting | earlier     | statuses      |
+      | when nothing is open | 0       |             | 400, 200      |
+      | while a request runs | 1       | GET /read/1 | 200, 400, 200 |
--- a/src/callers/caller-server.ts
+++ b/src/callers/caller-server.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
 import {CallerConnection} from './caller-connection.js';
 import {type CallerRequest} from './caller-request.js';
 import {formatInputRefusal} from './format-input-refusal.js';
@@ -29,6 +30,16 @@
 /** Answer to CONNECT: the server opens no tunnels. */
 const tunnelRefusal = 'HTTP/1.1 405 Method Not Allowed\r\nallow: GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
 
+/* Whether a request lacks the host that HTTP/1.1 asks for. Node's own refusal closes the connection, whatever else is open on it. */
+const lacksHost = ({httpVersion, headers}: IncomingMessage): boolean => httpVersion === '1.1' && headers.host === undefined;
+
+const refuse = async ({incoming, response, mayKeepAlive}: CallerRequest): Promise<void> => {
+	// A body that came with the head is read whole then. After any other one the connection is closed.
+	await setImmediate();
+	response.shouldKeepAlive &&= mayKeepAlive() && incoming.complete;
+	response.writeHead(400, {'content-length': 0}).end();
+};
+
 /** The HTTP server for callers: whatever ends a connection, each request accepted on it is answered or has not been served. */
 export class CallerServer {
 	private readonly server: IdleAwareServer;
@@ -42,6 +53,7 @@
 			maxHeaderSize: options.maximumHeaderBytes,
 			connectionsCheckingInterval: connectionCheckMs,
 			requestTimeout: 0,
+			requireHostHeader: false,
 			noDelay: true,
 		}, () => {
 			this.endIdleConnections();
@@ -172,7 +184,7 @@
 	private async serve(request: CallerRequest, connection: CallerConnection): Promise<void> {
 		const answered = this.watchAnswer(request, connection);
 		try {
-			await this.options.serve(request);
+			await (lacksHost(request.incoming) ? refuse(request) : this.options.serve(request));
 		} catch (error) {
 			this.options.log(`request failed with an internal error: ${(error as Error).stack ?? String(error)}`);
 			request.response.destroy();
