Reset the connection of a caller of HTTP/1.0 when its answer is cut

Cause: a stream to a caller of HTTP/1.0 has neither a length nor chunks, so that the end of the connection is its end. Where the stream broke off, the entry closed the connection in order, and the caller took what it had for the whole answer: three events of six.

Ruled out: callers of HTTP/1.1, whose streams are in chunks; answers that are buffered, which have a length.

Change: an answer that is cut ends with a reset if its end is that of the connection.

Conclusion: an answer that ends early does not look complete to any caller.

--- a/features/cut-answers.feature
+++ b/features/cut-answers.feature
@@ -25,6 +25,18 @@
       | with a length, after an interim answer | resets | new        |
       | with a length, after an interim answer | resets | used       |
 
+  # Guards against a stream that is cut and looks whole to a caller for whom the end of the connection is the end of the answer.
+  Scenario Outline: A stream to a caller of HTTP/1.0 ends with a reset only if it is cut: the target answers "<behaviour>"
+    Given an entry before 1 target
+    And the next target answers "<behaviour>"
+    When an HTTP 1.0 caller asks for a stream
+    Then it gets <events> events, and its connection <ending>
+
+    Examples:
+      | behaviour | events | ending            |
+      | answer    | 6      | ends              |
+      | cut       | 3      | ends with a reset |
+
   # Guards against taking a reset for the end of an engine's answer, and against an assertion of the HTTP client that ends the process.
   Scenario Outline: An engine <ending> its connection after <bytes> bytes of an answer without a length that is read later
     When an engine <ending> its connection after <bytes> bytes of an answer without a length that is read later
--- a/features/steps/cut-answer-steps.ts
+++ b/features/steps/cut-answer-steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
 import {type Cut} from '../../stand-ins/forward/write-cut-answer.js';
+import {type RawCaller} from '../support/raw-caller.js';
 import {type ForwardSystem} from '../support/forward-system.js';
 import {type SystemWorld} from '../support/system-world.js';
 
@@ -34,6 +35,19 @@
 	this.notes.set('ended', ended);
 });
 
+When('an HTTP 1.0 caller asks for a stream', async function (this: SystemWorld) {
+	const caller = getSystem(this).connect();
+	this.notes.set('caller', caller);
+	caller.write('GET /talk/stream/1 HTTP/1.0\r\nhost: desk.example\r\nauthorization: Bearer key-of-barre\r\nx-request: old\r\n\r\n');
+	await getSystem(this).until(() => caller.isClosed);
+});
+
+Then('it gets {int} events, and its connection {}', function (this: SystemWorld, events: number, ending: string) {
+	const {text, isReset} = this.notes.get('caller') as RawCaller;
+	assert.equal(text.split('\ndata: ').length - 1, events, text);
+	assert.equal(isReset, ending === 'ends with a reset');
+});
+
 Then('each of these requests has ended with status {int}, and its target has run it once', function (this: SystemWorld, status: number) {
 	const ended = this.notes.get('ended') as Ended[];
 	const runs = getSystem(this).listRuns();
--- a/features/support/raw-caller.ts
+++ b/features/support/raw-caller.ts
@@ -37,6 +37,8 @@
 	text = '';
 	/** Whether the connection is closed. */
 	isClosed = false;
+	/** Whether the other side has reset the connection. */
+	isReset = false;
 	private readonly socket: Socket;
 
 	/** @param key - key of an organisation, sent with each request */
@@ -46,8 +48,9 @@
 		this.socket.on('data', chunk => {
 			this.text += String(chunk);
 		});
-		// The answers show how the connection ended.
-		this.socket.on('error', () => undefined);
+		this.socket.on('error', (error: NodeJS.ErrnoException) => {
+			this.isReset = error.code === 'ECONNRESET';
+		});
 		this.socket.on('close', () => {
 			this.isClosed = true;
 		});
--- a/src/callers/caller-connection.ts
+++ b/src/callers/caller-connection.ts
@@ -1,6 +1,7 @@
 import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {Problem} from '../requests/problem.js';
+import {cutAnswer} from './cut-answer.js';
 
 /** A request on a connection, from its head until its answer has been written. */
 type OpenRequest = {
@@ -98,6 +99,11 @@
 
 	/** Closes the connection at once, within an answer if there is one. */
 	destroy(): void {
+		const response = this.open[0]?.response;
+		if (response) {
+			cutAnswer(response);
+		}
+
 		this.socket.destroy();
 	}
 
--- a/src/callers/caller-server.ts
+++ b/src/callers/caller-server.ts
@@ -4,6 +4,7 @@
 import {setImmediate} from 'node:timers/promises';
 import {CallerConnection} from './caller-connection.js';
 import {type CallerRequest} from './caller-request.js';
+import {cutAnswer} from './cut-answer.js';
 import {formatInputRefusal} from './format-input-refusal.js';
 import {IdleAwareServer} from './idle-aware-server.js';
 import {ReadAhead} from './read-ahead.js';
@@ -187,7 +188,7 @@
 			await (lacksHost(request.incoming) ? refuse(request) : this.options.serve(request));
 		} catch (error) {
 			this.options.log(`request failed with an internal error: ${(error as Error).stack ?? String(error)}`);
-			request.response.destroy();
+			cutAnswer(request.response);
 		}
 
 		await answered;
--- a/src/entry/request-server.ts
+++ b/src/entry/request-server.ts
@@ -3,6 +3,7 @@
 import {type Result} from 'neverthrow';
 import {type CallerRequest} from '../callers/caller-request.js';
 import {CallerServer} from '../callers/caller-server.js';
+import {cutAnswer} from '../callers/cut-answer.js';
 import {type ProcessMetrics} from '../metrics/process-metrics.js';
 import {Exchange} from '../requests/exchange.js';
 import {type Explanations} from '../requests/explanations.js';
@@ -95,7 +96,7 @@
 		this.options.log(`request ${exchange.id} failed with an internal error: ${(error as Error).stack ?? String(error)}`);
 		if (exchange.response.headersSent) {
 			if (!exchange.response.writableEnded) {
-				exchange.response.destroy();
+				cutAnswer(exchange.response);
 			}
 
 			return;
--- a/src/forward/conclude-request.ts
+++ b/src/forward/conclude-request.ts
@@ -1,4 +1,5 @@
 import {err, ok, type Result} from 'neverthrow';
+import {cutAnswer} from '../callers/cut-answer.js';
 import {Problem} from '../requests/problem.js';
 import {type ForwardExchange} from './forward-exchange.js';
 import {relayBufferedAnswer} from './relay-buffered-answer.js';
@@ -14,7 +15,7 @@
 export function concludeRequest(exchange: ForwardExchange, progress: SendProgress, detail: string, retryAfterMs: number): Result<void, Problem> {
 	if (progress.delivery.hasBegun) {
 		// The caller must not take the partial answer for a complete one.
-		exchange.response.destroy();
+		cutAnswer(exchange.response);
 		exchange.noteDecision(`broken off: ${detail}`);
 		return ok();
 	}
--- a/src/forward/exchange-runner.ts
+++ b/src/forward/exchange-runner.ts
@@ -1,6 +1,7 @@
 import {setImmediate} from 'node:timers/promises';
 import {err, ok, type Result} from 'neverthrow';
 import {type CallerRequest} from '../callers/caller-request.js';
+import {cutAnswer} from '../callers/cut-answer.js';
 import {type Filter} from '../requests/filter.js';
 import {Problem} from '../requests/problem.js';
 import {runFilters} from '../requests/run-filters.js';
@@ -75,7 +76,7 @@
 
 		if (response.headersSent) {
 			// The caller must not take the partial answer for a complete one.
-			response.destroy();
+			cutAnswer(response);
 			return;
 		}
 
--- a/src/requests/relay-answer.ts
+++ b/src/requests/relay-answer.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import {type ServerResponse} from 'node:http';
+import {cutAnswer} from '../callers/cut-answer.js';
 import {type Call} from '../calls/call.js';
 import {type CallEvent} from '../calls/call-event.js';
 import {type Exchange} from './exchange.js';
@@ -22,7 +23,7 @@
 			response.destroy();
 		});
 	} else {
-		response.destroy();
+		cutAnswer(response);
 	}
 };
 
