Run nothing that follows a request for another protocol at once

Cause: a target ran a request that stood in the body of another one. Node's parser drops the bytes that arrive together with the end of a request with an Upgrade header (the entry serves it as any other) and begins again with the next bytes, be they the middle of a body. The caller of what was dropped waited until its connection was closed as idle.

Ruled out: requests with such a header that nothing follows at once; they and the next ones are answered.

Change: unless all bytes of the connection so far are known to be those of the request, it is the last one that is accepted there, and its answer says that the connection closes. The server also says so for the last of too many requests written ahead, which it did not.

Conclusion: what may have been lost of a connection's bytes ends it in order, and is not guessed.

--- a/features/steps/written-ahead-steps.ts
+++ b/features/steps/written-ahead-steps.ts
@@ -41,6 +41,8 @@
 	await system.until(() => system.entries.get('entry-1')!.getRevision() >= system.store.lastRevision);
 });
 
+const formatUpgrade = (request: string): string => format(request).replace('host: ', 'connection: Upgrade\r\nupgrade: h2c\r\nhost: ');
+
 Given('the next answer of target 1 is a stream with a large event', function (this: SystemWorld) {
 	getSystem(this).targets.get('target-1')!.behaviours.push('large a stream with a large event');
 });
@@ -117,6 +119,23 @@
 	connect(this).write(`${earlier === '' ? '' : format(earlier)}${withoutHost}${format(later)}`);
 });
 
+When('a caller writes a request for another protocol', function (this: SystemWorld) {
+	connect(this).write(formatUpgrade('GET /read/1'));
+});
+
+When('a caller writes a request for another protocol, and half of a request whose body is a request', async function (this: SystemWorld) {
+	const inner = format('POST /release/inner');
+	const caller = connect(this);
+	caller.write(`${formatUpgrade('GET /read/1')}${format('POST /release/2', {body: inner}).slice(0, -inner.length)}`);
+	await getSystem(this).until(() => caller.wholeCount > 0);
+});
+
+When('it writes the rest', async function (this: SystemWorld) {
+	getCaller(this).write(format('POST /release/inner'));
+	// Another request is answered after whatever may run now.
+	await getSystem(this).call({path: '/read/other', isSeparate: true});
+});
+
 When('it asks once more while an engine runs the next request', async function (this: SystemWorld) {
 	await this.system.waitUntil('an engine runs the request', () => [...this.system.engines.values()].some(({active}) => active.size > 0));
 	const body = JSON.stringify({model: 'stone-drafts', max_tokens: 6, messages: [{role: 'user', content: 'granite'}]});
--- a/features/written-ahead.feature
+++ b/features/written-ahead.feature
@@ -107,3 +107,17 @@
       | moment               | waiting | earlier     | statuses      |
       | when nothing is open | 0       |             | 400, 200      |
       | while a request runs | 1       | GET /read/1 | 200, 400, 200 |
+
+  # Guards against running a request from the body of another one: what arrives with a request for another protocol is lost, and the rest is not.
+  Scenario: Nothing is run that follows a request for another protocol at once
+    Given an entry before 1 target
+    When a caller writes a request for another protocol, and half of a request whose body is a request
+    And it writes the rest
+    Then targets have run "GET /read/1, GET /read/other"
+    And it gets 1 whole answer with status 200, and the connection is closed
+
+  # Guards against a new connection for each request of a caller that offers another protocol with each.
+  Scenario: A connection stays open after a request for another protocol that nothing follows
+    Given an entry before 1 target
+    When a caller writes a request for another protocol
+    Then it gets 1 whole answer with status 200, and the connection is open
--- a/src/callers/caller-connection.ts
+++ b/src/callers/caller-connection.ts
@@ -11,6 +11,8 @@
 	readonly drop: () => void;
 	/** The response; undefined for a request that Node has not parsed as one. */
 	readonly response?: ServerResponse | undefined;
+	/** Whether no later request may be accepted. */
+	readonly isLast?: boolean;
 };
 
 /**
@@ -28,7 +30,6 @@
 export class CallerConnection {
 	/** Requests without a complete answer, in order; the first is being served. */
 	private readonly open: OpenRequest[] = [];
-	/** Whether the caller has been told that the connection closes after the present answer, or nothing more can be read from it. */
 	private isEnding = false;
 	private isClosing = false;
 	private readonly input = new AbortController();
@@ -52,7 +53,7 @@
 
 	/** Whether no request is open, and none has been received in part. */
 	get isIdle(): boolean {
-		return this.open.length === 0 && this.socket.bytesRead === this.readBytes;
+		return this.open.length === 0 && this.receivedBytes === 0;
 	}
 
 	/** Whether a request is open. */
@@ -60,6 +61,16 @@
 		return this.open.length > 0;
 	}
 
+	/** Whether the connection closes after the present answer. */
+	get isAtLast(): boolean {
+		return this.isEnding && !this.hasWaiting;
+	}
+
+	/** Bytes that have been read since the last request ended. */
+	get receivedBytes(): number {
+		return this.socket.bytesRead - this.readBytes;
+	}
+
 	/** Whether requests wait until the one being served has its answer. */
 	get hasWaiting(): boolean {
 		return this.open.length > 1;
@@ -74,6 +85,7 @@
 			return false;
 		}
 
+		this.isEnding = request.isLast ?? false;
 		this.open.push(request);
 		if (this.open.length === 1) {
 			request.serve();
--- a/src/callers/caller-server.ts
+++ b/src/callers/caller-server.ts
@@ -4,6 +4,7 @@
 import {setImmediate} from 'node:timers/promises';
 import {CallerConnection} from './caller-connection.js';
 import {type CallerRequest} from './caller-request.js';
+import {countRequestBytes} from './count-request-bytes.js';
 import {cutAnswer} from './cut-answer.js';
 import {formatInputRefusal} from './format-input-refusal.js';
 import {IdleAwareServer} from './idle-aware-server.js';
@@ -22,7 +23,7 @@
 };
 
 /** A request as Node has parsed it; one for a tunnel has no response. */
-type ParsedRequest = {readonly incoming: IncomingMessage; readonly response?: ServerResponse};
+type ParsedRequest = {readonly incoming: IncomingMessage; readonly response?: ServerResponse; readonly isLast?: boolean};
 
 /** Interval of the check for connections that exceed the header or idle timeout, milliseconds. */
 const connectionCheckMs = 500;
@@ -34,6 +35,13 @@
 /* Whether a request lacks the host that HTTP/1.1 asks for. Node's own refusal closes the connection, whatever else is open on it. */
 const lacksHost = ({httpVersion, headers}: IncomingMessage): boolean => httpVersion === '1.1' && headers.host === undefined;
 
+/*
+ * Whether bytes may have been lost after a request. Node's parser drops those that arrive together with the end of a request for another
+ * protocol, so that it would take the middle of the next request for its beginning.
+ */
+const mayLoseBytes = (incoming: IncomingMessage, {hasOpen, receivedBytes}: CallerConnection): boolean =>
+	incoming.headers.upgrade !== undefined && (hasOpen || receivedBytes !== countRequestBytes(incoming));
+
 const refuse = async ({incoming, response, mayKeepAlive}: CallerRequest): Promise<void> => {
 	// A body that came with the head is read whole then. After any other one the connection is closed.
 	await setImmediate();
@@ -163,7 +171,7 @@
 		};
 
 		this.openCount++;
-		this.add(connection, request, serve, () => {
+		this.add(connection, {incoming, response, isLast: mayLoseBytes(incoming, connection)}, serve, () => {
 			// The connection is read on: a close with unread bytes would reset it.
 			request.readAhead?.take();
 			incoming.resume();
@@ -171,13 +179,15 @@
 		});
 	}
 
-	private add(connection: CallerConnection, {incoming: {method, url}, response}: ParsedRequest, serve: () => void, onDrop: () => void): void {
+	private add(connection: CallerConnection, {incoming: {method, url}, response, isLast}: ParsedRequest, serve: () => void, onDrop: () => void): void {
 		const drop = (): void => {
-			this.options.log(`${method} ${url} was not served: its connection closed before the earlier answers on it were complete`);
+			this.options.log(`${method} ${url} was not served: its connection closes or has closed`);
 			onDrop();
 		};
 
-		if (!connection.add({serve, drop, response})) {
+		if (!connection.add({
+			serve, drop, response, isLast,
+		})) {
 			drop();
 		}
 	}
@@ -219,12 +229,11 @@
 	}
 
 	private mayKeepAlive(connection: CallerConnection): boolean {
-		if (connection.hasWaiting || !(this.isStopping || connection.inputFailure.aborted)) {
-			return true;
+		if (this.isStopping && !connection.hasWaiting) {
+			connection.end();
 		}
 
-		connection.end();
-		return false;
+		return !connection.isAtLast;
 	}
 
 	/* Nothing more can be read from the caller. Its open requests are not affected, but for one whose body is still arriving. */
