Read what has arrived before a connection is closed as idle

Cause: a request on a kept connection was answered by a reset although it had arrived before the idle timeout. Node closes the connection in the turn in which the timer fires, before it reads what has arrived while the process was busy; turns of 250 ms were seen in the soak.

Ruled out: timers that fire early; the request is lost only if the process is busy from its arrival until the timeout has passed.

Change: at the idle timeout the process first reads what has arrived, and ends the connection only if that is nothing.

Conclusion: what remains is a request that crosses the close; no target has run it.

--- a/features/caller-connection.feature
+++ b/features/caller-connection.feature
@@ -129,3 +129,17 @@
     Given a connection of a caller that has begun to close
     When a request arrives on it
     Then the request is not served
+
+  # Guards against a request that arrives in time and is answered by a reset, since the process is busy until the idle timeout has passed.
+  Scenario: A request that arrives before the idle timeout is served though the entry reads it later
+    Given an entry before 1 target
+    And the idle timeout is 200 ms
+    When a caller writes "GET /read/1" one after another
+    And it writes "GET /read/2", and the process is busy for 1500 ms
+    Then it gets 2 whole answers with status 200, and the connection is open
+
+  Scenario: A connection that carries nothing is closed at the idle timeout
+    Given an entry before 1 target
+    And the idle timeout is 200 ms
+    When a caller writes "GET /read/1" one after another
+    Then it gets 1 whole answer with status 200, and the connection is closed
--- a/features/steps/caller-connection-steps.ts
+++ b/features/steps/caller-connection-steps.ts
@@ -5,6 +5,7 @@
 } from 'node:net';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {CallerConnection} from '../../src/callers/caller-connection.js';
+import {readMonotonicClock} from '../../src/config/read-monotonic-clock.js';
 import {plainDialect} from '../../stand-ins/forward/plain-dialect.js';
 import {ForwardSystem} from '../support/forward-system.js';
 import {type RawCaller} from '../support/raw-caller.js';
@@ -105,6 +106,22 @@
 	writeAll(this, caller, list);
 });
 
+Given('the idle timeout is {int} ms', async function (this: SystemWorld, ms: number) {
+	const system = getSystem(this);
+	system.configure(configuration => {
+		configuration.limits.idleTimeoutMs = ms;
+	});
+	await system.until(() => system.entries.get('entry-1')!.getRevision() >= system.store.lastRevision);
+});
+
+When('it writes {string}, and the process is busy for {int} ms', function (this: SystemWorld, list: string, ms: number) {
+	writeAll(this, getCaller(this), list);
+	const end = readMonotonicClock() + ms;
+	while (readMonotonicClock() < end) {
+		// Nothing else runs in the process meanwhile.
+	}
+});
+
 When('a caller writes a request with two hosts', function (this: SystemWorld) {
 	connect(this).request('GET', '/read/two-hosts', {id: 'two-hosts', more: 'host: desk.example\r\n'});
 });
--- a/src/callers/caller-server.ts
+++ b/src/callers/caller-server.ts
@@ -82,6 +82,9 @@
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			this.handleInputError(error, socket as Socket);
 		});
+		this.server.on('timeout', (socket: Socket) => {
+			void this.endIfSilent(socket);
+		});
 		this.server.on('connect', (incoming, socket) => {
 			this.refuseTunnel(incoming, socket as Socket);
 		});
@@ -154,6 +157,16 @@
 		}
 	}
 
+	/* Ends a connection at its idle timeout. A request that had arrived by then is read first: the process may have been busy meanwhile. */
+	private async endIfSilent(socket: Socket): Promise<void> {
+		const {bytesRead} = socket;
+		await setImmediate();
+		const connection = this.connections.get(socket);
+		if (connection?.hasOpen === false && socket.bytesRead === bytesRead) {
+			connection.end();
+		}
+	}
+
 	private accept(incoming: IncomingMessage, response: ServerResponse): void {
 		const connection = this.connections.get(incoming.socket)!;
 		const request: CallerRequest = {
