--- a/features/written-ahead.feature
+++ b/features/written-ahead.feature
@@ -71,3 +71,53 @@
       | bytes          |
       | nothing        |
       | half of a head |
+
+  # Guards against a reset that takes an answer from a caller who has not received all of it, since its connection closes while it writes on.
+  Scenario Outline: An answer is whole though its connection closes while the caller <writes>
+    Given an entry before 1 target
+    And the next answer of target 1 is a stream with a large event
+    When a caller that reads nothing yet writes "GET /stream/1"
+    And the answer has left the target
+    And it <writes>
+    And the caller reads on
+    Then it gets whole answers with status "<statuses>"
+
+    Examples:
+      | writes                                                    | statuses |
+      | writes the next request after the entry has begun to stop | 200      |
+      | writes a large body for a request that is refused         | 200, 401 |
+
+  # Guards against a refusal that is lost to a caller who goes on writing the body.
+  Scenario: A caller that reads only after it has written on gets the refusal
+    Given an entry before 1 target
+    When a caller that reads nothing yet connects
+    And it writes a large body for a request that is refused
+    And the caller reads on
+    Then it gets whole answers with status "401"
+
+  # Guards against a request that runs although its connection is closed by the refusal of the one before it.
+  Scenario Outline: A request written after one without a host is answered, <moment>
+    Given an entry before 1 target
+    And the next <waiting> answers of target 1 wait
+    When a caller writes "<earlier>", a request without a host and "POST /release/3" at once
+    And the waiting answers go on, one after another
+    Then it gets whole answers with status "<statuses>"
+
+    Examples:
+      | moment               | waiting | earlier     | statuses      |
+      | when nothing is open | 0       |             | 400, 200      |
+      | while a request runs | 1       | GET /read/1 | 200, 400, 200 |
+
+  # Guards against running a request from the body of another one: what arrives with a request for another protocol is lost, and the rest is not.
+  Scenario: Nothing is run that follows a request for another protocol at once
+    Given an entry before 1 target
+    When a caller writes a request for another protocol, and half of a request whose body is a request
+    And it writes the rest
+    Then targets have run "GET /read/1, GET /read/other"
+    And it gets 1 whole answer with status 200, and the connection is closed
+
+  # Guards against a new connection for each request of a caller that offers another protocol with each.
+  Scenario: A connection stays open after a request for another protocol that nothing follows
+    Given an entry before 1 target
+    When a caller writes a request for another protocol
+    Then it gets 1 whole answer with status 200, and the connection is open
--- a/src/callers/caller-connection.ts
+++ b/src/callers/caller-connection.ts
@@ -1,6 +1,7 @@
 import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {Problem} from '../requests/problem.js';
+import {cutAnswer} from './cut-answer.js';
 
 /** A request on a connection, from its head until its answer has been written. */
 type OpenRequest = {
@@ -10,8 +11,15 @@
 	readonly drop: () => void;
 	/** The response; undefined for a request that Node has not parsed as one. */
 	readonly response?: ServerResponse | undefined;
+	/** Whether no later request may be accepted. */
+	readonly isLast?: boolean;
 };
 
+/**
+ * Time for which a connection is still read after its last answer, milliseconds. A close with unread bytes resets the connection, and so
+ * does a write of the caller after it; what the caller has not received by then of its answers would be lost.
+ */
+const lingerMs = 1000;
 /** Requests that may wait on a connection; a caller that has written more gets the answers to these, and the connection closes. */
 const maximumWaiting = 100;
 
@@ -22,8 +30,8 @@
 export class CallerConnection {
 	/** Requests without a complete answer, in order; the first is being served. */
 	private readonly open: OpenRequest[] = [];
-	/** Whether the caller has been told that the connection closes after the present answer, or nothing more can be read from it. */
 	private isEnding = false;
+	private isClosing = false;
 	private readonly input = new AbortController();
 	/** Bytes that had been read when the last request ended. */
 	private readBytes = 0;
@@ -32,6 +40,10 @@
 		socket.once('close', () => {
 			this.dropWaiting();
 		});
+		// Node closes a connection in this way after an answer that says so.
+		socket.destroySoon = () => {
+			this.close();
+		};
 	}
 
 	/** Aborted with a problem when nothing more can be read. */
@@ -41,7 +53,7 @@
 
 	/** Whether no request is open, and none has been received in part. */
 	get isIdle(): boolean {
-		return this.open.length === 0 && this.socket.bytesRead === this.readBytes;
+		return this.open.length === 0 && this.receivedBytes === 0;
 	}
 
 	/** Whether a request is open. */
@@ -49,6 +61,16 @@
 		return this.open.length > 0;
 	}
 
+	/** Whether the connection closes after the present answer. */
+	get isAtLast(): boolean {
+		return this.isEnding && !this.hasWaiting;
+	}
+
+	/** Bytes that have been read since the last request ended. */
+	get receivedBytes(): number {
+		return this.socket.bytesRead - this.readBytes;
+	}
+
 	/** Whether requests wait until the one being served has its answer. */
 	get hasWaiting(): boolean {
 		return this.open.length > 1;
@@ -63,6 +85,7 @@
 			return false;
 		}
 
+		this.isEnding = request.isLast ?? false;
 		this.open.push(request);
 		if (this.open.length === 1) {
 			request.serve();
@@ -86,6 +109,16 @@
 		}
 	}
 
+	/** Closes the connection at once, within an answer if there is one. */
+	destroy(): void {
+		const response = this.open[0]?.response;
+		if (response) {
+			cutAnswer(response);
+		}
+
+		this.socket.destroy();
+	}
+
 	/** Accepts no more requests, and closes the connection after the answers to those that are open. */
 	end(): void {
 		this.isEnding = true;
@@ -113,8 +146,25 @@
 		}
 	}
 
-	/* Closes the connection once all that was written has left the process. */
+	/* Tells the caller that no more follows, and reads what it still sends until it closes the connection as well, or the time is over. */
 	private close(): void {
-		this.socket.destroySoon();
+		if (this.isClosing) {
+			return;
+		}
+
+		this.isClosing = true;
+		this.socket.once('finish', () => {
+			this.linger();
+		});
+		this.socket.end();
+	}
+
+	private linger(): void {
+		const timer = setTimeout(() => {
+			this.socket.destroy();
+		}, lingerMs);
+		this.socket.once('close', () => {
+			clearTimeout(timer);
+		});
 	}
 }
--- a/src/callers/caller-server.ts
+++ b/src/callers/caller-server.ts
@@ -1,8 +1,11 @@
 import {once} from 'node:events';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
 import {CallerConnection} from './caller-connection.js';
 import {type CallerRequest} from './caller-request.js';
+import {countRequestBytes} from './count-request-bytes.js';
+import {cutAnswer} from './cut-answer.js';
 import {formatInputRefusal} from './format-input-refusal.js';
 import {IdleAwareServer} from './idle-aware-server.js';
 import {ReadAhead} from './read-ahead.js';
@@ -20,7 +23,7 @@
 };
 
 /** A request as Node has parsed it; one for a tunnel has no response. */
-type ParsedRequest = {readonly incoming: IncomingMessage; readonly response?: ServerResponse};
+type ParsedRequest = {readonly incoming: IncomingMessage; readonly response?: ServerResponse; readonly isLast?: boolean};
 
 /** Interval of the check for connections that exceed the header or idle timeout, milliseconds. */
 const connectionCheckMs = 500;
@@ -29,6 +32,23 @@
 /** Answer to CONNECT: the server opens no tunnels. */
 const tunnelRefusal = 'HTTP/1.1 405 Method Not Allowed\r\nallow: GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
 
+/* Whether a request lacks the host that HTTP/1.1 asks for. Node's own refusal closes the connection, whatever else is open on it. */
+const lacksHost = ({httpVersion, headers}: IncomingMessage): boolean => httpVersion === '1.1' && headers.host === undefined;
+
+/*
+ * Whether bytes may have been lost after a request. Node's parser drops those that arrive together with the end of a request for another
+ * protocol, so that it would take the middle of the next request for its beginning.
+ */
+const mayLoseBytes = (incoming: IncomingMessage, {hasOpen, receivedBytes}: CallerConnection): boolean =>
+	incoming.headers.upgrade !== undefined && (hasOpen || receivedBytes !== countRequestBytes(incoming));
+
+const refuse = async ({incoming, response, mayKeepAlive}: CallerRequest): Promise<void> => {
+	// A body that came with the head is read whole then. After any other one the connection is closed.
+	await setImmediate();
+	response.shouldKeepAlive &&= mayKeepAlive() && incoming.complete;
+	response.writeHead(400, {'content-length': 0}).end();
+};
+
 /** The HTTP server for callers: whatever ends a connection, each request accepted on it is answered or has not been served. */
 export class CallerServer {
 	private readonly server: IdleAwareServer;
@@ -42,6 +62,7 @@
 			maxHeaderSize: options.maximumHeaderBytes,
 			connectionsCheckingInterval: connectionCheckMs,
 			requestTimeout: 0,
+			requireHostHeader: false,
 			noDelay: true,
 		}, () => {
 			this.endIdleConnections();
@@ -50,6 +71,9 @@
 			this.connections.set(socket, new CallerConnection(socket));
 			socket.once('close', () => {
 				this.connections.delete(socket);
+				if (this.connections.size === 0) {
+					this.onDrained?.();
+				}
 			});
 		});
 		this.server.on('request', (incoming, response) => {
@@ -58,6 +82,9 @@
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			this.handleInputError(error, socket as Socket);
 		});
+		this.server.on('timeout', (socket: Socket) => {
+			void this.endIfSilent(socket);
+		});
 		this.server.on('connect', (incoming, socket) => {
 			this.refuseTunnel(incoming, socket as Socket);
 		});
@@ -90,16 +117,18 @@
 		this.isStopping = true;
 	}
 
-	/** Accepts no more connections, soon no more requests, and resolves when all open requests have been answered. */
+	/** Accepts no more connections, soon no more requests, and resolves when all open requests have been answered and all connections closed. */
 	async drain(): Promise<void> {
 		this.isStopping = true;
 		this.server.close();
 		setTimeout(() => {
-			for (const connection of this.connections.values()) {
-				connection.end();
-			}
+			this.endConnections();
 		}, lastRequestsMs).unref();
-		if (this.openCount > 0) {
+		if (this.openCount === 0) {
+			this.endConnections();
+		}
+
+		if (this.connections.size > 0) {
 			await new Promise<void>(resolve => {
 				this.onDrained = resolve;
 			});
@@ -109,7 +138,15 @@
 	/** Closes all connections at once. */
 	close(): void {
 		this.server.close();
-		this.server.closeAllConnections();
+		for (const connection of this.connections.values()) {
+			connection.destroy();
+		}
+	}
+
+	private endConnections(): void {
+		for (const connection of this.connections.values()) {
+			connection.end();
+		}
 	}
 
 	private endIdleConnections(): void {
@@ -120,6 +157,16 @@
 		}
 	}
 
+	/* Ends a connection at its idle timeout. A request that had arrived by then is read first: the process may have been busy meanwhile. */
+	private async endIfSilent(socket: Socket): Promise<void> {
+		const {bytesRead} = socket;
+		await setImmediate();
+		const connection = this.connections.get(socket);
+		if (connection?.hasOpen === false && socket.bytesRead === bytesRead) {
+			connection.end();
+		}
+	}
+
 	private accept(incoming: IncomingMessage, response: ServerResponse): void {
 		const connection = this.connections.get(incoming.socket)!;
 		const request: CallerRequest = {
@@ -137,18 +184,23 @@
 		};
 
 		this.openCount++;
-		this.add(connection, request, serve, () => {
+		this.add(connection, {incoming, response, isLast: mayLoseBytes(incoming, connection)}, serve, () => {
+			// The connection is read on: a close with unread bytes would reset it.
+			request.readAhead?.take();
+			incoming.resume();
 			this.noteRequestEnd();
 		});
 	}
 
-	private add(connection: CallerConnection, {incoming: {method, url}, response}: ParsedRequest, serve: () => void, onDrop: () => void): void {
+	private add(connection: CallerConnection, {incoming: {method, url}, response, isLast}: ParsedRequest, serve: () => void, onDrop: () => void): void {
 		const drop = (): void => {
-			this.options.log(`${method} ${url} was not served: its connection closed before the earlier answers on it were complete`);
+			this.options.log(`${method} ${url} was not served: its connection closes or has closed`);
 			onDrop();
 		};
 
-		if (!connection.add({serve, drop, response})) {
+		if (!connection.add({
+			serve, drop, response, isLast,
+		})) {
 			drop();
 		}
 	}
@@ -156,10 +208,10 @@
 	private async serve(request: CallerRequest, connection: CallerConnection): Promise<void> {
 		const answered = this.watchAnswer(request, connection);
 		try {
-			await this.options.serve(request);
+			await (lacksHost(request.incoming) ? refuse(request) : this.options.serve(request));
 		} catch (error) {
 			this.options.log(`request failed with an internal error: ${(error as Error).stack ?? String(error)}`);
-			request.response.destroy();
+			cutAnswer(request.response);
 		}
 
 		await answered;
@@ -190,12 +242,11 @@
 	}
 
 	private mayKeepAlive(connection: CallerConnection): boolean {
-		if (connection.hasWaiting || !(this.isStopping || connection.inputFailure.aborted)) {
-			return true;
+		if (this.isStopping && !connection.hasWaiting) {
+			connection.end();
 		}
 
-		connection.end();
-		return false;
+		return !connection.isAtLast;
 	}
 
 	/* Nothing more can be read from the caller. Its open requests are not affected, but for one whose body is still arriving. */
@@ -235,8 +286,8 @@
 
 	private noteRequestEnd(): void {
 		this.openCount--;
-		if (this.openCount === 0) {
-			this.onDrained?.();
+		if (this.openCount === 0 && this.onDrained) {
+			this.endConnections();
 		}
 	}
 }
