Split the suspects of crashes: one suspect, and the set of them

Change: CrashSuspect holds one request, the incarnations that crashed while they ran it, and its block; CrashSuspects keeps the set, the answered requests, digests and records. No logic, constant or log line was changed; no test was changed. Ruled out: a change of behaviour.

--- a/src/balance/crash-suspects.ts
+++ b/src/balance/crash-suspects.ts
@@ -1,31 +1,11 @@
-import {countCrashEvents} from './count-crash-events.js';
 import {type CrashDigest} from './crash-digest.js';
 import {CrashRecord} from './crash-record.js';
+import {CrashSuspect} from './crash-suspect.js';
 import {evictOldest} from './evict-oldest.js';
 import {formatIncarnation} from './format-incarnation.js';
 import {type LostRequest} from './lost-request.js';
 
-type Crash = {
-	/** When it was learned, milliseconds. */
-	readonly at: number;
-	/** Whether the request had just started there. */
-	readonly hasJustBegun: boolean;
-	/** Whether the request was sent there after an earlier crash was known. */
-	readonly isTried: boolean;
-};
-
-/** A request, and the incarnations that crashed while they ran it. Times in milliseconds. */
-type Suspect = {
-	readonly incarnations: Map<string, Crash>;
-	/** Whether requests unlike it fare better, as this entry or another one has found. */
-	isConfirmed: boolean;
-	/** Whether it was refused as the store says: its crashes were learned at once, so that their moments are not known. */
-	isRecorded: boolean;
-	blockedUntil: number;
-	changedAt: number;
-	seenAt: number;
-};
-
+type Crashes = Parameters<CrashSuspect['addCrashes']>[0];
 type Question = {
 	/** Whether this entry, rather than a peer, may send a probe. */
 	readonly mayProbe: () => boolean;
@@ -33,29 +13,6 @@
 	readonly isTelling: () => boolean;
 };
 
-/**
- * Crashes, each at another moment, after which a request is blocked: either this many in which it had just started, or this many in total.
- * A request that had been running for some time is weaker evidence, since another request may have caused the crash.
- */
-const earlyCrashesToBlock = 2;
-const crashesToBlock = 5;
-/**
- * Time for which a request is blocked, milliseconds. The first block is short, because two targets may also crash in
- * succession for unrelated reasons. From the third crash just after the start on, the block begins at `secondBlockMs` and doubles
- * with each further one.
- */
-const firstBlockMs = 10_000;
-const secondBlockMs = 120_000;
-const maximumBlockMs = 3_600_000;
-/**
- * Block after several targets have crashed at the same moment, milliseconds, as long as other requests do not fare better, as when nearly all
- * are alike: short, so that a probe soon ends it if the request is sound. It doubles with each further crash, up to `firstBlockMs`.
- */
-const doubtfulBlockMs = 2000;
-/** As long as other requests do not fare better, any entry may probe this long after the block, milliseconds: the elected one may get no such request. */
-const electedProbeMs = 1000;
-/** When a request returns that meets a probe that a peer has to send soon, milliseconds. */
-const probeWaitMs = 500;
 /**
  * A request that crashes its target does so as it begins to run, milliseconds; one that has been answered for longer
  * was only lost in the crash.
@@ -70,12 +27,6 @@
 const maximumAnswered = 4096;
 /** Maximum number of suspects, and of cleared requests, in one report. */
 const maximumDigestItems = 40;
-/** Maximum number of incarnations kept for each suspect. */
-const maximumIncarnations = 8;
-
-const countMoments = ({isRecorded}: Suspect, crashes: readonly Crash[]): number => isRecorded ? crashes.length : countCrashEvents(crashes);
-const listMet = ({incarnations}: Suspect): string[] => [...incarnations].filter(([, {hasJustBegun}]) => !hasJustBegun).map(([name]) => name);
-const listRepeated = ({incarnations}: Suspect): string[] => [...incarnations].filter(([, {isTried}]) => isTried).map(([name]) => name);
 
 /**
  * Detects requests that crash the targets that run them, and blocks them. Without it, such a request takes down one target after
@@ -85,7 +36,7 @@
  * is cleared. Entries exchange suspects and cleared requests, so that a request is recognised at every entry.
  */
 export class CrashSuspects {
-	private readonly suspects = new Map<string, Suspect>();
+	private readonly suspects = new Map<string, CrashSuspect>();
 	private readonly answered = new Set<string>();
 	/** Requests that are no longer suspects, and when they were cleared, milliseconds. */
 	private readonly cleared = new Map<string, number>();
@@ -109,27 +60,17 @@
 		}
 
 		suspect.seenAt = now;
-		if (!this.isSuspected(suspect)) {
+		if (!suspect.isSuspected) {
 			return 0;
 		}
 
 		if (!suspect.isConfirmed && isTelling()) {
-			suspect.isConfirmed = true;
+			suspect.confirm();
 			this.block(fingerprint, suspect, now);
 			this.noteUnsaved(fingerprint);
 		}
 
-		if (now < suspect.blockedUntil) {
-			return suspect.blockedUntil - now;
-		}
-
-		const {isConfirmed, blockedUntil} = suspect;
-		if (!mayProbe() && (isConfirmed || now < blockedUntil + electedProbeMs)) {
-			return isConfirmed ? firstBlockMs : probeWaitMs;
-		}
-
-		suspect.blockedUntil = now + (this.isDoubtful(suspect) ? doubtfulBlockMs : firstBlockMs);
-		return 0;
+		return suspect.takeWaitMs(mayProbe, now);
 	}
 
 	/** Whether a request was lost in a crash and has not been answered since. */
@@ -173,7 +114,7 @@
 	/** Gets what the store is to hold of a request; undefined if nothing, since it is not refused. */
 	getRecord(fingerprint: string): CrashRecord | undefined {
 		const suspect = this.suspects.get(fingerprint);
-		return suspect && this.isSuspected(suspect) && !this.isDoubtful(suspect) ? {incarnations: [...suspect.incarnations.keys()], met: listMet(suspect)} : undefined;
+		return suspect?.isSuspected && !suspect.isDoubtful ? {incarnations: suspect.listIncarnations(), met: suspect.listMet()} : undefined;
 	}
 
 	/** Merges the record of a request that was read from the store. Throws if it is not valid. */
@@ -199,9 +140,9 @@
 		const cleared = [...this.cleared].filter(([, at]) => now - at <= digestRetentionMs).slice(-maximumDigestItems).map(([fingerprint]) => fingerprint);
 		return {
 			...(reported.length > 0 && {
-				suspects: Object.fromEntries(reported.map(([fingerprint, {incarnations}]) => [fingerprint, [...incarnations.keys()]])),
-				met: Object.fromEntries(reported.map(([fingerprint, suspect]) => [fingerprint, listMet(suspect)])),
-				repeated: Object.fromEntries(reported.map(([fingerprint, suspect]) => [fingerprint, listRepeated(suspect)] as const).filter(([, repeated]) => repeated.length > 0)),
+				suspects: Object.fromEntries(reported.map(([fingerprint, suspect]) => [fingerprint, suspect.listIncarnations()])),
+				met: Object.fromEntries(reported.map(([fingerprint, suspect]) => [fingerprint, suspect.listMet()])),
+				repeated: Object.fromEntries(reported.map(([fingerprint, suspect]) => [fingerprint, suspect.listRepeated()] as const).filter(([, repeated]) => repeated.length > 0)),
 			}),
 			...(cleared.length > 0 && {cleared}),
 		};
@@ -242,25 +183,18 @@
 		this.clear(fingerprint, now);
 	}
 
-	private addCrashes(fingerprint: string, incarnations: ReadonlyArray<readonly [string, Crash]>, now: number): void {
+	private addCrashes(fingerprint: string, crashes: Crashes, now: number): void {
 		if (this.answered.has(fingerprint)) {
 			this.cleared.set(fingerprint, now);
 			return;
 		}
 
-		const suspect = this.suspects.get(fingerprint) ?? {
-			incarnations: new Map<string, Crash>(), isConfirmed: false, isRecorded: false, blockedUntil: 0, changedAt: now, seenAt: now,
-		};
-		const isNew = incarnations.some(([incarnation, {isTried}]) => !suspect.incarnations.has(incarnation) || (isTried && !suspect.incarnations.get(incarnation)?.isTried));
-		for (const [incarnation, crash] of incarnations) {
-			const known = suspect.incarnations.get(incarnation);
-			suspect.incarnations.set(incarnation, {at: known?.at ?? crash.at, hasJustBegun: crash.hasJustBegun, isTried: crash.isTried || (known?.isTried ?? false)});
-			evictOldest(suspect.incarnations, maximumIncarnations);
+		const suspect = this.suspects.get(fingerprint) ?? new CrashSuspect(this.isExplained, now);
+		const isNew = suspect.addCrashes(crashes);
+		if (this.recorded.has(fingerprint)) {
+			suspect.noteRecorded();
 		}
 
-		suspect.isRecorded ||= this.recorded.has(fingerprint);
-		suspect.isConfirmed ||= suspect.isRecorded;
-
 		this.suspects.set(fingerprint, suspect);
 		evictOldest(this.suspects, maximumSuspects);
 		if (isNew) {
@@ -270,41 +204,11 @@
 		}
 	}
 
-	private listUnexplained({incarnations}: Suspect): Crash[] {
-		return [...incarnations].filter(([incarnation]) => !this.isExplained(incarnation)).map(([, crash]) => crash);
-	}
-
-	private countEarlyCrashes(suspect: Suspect): number {
-		return countMoments(suspect, this.listUnexplained(suspect).filter(({hasJustBegun}) => hasJustBegun));
-	}
-
-	private isSuspected(suspect: Suspect): boolean {
-		return this.countEarlyCrashes(suspect) >= earlyCrashesToBlock || countMoments(suspect, this.listUnexplained(suspect)) >= crashesToBlock;
-	}
-
-	/* Whether its targets may as well have crashed for a cause that they share. */
-	private isDoubtful(suspect: Suspect): boolean {
-		const crashes = this.listUnexplained(suspect);
-		return !suspect.isConfirmed && countMoments(suspect, crashes) < crashes.length;
-	}
-
-	private getNextBlockMs(suspect: Suspect): number {
-		const extraCrashes = Math.max(0, this.countEarlyCrashes(suspect) - earlyCrashesToBlock);
-		if (this.isDoubtful(suspect)) {
-			return Math.min(firstBlockMs, doubtfulBlockMs * (2 ** extraCrashes));
+	private block(fingerprint: string, suspect: CrashSuspect, now: number): void {
+		const blockMs = suspect.block(now);
+		if (blockMs !== undefined) {
+			this.log(`request ${fingerprint} is refused for ${blockMs} ms: targets crashed while they ran it (${suspect.listIncarnations().join(', ')})`);
 		}
-
-		return extraCrashes === 0 || !suspect.isConfirmed ? firstBlockMs : Math.min(maximumBlockMs, secondBlockMs * (2 ** (extraCrashes - 1)));
-	}
-
-	private block(fingerprint: string, suspect: Suspect, now: number): void {
-		if (!this.isSuspected(suspect)) {
-			return;
-		}
-
-		const blockMs = this.getNextBlockMs(suspect);
-		suspect.blockedUntil = now + blockMs;
-		this.log(`request ${fingerprint} is refused for ${blockMs} ms: targets crashed while they ran it (${[...suspect.incarnations.keys()].join(', ')})`);
 	}
 
 	private clear(fingerprint: string, now: number): void {
