Split the suspected parts of prompts: the refused ones, and what suspects them

Change: PartBlocks holds the refused parts and those that another entry has confirmed, refuses those that explain the crashes, and says for how long; PartSuspects keeps evidence, sound parts, trials, digests and records. No logic, constant or log line was changed; no test was changed.

--- a/src/balance/part-suspects.ts
+++ b/src/balance/part-suspects.ts
@@ -1,7 +1,7 @@
 import {evictOldest} from './evict-oldest.js';
 import {formatIncarnation} from './format-incarnation.js';
 import {type LostRequest} from './lost-request.js';
-import {PartBlock} from './part-block.js';
+import {PartBlocks} from './part-blocks.js';
 import {PartCrashRecord} from './part-crash-record.js';
 import {type PartDigest} from './part-digest.js';
 import {PartEvidence} from './part-evidence.js';
@@ -10,13 +10,9 @@
 import {RequestContrast} from './request-contrast.js';
 import {SoundParts} from './sound-parts.js';
 
-type Question = {
+type Question = Parameters<PartBlocks['getWaitMs']>[1] & {
 	/** Identifies the request, which may have begun a trial already. */
 	readonly request: unknown;
-	readonly service: string;
-	readonly parts: readonly string[];
-	/** Whether this entry, rather than a peer, may send a request with a part whose block is over. */
-	readonly mayProbe: (part: string) => boolean;
 };
 
 /** A target that crashes under a part does so before it has answered for this time, milliseconds. */
@@ -25,14 +21,11 @@
 const soundAfterMs = 400;
 /** When a request returns that meets the trial of another one, milliseconds. */
 const trialWaitMs = 500;
-/** A refused part that nobody asks for any more is forgotten after this time, milliseconds. */
-const blockRetentionMs = 86_400_000;
 /** Time for which a change is included in reports to peers, milliseconds: more than twice the maximum interval between reports. */
 const digestRetentionMs = 3000;
 /** Characters of a request's fingerprint that are kept to distinguish requests. */
 const tagLength = 6;
 /** Maximum numbers kept, and in one report; beyond them the oldest are evicted. */
-const maximumBlocks = 256;
 const maximumUnsaved = 256;
 const maximumDigestItems = 40;
 const maximumDigestParts = 40;
@@ -52,17 +45,29 @@
 	readonly trials = new PartTrials();
 	/** How requests with a part fare, compared with others. */
 	readonly contrast = new RequestContrast();
-	private readonly blocks = new Map<string, PartBlock>();
+	private readonly blocks: PartBlocks;
 	private readonly evidence = new PartEvidence({hasPart: part => this.blocks.has(part), hasCrash: crash => this.isExplained(crash)});
 	private readonly sound = new SoundParts();
 	/** Suspects that were found to be sound, and when, milliseconds. */
 	private readonly cleared = new Map<string, number>();
-	/** Parts whose block another entry has confirmed, as it or the store says. */
-	private readonly recorded = new Set<string>();
 	/** Crashes whose records in the store are out of date. */
 	private readonly unsaved = new Set<string>();
 
-	constructor(private readonly log: (message: string) => void) {}
+	constructor(log: (message: string) => void) {
+		this.blocks = new PartBlocks({
+			contrast: this.contrast,
+			onBlock: part => {
+				this.trials.settle(part);
+			},
+			onConfirm: crash => {
+				this.noteUnsaved(crash);
+			},
+			onForget: part => {
+				this.evidence.clear(part);
+			},
+			log,
+		});
+	}
 
 	/** Number of parts that are refused. */
 	get size(): number {
@@ -71,7 +76,7 @@
 
 	/** Whether a crash is explained by a part that is refused. */
 	isExplained(crash: string): boolean {
-		return [...this.blocks.values()].some(({crashes}) => crashes.has(crash));
+		return this.blocks.isExplained(crash);
 	}
 
 	/** Decides whether a request may be sent; `now` in milliseconds. */
@@ -79,7 +84,7 @@
 		const {request, parts} = question;
 		const suspected = parts.filter(part => this.evidence.has(part));
 		for (const part of suspected) {
-			const waitMs = this.getBlockMs(part, question, now);
+			const waitMs = this.blocks.getWaitMs(part, question, now);
 			if (waitMs > 0) {
 				return {kind: 'blocked', part, waitMs};
 			}
@@ -101,9 +106,9 @@
 
 		this.sound.countRequest(parts, now);
 		for (const part of parts) {
-			const block = this.blocks.get(part);
+			const crashes = this.blocks.listCrashes([part]);
 			this.clear(part, now);
-			for (const crash of block?.crashes ?? []) {
+			for (const crash of crashes) {
 				this.noteUnsaved(crash);
 			}
 		}
@@ -113,7 +118,7 @@
 
 	/** Notes that a target has crashed while it ran these requests. */
 	noteCrash(lostRequests: readonly LostRequest[], now: number): void {
-		const blocked = new Set(this.blocks.keys());
+		const blocked = new Set(this.blocks.list());
 		for (const {incarnation, promptParts, triedParts, fingerprint, answeringMs} of lostRequests) {
 			const hasJustBegun = answeringMs === undefined || answeringMs <= crashWindowMs;
 			const tag = fingerprint.slice(0, tagLength);
@@ -122,7 +127,7 @@
 
 		this.accuse(now);
 		const crashes = lostRequests.map(({incarnation}) => formatIncarnation(incarnation));
-		const added = [...this.blocks].filter(([part]) => !blocked.has(part)).flatMap(([, block]) => [...block.crashes]);
+		const added = this.blocks.listCrashes(this.blocks.list().filter(part => !blocked.has(part)));
 		for (const crash of [...crashes, ...added].filter(found => this.getRecord(found))) {
 			this.noteUnsaved(crash);
 		}
@@ -131,13 +136,12 @@
 	/** Gets the digest for peers; `isFull` includes all blocked parts, for a peer that may not have received any report yet. */
 	getDigest(isFull: boolean, now: number): PartDigest {
 		const recent = this.evidence.listChanged(now - digestRetentionMs);
-		const explained = isFull ? [...this.blocks.values()].flatMap(({crashes}) => [...crashes]) : [];
+		const explained = isFull ? this.blocks.listCrashes(this.blocks.list()) : [];
 		const reported = [...new Set([...explained, ...recent])].slice(-maximumDigestItems);
 		const partCrashes = reported.map(crash => [crash, this.listReported(crash, recent.includes(crash))] as const);
 		const triedParts = partCrashes.map(([crash, parts]) => [crash, listTried(parts)] as const).filter(([, parts]) => parts.length > 0);
 		const soundParts = [...this.cleared].filter(([, at]) => now - at <= digestRetentionMs).slice(-maximumDigestItems).map(([part]) => part);
-		const confirmed = [...this.blocks].filter(([, {confirmedAt}]) => confirmedAt !== undefined && (isFull || now - confirmedAt <= digestRetentionMs));
-		const refusedParts = confirmed.slice(-maximumDigestItems).map(([part]) => part);
+		const refusedParts = this.blocks.listConfirmed(isFull ? Number.POSITIVE_INFINITY : digestRetentionMs, now).slice(-maximumDigestItems);
 		const trialParts = this.trials.list(now).slice(-maximumDigestItems);
 		return {
 			...(partCrashes.length > 0 && {partCrashes: Object.fromEntries(partCrashes.map(([crash, parts]) => [crash, toTags(parts)]))}),
@@ -187,7 +191,7 @@
 		}
 
 		const tried = listTried(parts);
-		return {parts: toTags(parts), ...(tried.length > 0 && {tried}), refused: parts.map(([part]) => part).filter(part => this.blocks.get(part)?.isConfirmed)};
+		return {parts: toTags(parts), ...(tried.length > 0 && {tried}), refused: parts.map(([part]) => part).filter(part => this.blocks.isConfirmed(part))};
 	}
 
 	/** Merges the record of a crash that was read from the store. Throws if it is not valid. */
@@ -199,18 +203,13 @@
 
 	/** Lists the crashes that the store is to hold records of for as long as a part is refused. */
 	listRecorded(): string[] {
-		return [...new Set([...this.blocks.values()].flatMap(({crashes}) => [...crashes]))];
+		return [...new Set(this.blocks.listCrashes(this.blocks.list()))];
 	}
 
 	/** Evicts what has expired. */
 	tick(now: number): void {
 		this.trials.tick(now);
-		for (const [part, {seenAt}] of this.blocks) {
-			if (now - seenAt > blockRetentionMs) {
-				this.forget(part);
-			}
-		}
-
+		this.blocks.tick(now);
 		this.evidence.prune(now);
 		for (const [part, at] of this.cleared) {
 			if (now - at > digestRetentionMs) {
@@ -219,25 +218,6 @@
 		}
 	}
 
-	/* A request with only one of several parts that explain the same crashes shows which of them is the cause. */
-	private getBlockMs(part: string, {service, parts, mayProbe}: Question, now: number): number {
-		const block = this.blocks.get(part);
-		if (!block) {
-			return 0;
-		}
-
-		block.seenAt = now;
-		if (!block.isAmbiguousFor(parts)) {
-			return 0;
-		}
-
-		if (!block.isConfirmed && block.hasContrast(service)) {
-			this.confirm(block, now);
-		}
-
-		return block.getWaitMs(service, this.contrast, mayProbe(part), now);
-	}
-
 	/* Lists the parts that are held against a crash, each with the tag of its request; of old crashes only those that are refused. */
 	private listReported(crash: string, isRecent: boolean): ReportedPart[] {
 		return this.evidence.listSuspects(crash).filter(([part]) => isRecent || this.blocks.has(part)).slice(-maximumDigestParts);
@@ -253,67 +233,23 @@
 	}
 
 	private accuse(now: number): void {
-		const accusations = this.evidence.accuse({
-			isAccused: part => this.blocks.has(part) || this.recorded.has(part),
+		this.blocks.accuse(this.evidence.accuse({
+			isAccused: part => this.blocks.isAccused(part),
 			areOthersSound: this.sound.areCommon,
-		});
-		const accused = new Set(accusations.flatMap(({parts}) => parts));
-		for (const part of this.blocks.keys()) {
-			if (!accused.has(part)) {
-				this.blocks.delete(part);
-				this.log(`part ${part} is no longer refused: another part explains the crashes`);
-			}
-		}
-
-		for (const {parts, crashes, events} of accusations) {
-			for (const part of parts) {
-				this.block(part, {crashes, events, rivals: parts.filter(other => other !== part)}, now);
-			}
-		}
-	}
-
-	private block(part: string, accusation: ConstructorParameters<typeof PartBlock>[1], now: number): void {
-		const former = this.blocks.get(part);
-		if (former?.crashes.size === accusation.crashes.size) {
-			former.rivals = accusation.rivals;
-			return;
-		}
-
-		const block = new PartBlock(part, accusation, this.contrast.copy(), {former, isConfirmed: this.recorded.has(part)}, now);
-		this.blocks.set(part, block);
-		this.trials.settle(part);
-		this.log(block.describe(now));
-		if (this.blocks.size > maximumBlocks) {
-			this.forget([...this.blocks.keys()][0]);
-		}
+		}), now);
 	}
 
 	/* Takes over what another entry has found, unless answers have shown otherwise here. */
 	private noteConfirmed(parts: readonly string[], now: number): void {
 		for (const part of parts) {
-			const block = this.blocks.get(part);
 			if (this.sound.has(part, now)) {
 				this.cleared.set(part, now);
-				continue;
-			}
-
-			this.recorded.add(part);
-			evictOldest(this.recorded, maximumBlocks);
-			if (block && !block.isConfirmed) {
-				this.confirm(block, now);
+			} else {
+				this.blocks.noteConfirmed(part, now);
 			}
 		}
 	}
 
-	private confirm(block: PartBlock, now: number): void {
-		block.confirm(now);
-		for (const crash of block.crashes) {
-			this.noteUnsaved(crash);
-		}
-
-		this.log(block.describe(now));
-	}
-
 	private clear(part: string, now: number): void {
 		this.sound.add(part, now);
 		if (!this.evidence.clear(part)) {
@@ -321,17 +257,8 @@
 		}
 
 		this.trials.settle(part);
-		this.recorded.delete(part);
 		this.cleared.set(part, now);
-		if (this.blocks.delete(part)) {
-			this.log(`part ${part} is no longer refused: a target has answered a request with it`);
-		}
-
+		this.blocks.clear(part);
 		this.accuse(now);
 	}
-
-	private forget(part: string): void {
-		this.blocks.delete(part);
-		this.evidence.clear(part);
-	}
 }
