Pin that a caller who half-closes its connection counts as gone, and say why

Decision: left as it is. Otherwise targets would work on for callers who have left, or an entry would write interim answers for as long as a request waits; after the head of an answer there is nothing that it could write.

--- a/features/caller-connection.feature
+++ b/features/caller-connection.feature
@@ -100,6 +100,14 @@
     Then it gets 1 whole answer with status 200, and the connection is open
     And targets have run "GET /stream/1, GET /read/3"
 
+  # Guards against work for callers who have left: until something is written twice, a close cannot be told from a half-close.
+  Scenario: A caller who half-closes its connection while its request runs counts as gone
+    Given an entry before 1 target
+    And the next 1 answers of target 1 wait
+    When a caller writes "GET /read/1" without waiting
+    And the caller half-closes its connection once the first request runs
+    Then it gets 0 whole answers with status 200, and the connection is closed
+
   # Guards against a connection that is closed without an answer to a method that is not served.
   Scenario: A request to open a tunnel is refused with an answer
     Given an entry before 1 target
--- a/features/steps/caller-connection-steps.ts
+++ b/features/steps/caller-connection-steps.ts
@@ -170,10 +170,16 @@
 	await getSystem(this).until(() => witness.isClosed);
 });
 
-When('the caller disconnects once the first request runs', async function (this: SystemWorld) {
+When(/^the caller (disconnects|half-closes its connection) once the first request runs$/, async function (this: SystemWorld, action: string) { // eslint-disable-line require-unicode-regexp
 	const system = getSystem(this);
 	await system.until(() => system.listRuns().length > 0);
-	getCaller(this).close();
+	const caller = getCaller(this);
+	if (action === 'disconnects') {
+		caller.close();
+	} else {
+		caller.end();
+	}
+
 	await system.until(() => system.targets.get('target-1')!.abortedRequests.length > 0);
 });
 
--- a/features/support/raw-caller.ts
+++ b/features/support/raw-caller.ts
@@ -100,6 +100,11 @@
 		this.socket.resume();
 	}
 
+	/** Closes this side of the connection, and reads on. */
+	end(): void {
+		this.socket.end();
+	}
+
 	/** Closes the connection. */
 	close(): void {
 		this.socket.destroy();
