End a run of scenarios that reads an engine's answer after the scenario is over

Callers saw nothing: the fault is in the scenario's own stand-in. Cause: an engine that resets its connection begins to read 50 turns later; the answer had been evaluated and the scenario closed by then, so that the interval which reads was set after it should have been cleared, and kept the process going (a profile of the standing process: two timers every millisecond from engine-answer-steps.js). Ruled out: sockets and child processes (none were open). Change: the reader does not begin after the scenario is closed. The check, its bounds and its rows are as before.

--- a/features/steps/engine-answer-steps.ts
+++ b/features/steps/engine-answer-steps.ts
@@ -37,18 +37,23 @@
 		arrivedAt: 0,
 	});
 	let reader: NodeJS.Timeout | undefined;
+	let isClosed = false;
 	const server = createServer(socket => {
 		socket.on('error', () => undefined);
 		socket.once('data', () => {
 			socket.write(`HTTP/1.1 200 OK\r\n\r\n${'x'.repeat(Number(bytes))}`, async () => {
 				await close(socket, ending);
-				reader = setInterval(() => {
-					execution.acknowledge(Number.MAX_SAFE_INTEGER);
-				});
+				// The answer may have ended before: a reader that begins after the scenario would keep the runner from ending.
+				if (!isClosed) {
+					reader = setInterval(() => {
+						execution.acknowledge(Number.MAX_SAFE_INTEGER);
+					});
+				}
 			});
 		});
 	});
 	this.onClose(() => {
+		isClosed = true;
 		clearInterval(reader);
 		server.close();
 	});
