Go on with a stop that an error has begun when a signal asks for it

Cause: a process that stops as planned after an error that nothing has handled ended at once on its first SIGTERM, and cut the answers that were still open: the stop that the error had begun was taken for that of an earlier signal.

Ruled out: a second signal, which ends the process at once by intent, before and now.

Change: only signals count for this.

Figures: a stream that is open at SIGTERM after an error is cut before and whole now, and the exit code is 70 (one scenario, process.feature).

Conclusion: an error and a planned stop together cut no answer within the grace period.

--- a/features/process.feature
+++ b/features/process.feature
@@ -50,6 +50,12 @@
       | thrown   |
       | rejected |
 
+  # Guards against a first signal that is taken for a second one, and cuts the answers of a process that an error has begun to stop.
+  Scenario: A process that stops after an error is told to stop
+    Given an entry process at which a caller reads a stream
+    When an error is thrown that nothing handles, and SIGTERM follows
+    Then the stream is whole, and the process ends with exit code 70
+
   # Guards against a path on the ready or metrics address that ends the process.
   Scenario Outline: An admin page that cannot be served is answered with an error: <path>
     Given an admin server
--- a/features/steps/internal-error-steps.ts
+++ b/features/steps/internal-error-steps.ts
@@ -65,18 +65,31 @@
 	await untilContains(stream, () => complete.body, 'first');
 });
 
-When('an error is {word} that nothing handles', {timeout: longScenarioMs}, async function (this: SystemWorld, manner: string) {
-	const running = getRunning(this);
+const failAndRelease = async ({notes}: SystemWorld, manner: string, signal?: NodeJS.Signals): Promise<void> => {
+	const running = notes.get('running') as Running;
 	const {child, stream} = running;
 	child.stdin!.write(manner === 'thrown' ? 'throw\n' : 'reject\n');
 	await Promise.race([
 		untilContains(child.stdout!, () => running.text, 'stopping, 1 open requests'),
 		once(child, 'exit'),
 	]);
+	if (signal) {
+		child.kill(signal);
+		await untilContains(child.stdout!, () => running.text, signal);
+	}
+
 	const closed = stream.destroyed ? Promise.resolve() : once(stream, 'close');
 	child.stdin!.on('error', () => undefined);
 	child.stdin!.write('release\n');
 	await closed;
+};
+
+When('an error is {word} that nothing handles', {timeout: longScenarioMs}, async function (this: SystemWorld, manner: string) {
+	await failAndRelease(this, manner);
+});
+
+When('an error is {word} that nothing handles, and SIGTERM follows', {timeout: longScenarioMs}, async function (this: SystemWorld, manner: string) {
+	await failAndRelease(this, manner, 'SIGTERM');
 });
 
 Then('the stream is whole, and the process ends with exit code {int}', {timeout: longScenarioMs}, async function (this: SystemWorld, code: number) {
--- a/src/bin/process-lifecycle.ts
+++ b/src/bin/process-lifecycle.ts
@@ -28,6 +28,8 @@
 export class ProcessLifecycle {
 	private running: RunningProcess | undefined;
 	private isStopping = false;
+	/** Whether a signal has asked the process to stop. */
+	private isAsked = false;
 
 	constructor(private readonly options: LifecycleOptions) {}
 
@@ -36,12 +38,12 @@
 		if (signal === 'SIGHUP') {
 			// Settings are applied only at the start, so a changed file never affects running requests.
 			this.options.logger.info(`SIGHUP: ${this.options.describeReload()}`);
-		} else if (this.isStopping) {
+		} else if (this.isAsked) {
 			this.options.logger.warn(`${signal} during the stop: the process ends at once`);
 			this.kill();
 		} else {
-			this.isStopping = true;
-			this.stop(signal);
+			this.isAsked = true;
+			this.stopOnce(signal);
 		}
 	}
 
@@ -49,10 +51,7 @@
 	receiveError(error: unknown, origin: string): void {
 		process.exitCode = errorExitCode;
 		this.options.logger.error(`${origin}, ${this.isStopping ? 'during the stop' : 'the process stops'}: ${error instanceof Error ? error.stack ?? error.message : String(error)}`);
-		if (!this.isStopping) {
-			this.isStopping = true;
-			this.stop(origin);
-		}
+		this.stopOnce(origin);
 	}
 
 	/** Runs the process; resolves when it has stopped, or has nothing left to do. */
@@ -100,6 +99,16 @@
 		}
 	}
 
+	/* A signal after an error asks for the stop that has begun. */
+	private stopOnce(cause: string): void {
+		if (this.isStopping) {
+			this.options.logger.info(`${cause}: the process is stopping`);
+		} else {
+			this.isStopping = true;
+			this.stop(cause);
+		}
+	}
+
 	private stop(cause: string): void {
 		if (this.running) {
 			void this.stopRunning(this.running);
