Take an empty answer of an engine without a length for a cut one

Seen, at the program's own interface: an engine that closes its connection right after the head of its answer gives its caller an empty answer with status 200, as whole.

Cause: an answer without a length ends with its connection, and the end right after the head counted as that end. Entries that forward take such an answer for cut; the target process, which calls its engine itself, did not.

Ruled out: answers with a length of 0, in chunks, to HEAD, with status 204 or 205, or other than successful ones: they are whole as before.

Change: the same rule in the call of the engine; the answer breaks off.

The new row of cut-answers.feature fails before ('whole', 4 passed, 1 failed) and passes now (5 passed); once, path, not-run, drain and process: 92 passed, 0 failed.

--- a/features/cut-answers.feature
+++ b/features/cut-answers.feature
@@ -44,6 +44,7 @@
 
     Examples:
       | ending | bytes  | outcome |
+      | ends   | 0      | cut     |
       | ends   | 100    | whole   |
       | ends   | 140000 | whole   |
       | resets | 100    | cut     |
--- a/src/target/call-engine.ts
+++ b/src/target/call-engine.ts
@@ -14,10 +14,20 @@
 /** Error codes of a connection that was never opened; any other error may come after the request was sent. */
 const connectFailureCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
 
+/** Statuses of successful answers that have no body. */
+const statusesWithoutBody: ReadonlySet<number> = new Set([204, 205]);
+
 const removeHopByHopHeaders = (headers: Record<string, string | string[] | undefined>): Record<string, string | string[]> =>
 	Object.fromEntries(Object.entries(headers).filter((entry): entry is [string, string | string[]] =>
 		entry[1] !== undefined && !hopByHopHeaders.has(entry[0])));
 
+/*
+ * Whether an answer is whole without a body. One without a length that ends right after its head is far more often cut than meant to be
+ * empty; an engine that means it can say so by a length of 0 or a status.
+ */
+const mayBeEmpty = (method: string, {statusCode, headers}: Dispatcher.ResponseData): boolean => statusCode < 200 || statusCode >= 300
+	|| method === 'HEAD' || statusesWithoutBody.has(statusCode) || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+
 /**
  * Sends a request to the engine and adds its answer, part by part, to the execution. There is no time-out: the entry cancels.
  *
@@ -48,11 +58,17 @@
 		headers: removeHopByHopHeaders(answer.headers),
 		tableVersion: options.tableVersion(),
 	});
+	let hasBody = false;
 	for await (const chunk of answer.body) {
+		hasBody = true;
 		// Copied, since the chunk is a view of a read buffer many times its size, which a buffered part would keep in memory.
 		execution.addPart({type: 'data', chunk: new Uint8Array(chunk as Uint8Array)});
 		await execution.waitForRoom();
 	}
 
+	if (!hasBody && !mayBeEmpty(request.method, answer)) {
+		throw new Error('the answer ended after its head');
+	}
+
 	execution.addPart({type: 'end'});
 }
