--- a/features/steps/internal-error-steps.ts
+++ b/features/steps/internal-error-steps.ts
@@ -14,8 +14,10 @@
 
 /* Resolves as soon as the text that a stream sends, as collected by `read`, contains some words. */
 const untilContains = async (stream: NodeJS.ReadableStream, read: () => string, words: string): Promise<void> => {
+	const signal = AbortSignal.timeout(longScenarioMs / 2);
 	while (!read().includes(words)) {
-		await once(stream, 'data', {signal: AbortSignal.timeout(longScenarioMs / 2)});
+		await Promise.race([once(stream, 'data', {signal}), once(signal, 'abort')]);
+		assert.ok(!signal.aborted, `no "${words}" in: ${read()}`);
 	}
 };
 
