Release a group whose hold waits for a process that has ended

Seen: in a simulated group of 4 ranks the process of rank 1 or 2 ended as soon as the group was held, while its engine went on: the group made no pass in the 20 s that followed (14 passes in all; longest stand 19.7 s).

Cause: ranks are armed first only once the processes of all have reported since the order to hold. Reports that are read directly from an engine keep the others current but do not count for that, and nothing ended the wait. Other processes notice a hold by their own engine only, so that no other planner is elected if the ended process is the holder's.

Ruled out: two maps (none before or after); arming on reports that were read directly (it would bring back holds that wait for a rank that is lost).

Change: if not all processes have reported one second after the hold was seen, the map is dropped. No rank was ordered to switch to it, so the group is released as for any own hold without an order to arm.

Conclusion: a wait in a hold needs an end of its own.

--- a/features/expert-balance.feature
+++ b/features/expert-balance.feature
@@ -58,6 +58,21 @@
     Then no rank is held
     And no pass began on two maps
 
+  # Guards against a group that is held for good: ranks are armed only once the processes of all have reported during the hold, and a
+  # process that had ended never did. If it was the one of the held rank, no other process noticed the hold.
+  Scenario Outline: The process of rank <rank> ends as soon as the group is held, while its engine goes on
+    Given a lock-step group with a planner
+    When the process of rank <rank> ends for good as soon as the group is held
+    And 5 seconds pass
+    Then no rank is held
+    And no pass was delayed for more than 1200 milliseconds
+    And no pass began on two maps
+
+    Examples:
+      | rank |
+      | 1    |
+      | 2    |
+
   Scenario: The planner's VM is suspended as soon as the group is held
     Given a lock-step group with a planner
     When the planner's VM is suspended as soon as the group is held
--- a/features/steps/expert-balance-steps.ts
+++ b/features/steps/expert-balance-steps.ts
@@ -109,6 +109,12 @@
 	}
 });
 
+When('the process of rank {int} ends for good as soon as the group is held', async function (this: SystemWorld, rank: number) {
+	const harness = getHarness(this);
+	await waitFor(harness, isHeld);
+	harness.ended.add(rank);
+});
+
 When('the planner crashes as soon as a rank is armed', async function (this: SystemWorld) {
 	const harness = getHarness(this);
 	await waitFor(harness, isArmed);
--- a/features/support/group-harness.ts
+++ b/features/support/group-harness.ts
@@ -26,6 +26,8 @@
 	lossShare = 0;
 	/** Ranks whose VM is suspended. */
 	readonly suspended = new Set<number>();
+	/** Ranks whose process has ended, while the engine goes on. */
+	readonly ended = new Set<number>();
 	readonly random: () => number;
 	/** Whether an entry forwards planners' orders, and how many it has forwarded. */
 	hasEntry = false;
@@ -117,7 +119,7 @@
 			this.group.advance(this.now);
 			this.deliverDue();
 			for (const [rank, member] of this.agents.entries()) {
-				if (!this.suspended.has(rank)) {
+				if (!this.suspended.has(rank) && !this.ended.has(rank)) {
 					void member.tick(this.now);
 				}
 			}
@@ -175,7 +177,7 @@
 		}
 
 		// Messages to a suspended process wait in its socket.
-		this.send(() => !this.suspended.has(rank), () => {
+		this.send(() => !this.suspended.has(rank) && !this.ended.has(rank), () => {
 			this.agents[rank].receive(message);
 		});
 		return planner.isAlive;
--- a/src/expert-balance/group-controller.ts
+++ b/src/expert-balance/group-controller.ts
@@ -66,6 +66,11 @@
 const switchHeartbeatMs = 150;
 /** A hold that no rank reports after this time is ordered at another rank, milliseconds. */
 const holdTimeoutMs = 300;
+/**
+ * If the processes of all ranks have not reported this long after the hold was seen, milliseconds, the map is dropped and the group
+ * released: a process may be lost for good, and every stream waits.
+ */
+const firstArmingTimeoutMs = 1000;
 /** Map versions reserved for one term: more than a planner proposes in its term. */
 const versionsPerTerm = 100_000;
 
@@ -199,6 +204,10 @@
 		// If a rank is lost during the hold, the group stays held once another is armed: every rank must report again first.
 		const isFirstArming = decision.phase === 'arm' && !this.hasArmed && this.proposal !== undefined;
 		const haveAllReported = !isFirstArming || this.tracker.haveReadSince(this.holdOrderedAt);
+		if (!haveAllReported && this.phase === 'arm' && now - this.phaseSince > firstArmingTimeoutMs) {
+			this.dropProposal('not all ranks reported during the hold');
+		}
+
 		const mustWait = (decision.phase === 'hold' && !areReportsRecent) || !haveAllReported;
 		return mustWait ? {phase: decision.phase, orders: []} : decision;
 	}
