Read counts that are long due in spite of orders

Seen: in a simulated group of 4 ranks with one whose engine refuses to prepare, no counts came in the 14.8 s after the second reading (2 of each rank, the last 240 ms after the start); map 74 was proposed for the same load as map 1, after demand had shifted.

Cause: counts wait 1.2 s after an order to prepare. A map that is refused is dropped and the next is ordered 200 ms later, so that the wait never ends. The same holds for one rank that does not finish a copy: its order is repeated every 480 ms.

Ruled out: the estimator (it keeps the last load when nothing comes, as it should).

Change: counts that have been due for 2.5 s are read in spite of orders.

Conclusion: a pause that each order begins anew needs a bound.

--- a/features/expert-balance.feature
+++ b/features/expert-balance.feature
@@ -7,6 +7,14 @@
     And no pass began on two maps
     And no pass was delayed for more than 100 milliseconds
 
+  # Guards against counts that never come: they wait after an order to prepare, and maps that are refused are followed by others at once.
+  # The same map was proposed again and again, whatever the demand.
+  Scenario: Counts come although all maps are refused
+    Given a lock-step group with a planner
+    When the engines refuse to copy experts
+    And 12 seconds pass with a shift of demand every 4 seconds
+    Then the planner has proposed maps for at least 3 demands
+
   Scenario: A switch does not delay a group with short passes
     Given a lock-step group with a planner, whose passes and messages each take 20 milliseconds
     When 20 seconds pass with a shift of demand every 2 seconds
--- a/features/steps/expert-balance-steps.ts
+++ b/features/steps/expert-balance-steps.ts
@@ -109,6 +109,17 @@
 	}
 });
 
+When('the engines refuse to copy experts', function (this: SystemWorld) {
+	const {options} = getHarness(this).group;
+	Object.assign(options, {shape: {...options.shape, maximumNew: 0}});
+});
+
+Then('the planner has proposed maps for at least {int} demands', function (this: SystemWorld, demands: number) {
+	const {log} = getHarness(this);
+	const skews = new Set(log.flatMap(line => /proposed.*skew (?<before>[\d.]+)/v.exec(line)?.groups?.before ?? []));
+	assert.ok(skews.size >= demands, log.join('\n'));
+});
+
 When('the process of rank {int} ends for good as soon as the group is held', async function (this: SystemWorld, rank: number) {
 	const harness = getHarness(this);
 	await waitFor(harness, isHeld);
--- a/src/expert-balance/rank-agent.ts
+++ b/src/expert-balance/rank-agent.ts
@@ -40,6 +40,8 @@
  * the reports and orders by which the group is held and armed. They follow before the next plan.
  */
 const countPauses: Partial<Record<RankOrder['type'], number>> = {prepare: 1200, hold: 500, arm: 300};
+/** Counts that have been due for this time are read in spite of orders, milliseconds: maps that are refused again and again need newer counts. */
+const maximumCountDelayMs = 2500;
 /** In larger groups reports after an order are rarer in proportion, since one planner handles those of all ranks. */
 const usualSize = 24;
 
@@ -114,7 +116,7 @@
 
 		this.isBusy = true;
 		this.nextReportAt = now + this.getInterval(now);
-		const areCountsDue = now >= this.nextCountAt && now >= this.getCountPauseEnd();
+		const areCountsDue = now >= Math.max(this.nextCountAt, Math.min(this.getCountPauseEnd(), this.nextCountAt + maximumCountDelayMs));
 		try {
 			await this.enqueue(async () => this.sendReport(areCountsDue));
 		} finally {
