Ask the hold, not the map, whether ranks may be armed

By reading (a reviewer's remark): a refusal of an order to arm that comes late, while the map of the ranks is not known, drops the map that is armed. The planner then took its own hold for one without an order to arm and released it, though such an order may still take effect at some ranks: a pass on two maps.

Ruled out: maps that replace others, which are not dropped by a refusal; holds of other planners, which need a replacement in any case.

Change: whether ranks may be armed is asked of the record of the hold, whatever became of the map; the group is released once a replacement is prepared.

No run has shown the fault itself.

--- a/features/expert-balance.feature
+++ b/features/expert-balance.feature
@@ -266,3 +266,9 @@
       | address       | is  |
       | 10.0.0.1:7340 | yes |
       | 10.0.0.2:7340 | no  |
+
+  # Guards against a release while an order to arm may still take effect: a late refusal by another rank had dropped the map that was armed.
+  Scenario: A group is not released as long as ranks may be armed for a map that was given up
+    Given a planner has ordered ranks to switch at its hold, and has given up the map
+    When no rank reports that it is armed
+    Then the planner replaces the prepared maps before it releases the group
--- a/src/expert-balance/decide-orders.ts
+++ b/src/expert-balance/decide-orders.ts
@@ -22,7 +22,7 @@
 	/** Rank that holds the group while the others are armed. */
 	readonly holder: number;
 	/** The holds that this planner has ordered. */
-	readonly holds: Pick<HoldRecord, 'isOwn' | 'isReliable' | 'getArmedStep'>;
+	readonly holds: Pick<HoldRecord, 'isOwn' | 'isReliable' | 'getArmedStep' | 'hasArmed'>;
 };
 
 type Decision = {
@@ -99,12 +99,11 @@
 
 /* The group is held, and no rank is armed nor may be: it is released as soon as no order to arm can take effect. */
 function endHold({reports, proposal, holds}: SwitchState, held: readonly RankReport[]): Decision {
-	const hasArmed = proposal !== undefined && holds.getArmedStep(proposal.version) !== undefined;
-	if (held.every(({heldStep}) => holds.isOwn(heldStep!)) && !hasArmed) {
+	if (held.every(({heldStep}) => holds.isOwn(heldStep!) && !holds.hasArmed(heldStep!))) {
 		return makeReleases(held, 'finish');
 	}
 
-	if (!proposal || hasArmed) {
+	if (!proposal || holds.getArmedStep(proposal.version) !== undefined) {
 		return {phase: 'finish', orders: [], needsReplacement: true};
 	}
 
--- a/src/expert-balance/hold-record.ts
+++ b/src/expert-balance/hold-record.ts
@@ -26,6 +26,11 @@
 		return [...this.holds].find(([, {armedVersions}]) => armedVersions.has(version))?.[0];
 	}
 
+	/** Whether a rank was ordered to switch to any version at this step. */
+	hasArmed(step: number): boolean {
+		return (this.holds.get(step)?.armedVersions.size ?? 0) > 0;
+	}
+
 	/** Records the order of a hold. */
 	noteHold(step: number): void {
 		this.holds.set(step, {isReleased: false, armedVersions: new Set()});
