--- a/features/steps/cut-answer-steps.ts
+++ b/features/steps/cut-answer-steps.ts
@@ -16,7 +16,9 @@
 type Ended = {readonly id: string; readonly missing: number; readonly status: number};
 
 // eslint-disable-next-line require-unicode-regexp -- Cucumber does not take the flag v
-When(/^the heads of answers "(.*)" are cut everywhere, and the target (ends|resets) its (new|used) connection$/, {timeout: timeoutMs}, async function (this: SystemWorld, form: Cut['form'], ending: Cut['ending'], connection: string) {
+const cutEverywhere = /^the heads of answers "(.*)" are cut everywhere, and the target (ends|resets) its (new|used) connection$/;
+
+When(cutEverywhere, {timeout: timeoutMs}, async function (this: SystemWorld, form: Cut['form'], ending: Cut['ending'], connection: string) {
 	const system = getSystem(this);
 	const target = system.targets.get('target-1')!;
 	const ended: Ended[] = [];
--- a/features/steps/simultaneous-crash-steps.ts
+++ b/features/steps/simultaneous-crash-steps.ts
@@ -78,7 +78,9 @@
 	}
 });
 
-Then('at least {int} in {int} of the requests from {int} s to {int} s after the entries are back are served', async function (this: SystemWorld, least: number, outOf: number, from: number, until: number) {
+const servedOnReturn = 'at least {int} in {int} of the requests from {int} s to {int} s after the entries are back are served';
+
+Then(servedOnReturn, async function (this: SystemWorld, least: number, outOf: number, from: number, until: number) {
 	const fleet = getFleet(this);
 	const backAt = this.notes.get('backAt') as number;
 	await fleet.advance(backAt + (until * 1000) + answerMs);
--- a/features/support/fleet-simulation.ts
+++ b/features/support/fleet-simulation.ts
@@ -153,7 +153,8 @@
 		this.random = () => uniformFloat64(generator);
 		for (let index = 0; index < options.targets; index++) {
 			this.targets.push(new SimulatedTarget({
-				id: `target-${index}`, service: 'desk', address: '10.0.0.1', port: index + 1, availabilityZone: `zone-${index % zones}`, slots, isLeaving: false, bornAt: 1, ...(options.isGroup && {group: 'group'}),
+				id: `target-${index}`, service: 'desk', address: '10.0.0.1', port: index + 1, availabilityZone: `zone-${index % zones}`,
+				slots, isLeaving: false, bornAt: 1, ...(options.isGroup && {group: 'group'}),
 			}));
 		}
 
