Close the oldest silent connections of listeners for probes, metrics and links

Callers saw: with the listener for probes, metrics or links of any process filled by connections that send nothing, no descriptor was left, probes failed and requests found no way to targets (eight rows of callers-out-of-bounds.feature, 300 descriptors, 400 connections).

Cause: no listener but that for callers has any limit, and a TLS handshake may take two minutes.

Ruled out: a limit that refuses new connections. The crowd would hold the places, and the probe would be the one refused.

Change: at most 32 connections to probes and metrics, and 64 handshakes of 5 s on links; a new one closes the oldest. After the handshake a peer has shown the key and counts no more. Requests to probes must arrive within 5 s.

Before: eight rows fail with 294 to 300 descriptors in use, or a failed probe or request.

--- a/src/link/listen-for-links.ts
+++ b/src/link/listen-for-links.ts
@@ -3,6 +3,7 @@
 import {type AddressInfo} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {createServer, type TLSSocket} from 'node:tls';
+import {limitConnections} from '../http/limit-connections.js';
 import {LinkConnection} from './link-connection.js';
 import {type LinkListener} from './link-listener.js';
 import {type LinkMeter} from './link-meter.js';
@@ -20,12 +21,18 @@
 	readonly onRejection: (reason: string) => void;
 };
 
+/** Time in which a peer must complete its TLS handshake, milliseconds; peers themselves wait less. */
+const handshakeTimeoutMs = 5000;
+/** Handshakes that may be under way at once, and take descriptors and memory before the peer has shown that it has the key. */
+const maximumHandshakes = 64;
+
 /** Listens for links. A peer without the key fails the TLS handshake, so that none of its messages is read. */
 export async function listenForLinks(options: ListenOptions): Promise<LinkListener> {
 	const key = Buffer.from(options.key, 'hex');
 	const connections = new Set<LinkConnection>();
 	const server = createServer({
 		...linkSecurity.context,
+		handshakeTimeout: handshakeTimeoutMs,
 		pskCallback: (_socket: TLSSocket, identity: string) => identity === linkSecurity.identity ? key : null,
 	}, socket => {
 		const connection = new LinkConnection(socket, options.maximumFrameBytes, options.meter);
@@ -39,6 +46,7 @@
 		});
 		options.onConnection(connection);
 	});
+	limitConnections(server, maximumHandshakes);
 	server.on('tlsClientError', error => {
 		options.onRejection(error.message);
 	});
--- a/src/metrics/start-admin-server.ts
+++ b/src/metrics/start-admin-server.ts
@@ -3,6 +3,7 @@
 import {type AddressInfo} from 'node:net';
 import polka from 'polka';
 import {type Registry} from 'prom-client';
+import {limitConnections} from '../http/limit-connections.js';
 import {getLogger} from '../log/get-logger.js';
 import {runGuarded} from '../log/run-guarded.js';
 import {type AdminPage} from './admin-page.js';
@@ -19,6 +20,11 @@
 	readonly pages: Readonly<Record<string, AdminPage>>;
 };
 
+/** Open connections at most: those of probes, of metrics and of operators are few. */
+const maximumConnections = 32;
+/** Time in which a request must arrive, milliseconds. */
+const requestTimeoutMs = 5000;
+
 const logger = getLogger('admin');
 const log = (message: string): void => {
 	logger.error(message);
@@ -39,7 +45,8 @@
 
 /** Starts an HTTP server for /metrics, /livez, the readiness probe and the given pages. */
 export async function startAdminServer(options: AdminOptions): Promise<AdminServer> {
-	const server = createServer();
+	const server = createServer({requestTimeout: requestTimeoutMs, headersTimeout: requestTimeoutMs});
+	limitConnections(server, maximumConnections);
 	const app = polka({server});
 	app.get('/livez', (_request, response) => {
 		response.end('ok\n');
