Keep no names of unknown services

Cause: the name of a service comes from the path or body of a request, up to 1 MB, and went into a label of a counter and into the last 1,000 explanations before anybody asked whether there is such a service. Each new name stayed in memory for good. Found by reading; the caller needs a token.

Change: an unknown name goes into the answer only, 100 characters of it; explanations keep 500 characters of a decision, some of which repeat headers. Covered by the scenario on unknown services in path.feature, which asks for the same answer as before.

--- a/src/requests/explanations.ts
+++ b/src/requests/explanations.ts
@@ -11,13 +11,15 @@
 };
 
 const maximumExplanations = 1000;
+/** Characters of a decision that are kept: some repeat what the caller has sent. */
+const maximumDecisionLength = 500;
 
 /** The decisions on the most recent requests, for `/explain`; the oldest is evicted above the maximum. */
 export class Explanations {
 	private readonly byId = new Map<string, Explanation>();
 
 	add(explanation: Explanation): void {
-		this.byId.set(explanation.id, explanation);
+		this.byId.set(explanation.id, {...explanation, decisions: explanation.decisions.map(decision => decision.slice(0, maximumDecisionLength))});
 		if (this.byId.size > maximumExplanations) {
 			const [oldest] = this.byId.keys();
 			this.byId.delete(oldest);
--- a/src/requests/filters/make-service-filter.ts
+++ b/src/requests/filters/make-service-filter.ts
@@ -17,6 +17,8 @@
 const prefixCharacters = 512;
 /** Tokens that an answer is taken to have when the caller sets no `max_tokens`. */
 const defaultAnswerTokens = 256;
+/** Characters of an unknown service's name that are repeated in the answer. */
+const maximumNameLength = 100;
 /** Approximate characters per token of a prompt. */
 const charactersPerToken = 4;
 
@@ -37,8 +39,11 @@
 
 		const kind = options.getKind(exchange.service);
 		if (kind !== exchange.kind) {
+			const detail = `no ${exchange.kind} service is called "${exchange.service.slice(0, maximumNameLength)}"`;
+			// Metrics and explanations keep the names of services: callers must not add to them.
+			exchange.service = '';
 			return err(new Problem({
-				status: 404, title: 'No such service', detail: `no ${exchange.kind} service is called "${exchange.service}"`, outcome: 'not-run',
+				status: 404, title: 'No such service', detail, outcome: 'not-run',
 			}));
 		}
 
