Deliver answers that are larger than what a target sends ahead

Callers saw: an answer of over 256 KB from an engine that writes fast stood still after its first 256 KB until the deadline of the request, 60 s by default, and then broke off. Found when a crowd asked for large answers: the next caller got none either.

Cause: a target process stops reading from its engine while 256 KB are not acknowledged; an entry acknowledges every eighth part. An engine that writes fast gives parts of 64 KB, so that four fill the 256 KB and the eighth never comes.

Ruled out: the crowd itself. Acknowledging each part would double the messages of token streams.

Change: parts have a sixteenth of what may be open at most, so that an acknowledgement always comes at half of it.

--- a/features/path.feature
+++ b/features/path.feature
@@ -18,6 +18,13 @@
     Then the reply has status 200
     And the reply is complete and contains "/tickets?yard=3"
 
+  # Guards against a target process that waits for an acknowledgement which its entry sends only with more parts of the answer.
+  Scenario: An answer that is larger than what is sent ahead arrives whole
+    Given a running system
+    When a caller posts 900000 bytes to "yard-dispatch", which echoes them
+    Then the reply has status 200
+    And the reply has more than 900000 bytes
+
   Scenario Outline: A request that cannot be served is reported as not run
     Given a running system
     When a caller sends <method> "<path>" with token "<token>" and body '<body>'
--- a/features/steps/path-steps.ts
+++ b/features/steps/path-steps.ts
@@ -50,6 +50,10 @@
 	this.replies.set('last', sendRequest({port: getPort(this), path: `/services/${service}${path}`, body}));
 });
 
+When('a caller posts {int} bytes to {string}, which echoes them', function (this: SystemWorld, bytes: number, service: string) {
+	this.replies.set('last', sendRequest({port: getPort(this), path: `/services/${service}/echo`, body: 'x'.repeat(bytes)}));
+});
+
 When('a caller sends {word} {string} with token {string} and body {string}', function (this: SystemWorld, method: string, path: string, token: string, body: string) {
 	this.replies.set('last', sendRequest({
 		port: getPort(this), path, method, body: body === '' ? undefined : body, headers: {authorization: `Bearer ${token}`},
@@ -61,6 +65,12 @@
 	assert.equal(reply.status, status, reply.text);
 });
 
+Then('the reply has more than {int} bytes', async function (this: SystemWorld, bytes: number) {
+	const {isComplete, text} = await this.replies.get('last')!;
+	assert.ok(isComplete);
+	assert.ok(text.length > bytes, String(text.length));
+});
+
 Then('the reply is complete and contains {string}', async function (this: SystemWorld, text: string) {
 	const reply = await this.replies.get('last')!;
 	assert.ok(reply.isComplete);
--- a/src/target/call-engine.ts
+++ b/src/target/call-engine.ts
@@ -28,6 +28,16 @@
 const mayBeEmpty = (method: string, {statusCode, headers}: Dispatcher.ResponseData): boolean => statusCode < 200 || statusCode >= 300
 	|| method === 'HEAD' || statusesWithoutBody.has(statusCode) || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 
+/* Copies the parts, since the chunk is a view of a read buffer many times its size, which a buffered part would keep in memory. */
+const split = (chunk: Uint8Array, maximumBytes: number): Array<Uint8Array<ArrayBuffer>> => {
+	const parts: Array<Uint8Array<ArrayBuffer>> = [];
+	for (let start = 0; start < chunk.length; start += maximumBytes) {
+		parts.push(new Uint8Array(chunk.subarray(start, start + maximumBytes)));
+	}
+
+	return parts;
+};
+
 /**
  * Sends a request to the engine and adds its answer, part by part, to the execution. There is no time-out: the entry cancels.
  *
@@ -61,9 +71,10 @@
 	let hasBody = false;
 	for await (const chunk of answer.body) {
 		hasBody = true;
-		// Copied, since the chunk is a view of a read buffer many times its size, which a buffered part would keep in memory.
-		execution.addPart({type: 'data', chunk: new Uint8Array(chunk as Uint8Array)});
-		await execution.waitForRoom();
+		for (const part of split(chunk as Uint8Array, execution.maximumPartBytes)) {
+			execution.addPart({type: 'data', chunk: part});
+			await execution.waitForRoom();
+		}
 	}
 
 	if (!hasBody && !mayBeEmpty(request.method, answer)) {
--- a/src/target/execution.ts
+++ b/src/target/execution.ts
@@ -17,6 +17,9 @@
 	readonly arrivedAt: number;
 };
 
+/** Parts of the largest size that fit into the buffered bytes. */
+const partsInWindow = 16;
+
 /** One request at its target process: its state, its answer so far, and the calls that read the answer. */
 export class Execution {
 	readonly request: MessageOf<'request'>;
@@ -31,16 +34,23 @@
 	/** When the last reader's link was lost, milliseconds since the epoch; undefined while there is a reader. */
 	unreadSince: number | undefined;
 
+	private readonly replayBytes: number;
 	private readonly buffer: AnswerBuffer;
 	private readonly readers = new Map<string, Reader>();
 	private roomListener: (() => void) | undefined;
 
 	constructor(options: ExecutionOptions) {
 		this.request = options.request;
+		this.replayBytes = options.replayBytes;
 		this.arrivedAt = options.arrivedAt;
 		this.buffer = new AnswerBuffer(options.replayBytes, options.request.once !== undefined);
 	}
 
+	/** Largest part of the answer, bytes: readers acknowledge every eighth part, and the engine waits for them once `replayBytes` are open. */
+	get maximumPartBytes(): number {
+		return Math.floor(this.replayBytes / partsInWindow);
+	}
+
 	/** Whether the answer has ended, complete or broken off. */
 	get isEnded(): boolean {
 		return this.buffer.isEnded;
