--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -15,6 +15,7 @@
 import {Membership} from '../src/membership/membership.js';
 import {type Vm} from '../src/vm-list/vm.js';
 import {RecordTable} from '../src/target/record-table.js';
+import {MemoryBudget} from '../src/memory/memory-budget.js';
 import {Execution} from '../src/target/execution.js';
 import {encodePages} from '../src/table/encode-pages.js';
 import {Row} from '../src/table/row.js';
@@ -144,18 +145,19 @@
 const fillAnswer = (execution: Execution): void => {
 	execution.addPart({
 		type: 'head', status: 200, headers: {'content-type': 'application/json'}, tableVersion: 1,
-	});
-	execution.addPart({type: 'data', chunk: new Uint8Array(512)});
-	execution.addPart({type: 'end'});
+	}, 0);
+	execution.addPart({type: 'data', chunk: new Uint8Array(512)}, 0);
+	execution.addPart({type: 'end'}, 0);
 };
 
 const measureRecords = (): Sample => {
 	const make = (count: number): RecordTable => {
+		const budget = new MemoryBudget(Number.MAX_SAFE_INTEGER);
 		const records = new RecordTable({maximum: 1_000_000, minimumAgeMs: 600_000});
 		for (let index = 0; index < count; index++) {
 			const id = randomUUID();
 			const execution = new Execution({
-				replayBytes: 262_144, arrivedAt: 0,
+				replayBytes: 262_144, budget, arrivedAt: 0,
 				request: {
 					...requestBase, id,
 					once: {
--- a/features/steps/engine-answer-steps.ts
+++ b/features/steps/engine-answer-steps.ts
@@ -4,6 +4,7 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {Then, When} from '@cucumber/cucumber';
 import {openStreamAgent} from '../../src/http/open-stream-agent.js';
+import {MemoryBudget} from '../../src/memory/memory-budget.js';
 import {callEngine} from '../../src/target/call-engine.js';
 import {Execution} from '../../src/target/execution.js';
 import {resetConnection} from '../../stand-ins/forward/reset-connection.js';
@@ -34,6 +35,7 @@
 			type: 'request', id: 'one', attempt: 1, method: 'GET', path: '/', headers: {}, body: new Uint8Array(),
 		} as unknown as ConstructorParameters<typeof Execution>[0]['request'],
 		replayBytes,
+		budget: new MemoryBudget(Number.MAX_SAFE_INTEGER),
 		arrivedAt: 0,
 	});
 	const over = new AbortController();
@@ -43,7 +45,7 @@
 			socket.write(`HTTP/1.1 200 OK\r\n\r\n${'x'.repeat(Number(bytes))}`, async () => {
 				await close(socket, ending);
 				while (!over.signal.aborted) {
-					execution.acknowledge(Number.MAX_SAFE_INTEGER);
+					execution.acknowledge(Number.MAX_SAFE_INTEGER, 0);
 					await nextTurn();
 				}
 			});
@@ -56,7 +58,9 @@
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
 	try {
-		await callEngine(execution, {url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, dispatcher: openStreamAgent(1), tableVersion: () => 0});
+		await callEngine(execution, {
+			url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, dispatcher: openStreamAgent(1), tableVersion: () => 0, clock: () => 0,
+		});
 		this.notes.set('outcome', 'whole');
 	} catch {
 		this.notes.set('outcome', 'cut');
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -348,6 +348,7 @@
 		},
 		mayKeepAlive: () => true,
 		readAhead: undefined,
+		memory: {isShort: false, noteBody: () => undefined, grow: () => true},
 		inputFailure: new AbortController().signal,
 		disconnection: new AbortController(),
 	});
--- a/features/support/crowd/start-crowd-target.ts
+++ b/features/support/crowd/start-crowd-target.ts
@@ -4,15 +4,15 @@
 
 const largeAnswer = 'y'.repeat(8_000_000);
 
-/** Starts the target of a crowd: it answers at once, but below a path that ends with `hold` only when it is released, and with 8 MB below `large`. */
-export async function startCrowdTarget() {
+/** Starts the target of a crowd, with headers that its answers need: it answers at once, but below a path that ends with `hold` only when it is released, and with 8 MB below `large`. */
+export async function startCrowdTarget(answerHeaders: Readonly<Record<string, string>> = {}) {
 	const held = new Set<ServerResponse>();
 	const arrivals = new EventTarget();
 	const server = createServer((request, response) => {
 		request.resume();
 		request.once('end', () => {
 			const id = request.headers['wardswitch-request-id'];
-			response.writeHead(200, {'content-type': 'application/json', 'wardswitch-server-signature': 'crowd', ...(id !== undefined && {'wardswitch-request-id': id})});
+			response.writeHead(200, {'content-type': 'application/json', ...answerHeaders, ...(id !== undefined && {'wardswitch-request-id': id})});
 			if (request.url!.endsWith('hold')) {
 				held.add(response);
 				arrivals.dispatchEvent(new Event('held'));
--- a/features/support/fleet-simulation.ts
+++ b/features/support/fleet-simulation.ts
@@ -349,6 +349,7 @@
 			},
 			mayKeepAlive: () => true,
 			readAhead: undefined,
+			memory: {isShort: false, noteBody: () => undefined, grow: () => true},
 			inputFailure: new AbortController().signal,
 			disconnection: new AbortController(),
 		});
--- a/features/support/link-pair.ts
+++ b/features/support/link-pair.ts
@@ -4,6 +4,7 @@
 import {AdmissionQueue} from '../../src/admission/admission-queue.js';
 import {type MessageOf} from '../../src/link/message-of.js';
 import {type Execution} from '../../src/target/execution.js';
+import {MemoryBudget} from '../../src/memory/memory-budget.js';
 import {RecordTable} from '../../src/target/record-table.js';
 import {RequestController} from '../../src/target/request-controller.js';
 import {MemoryLink} from './memory-link.js';
@@ -56,6 +57,7 @@
 			resumeMs: 5000,
 			onTableVersion: () => undefined,
 			onExpertLoads: () => undefined,
+			holdPending: () => true,
 		});
 	}
 
@@ -96,22 +98,22 @@
 		const execution = this.running.at(-1)!;
 		execution.addPart({
 			type: 'head', status: 200, headers: {}, tableVersion: 0,
-		});
+		}, this.now);
 		for (const word of words) {
-			execution.addPart({type: 'data', chunk: new TextEncoder().encode(word)});
+			execution.addPart({type: 'data', chunk: new TextEncoder().encode(word)}, this.now);
 		}
 
 		if (isLast) {
-			execution.addPart({type: 'end'});
+			execution.addPart({type: 'end'}, this.now);
 		}
 	}
 
 	/** Writes another part of an answer that has begun, and its end if `isLast`. */
 	continueAnswer(word: string, isLast: boolean): void {
 		const execution = this.running.at(-1)!;
-		execution.addPart({type: 'data', chunk: new TextEncoder().encode(word)});
+		execution.addPart({type: 'data', chunk: new TextEncoder().encode(word)}, this.now);
 		if (isLast) {
-			execution.addPart({type: 'end'});
+			execution.addPart({type: 'end'}, this.now);
 		}
 	}
 
@@ -137,6 +139,7 @@
 			queue: new AdmissionQueue({concurrency: this.concurrency, queueLength: 10, agingMs: 2000}),
 			records: new RecordTable({maximum: this.maximumRecords, minimumAgeMs: 600_000}),
 			replayBytes: 10_000,
+			budget: new MemoryBudget(Number.MAX_SAFE_INTEGER),
 			resumeMs: 5000,
 			clock: () => this.now,
 			isLeaving: () => this.isLeaving,
--- a/src/callers/caller-connection.ts
+++ b/src/callers/caller-connection.ts
@@ -1,6 +1,6 @@
-import {type ServerResponse} from 'node:http';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
-import {Problem} from '../requests/problem.js';
+import {type Problem} from '../requests/problem.js';
 import {cutAnswer} from './cut-answer.js';
 
 /** A request on a connection, from its head until its answer has been written. */
@@ -9,6 +9,8 @@
 	readonly serve: () => void;
 	/** Called when the connection closes before the request is served: it has reached no target. */
 	readonly drop: () => void;
+	/** The request, whose body may still arrive. */
+	readonly incoming?: IncomingMessage;
 	/** The response; undefined for a request that Node has not parsed as one. */
 	readonly response?: ServerResponse | undefined;
 	/** Whether no later request may be accepted. */
@@ -30,8 +32,11 @@
 export class CallerConnection {
 	/** Requests without a complete answer, in order; the first is being served. */
 	private readonly open: OpenRequest[] = [];
+	/** The request that arrived last. */
+	private latest: IncomingMessage | undefined;
 	private isEnding = false;
 	private isClosing = false;
+	private isDiscarding = false;
 	private readonly input = new AbortController();
 	/** Bytes that had been read when the last request ended. */
 	private readBytes = 0;
@@ -56,6 +61,28 @@
 		return this.open.length === 0 && this.receivedBytes === 0;
 	}
 
+	/** Whether the body of the latest request is still arriving. */
+	get isReceiving(): boolean {
+		return this.latest?.complete === false;
+	}
+
+	/** Whether the body of the request being served is still arriving. */
+	get isReceivingFirst(): boolean {
+		return this.open[0]?.incoming?.complete === false;
+	}
+
+	/** Bytes written to the caller that the system has not taken yet. */
+	get unsentBytes(): number {
+		// Node counts a write as a whole until the last byte is taken; the queue of the handle shrinks with each part.
+		const {_handle: handle} = this.socket as {_handle?: {readonly writeQueueSize?: number} | null};
+		return this.socket.writableLength === 0 ? 0 : (handle?.writeQueueSize ?? 0) + this.socket.writableLength;
+	}
+
+	/** Whether nothing more is parsed. */
+	get isOver(): boolean {
+		return this.isDiscarding || this.socket.destroyed;
+	}
+
 	/** Whether a request is open. */
 	get hasOpen(): boolean {
 		return this.open.length > 0;
@@ -86,6 +113,7 @@
 		}
 
 		this.isEnding = request.isLast ?? false;
+		this.latest = request.incoming;
 		this.open.push(request);
 		if (this.open.length === 1) {
 			request.serve();
@@ -127,12 +155,40 @@
 		}
 	}
 
-	/** Notes that what follows cannot be read: the open requests are answered, one whose body is still arriving with a problem. */
-	failInput(error: Error): void {
-		this.input.abort(new Problem({
-			status: 400, title: 'Bad request', detail: `the body cannot be read: ${error.message}`, outcome: 'not-run',
-		}));
+	/** Reads nothing more: the open requests are answered, one whose body is still arriving with the problem. */
+	failInput(problem: Problem): void {
+		this.input.abort(problem);
 		this.end();
+		this.discardInput();
+	}
+
+	/** Drops the requests that wait, and reads nothing more; the connection closes after the present answer. */
+	dropWaitingRequests(): void {
+		this.isEnding = true;
+		this.dropWaiting();
+		this.discardInput();
+	}
+
+	/** Parses nothing more once no request can follow. To be called after each piece of input. */
+	discardUnwanted(): void {
+		if (this.isEnding && !this.isReceiving) {
+			this.discardInput();
+		}
+	}
+
+	/**
+	 * Drops what arrives unparsed: Node keeps parsed requests until those before them are answered, and each costs far more than its bytes.
+	 * The connection is read on, so that its end is noticed and its close is no reset.
+	 */
+	discardInput(): void {
+		if (this.isDiscarding) {
+			return;
+		}
+
+		this.isDiscarding = true;
+		this.socket.removeAllListeners('data');
+		this.socket.on('data', () => undefined);
+		this.socket.resume();
 	}
 
 	/** Notes that the connection takes more of the present answer, where Node does not. */
@@ -153,6 +209,7 @@
 		}
 
 		this.isClosing = true;
+		this.discardInput();
 		this.socket.once('finish', () => {
 			this.linger();
 		});
--- a/src/callers/caller-request.ts
+++ b/src/callers/caller-request.ts
@@ -1,5 +1,6 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type ReadAhead} from './read-ahead.js';
+import {type RequestMemory} from './request-memory.js';
 
 /** A request of a caller, as its connection delivers it. */
 export type CallerRequest = {
@@ -11,6 +12,7 @@
 	readonly arrivedAt: number;
 	/** Whether the connection may stay open after the answer; must be asked once, before the head of the answer is written. */
 	readonly mayKeepAlive: () => boolean;
+	readonly memory: RequestMemory;
 	/** Aborted with a problem when nothing more can be read from the caller. */
 	readonly inputFailure: AbortSignal;
 	/** Aborted when the connection closes before the answer is complete; its reason is who has closed it, `caller` or `entry`. */
--- a/src/callers/caller-server.ts
+++ b/src/callers/caller-server.ts
@@ -2,33 +2,43 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
-import {CallerConnection} from './caller-connection.js';
+import {Problem} from '../requests/problem.js';
+import {type CallerConnection} from './caller-connection.js';
+import {CallerConnections} from './caller-connections.js';
 import {type CallerRequest} from './caller-request.js';
 import {countRequestBytes} from './count-request-bytes.js';
 import {cutAnswer} from './cut-answer.js';
+import {estimateRequestBytes} from './estimate-request-bytes.js';
 import {formatInputRefusal} from './format-input-refusal.js';
 import {IdleAwareServer} from './idle-aware-server.js';
 import {ReadAhead} from './read-ahead.js';
 
-type ServerOptions = {
+type ServerOptions = Omit<ConstructorParameters<typeof CallerConnections>[0], 'onEmpty'> & {
 	readonly address: string;
 	/** 0 for any free port. */
 	readonly port: number;
 	/** Limit of Node's parser on headers, bytes. */
 	readonly maximumHeaderBytes?: number;
-	readonly clock: () => number;
 	/** Serves a request; resolves when nothing runs for it any more. */
 	readonly serve: (request: CallerRequest) => Promise<void>;
 	readonly log: (message: string) => void;
 };
 
+type Caller = NonNullable<ReturnType<CallerConnections['get']>>;
+
 /** A request as Node has parsed it; one for a tunnel has no response. */
 type ParsedRequest = {readonly incoming: IncomingMessage; readonly response?: ServerResponse; readonly isLast?: boolean};
 
-/** Interval of the check for connections that exceed the header or idle timeout, milliseconds. */
+/** Interval of the checks for connections that exceed the header or idle timeout, or take nothing of their answers, milliseconds. */
 const connectionCheckMs = 500;
+/** A caller that takes nothing of an answer for this time, or for the idle timeout if that is longer, loses its connection, milliseconds. */
+const minimumStallLimitMs = 10_000;
 /** Time after the start of a drain in which requests that callers have written ahead are still accepted, milliseconds. */
 const lastRequestsMs = 1000;
+/** Time after the start of a drain in which bodies may still arrive, milliseconds; the requests are refused then. */
+const lastBodiesMs = 4000;
+/** When to retry a request that is refused since the process stops, milliseconds: at another entry. */
+const stopRetryAfterMs = 250;
 /** Answer to CONNECT: the server opens no tunnels. */
 const tunnelRefusal = 'HTTP/1.1 405 Method Not Allowed\r\nallow: GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
 
@@ -52,9 +62,12 @@
 /** The HTTP server for callers: whatever ends a connection, each request accepted on it is answered or has not been served. */
 export class CallerServer {
 	private readonly server: IdleAwareServer;
-	private readonly connections = new Map<Socket, CallerConnection>();
+	private readonly connections: CallerConnections;
 	private openCount = 0;
 	private isStopping = false;
+	private checkTimer: NodeJS.Timeout | undefined;
+	/** Time from which no more bodies are awaited, milliseconds. */
+	private bodiesUntil = Number.POSITIVE_INFINITY;
 	private onDrained: (() => void) | undefined;
 
 	constructor(private readonly options: ServerOptions) {
@@ -67,14 +80,16 @@
 		}, () => {
 			this.endIdleConnections();
 		});
+		this.connections = new CallerConnections({
+			...options,
+			onEmpty: () => {
+				this.onDrained?.();
+			},
+		});
+		// The byte limit on heads bounds their fields; Node would drop fields beyond its limit on their number.
+		this.server.maxHeadersCount = 0;
 		this.server.on('connection', socket => {
-			this.connections.set(socket, new CallerConnection(socket));
-			socket.once('close', () => {
-				this.connections.delete(socket);
-				if (this.connections.size === 0) {
-					this.onDrained?.();
-				}
-			});
+			this.connections.add(socket);
 		});
 		this.server.on('request', (incoming, response) => {
 			this.accept(incoming, response);
@@ -100,6 +115,11 @@
 		return this.openCount;
 	}
 
+	/** Number of open connections. */
+	get connectionCount(): number {
+		return this.connections.size;
+	}
+
 	/** Sets the timeouts for receiving headers and for idle connections, milliseconds. */
 	setTimeouts(headerTimeoutMs: number, idleTimeoutMs: number): void {
 		this.server.headersTimeout = headerTimeoutMs;
@@ -110,6 +130,9 @@
 	async listen(): Promise<void> {
 		this.server.listen(this.options.port, this.options.address);
 		await once(this.server, 'listening');
+		this.checkTimer = setInterval(() => {
+			this.check();
+		}, connectionCheckMs).unref();
 	}
 
 	/** From now on, connections are closed after the next answer. */
@@ -120,6 +143,7 @@
 	/** Accepts no more connections, soon no more requests, and resolves when all open requests have been answered and all connections closed. */
 	async drain(): Promise<void> {
 		this.isStopping = true;
+		this.bodiesUntil = this.options.clock() + lastBodiesMs;
 		this.server.close();
 		setTimeout(() => {
 			this.endConnections();
@@ -137,20 +161,36 @@
 
 	/** Closes all connections at once. */
 	close(): void {
+		clearInterval(this.checkTimer);
 		this.server.close();
-		for (const connection of this.connections.values()) {
+		for (const {connection} of this.connections.list()) {
 			connection.destroy();
 		}
 	}
 
+	private check(): void {
+		this.connections.check(Math.max(minimumStallLimitMs, this.server.keepAliveTimeout));
+		if (this.options.clock() < this.bodiesUntil) {
+			return;
+		}
+
+		for (const {connection} of this.connections.list()) {
+			if (connection.isReceivingFirst) {
+				connection.failInput(new Problem({
+					status: 503, title: 'Stopping', detail: 'the body had not arrived when this entry stopped', outcome: 'not-run', retryAfterMs: stopRetryAfterMs,
+				}));
+			}
+		}
+	}
+
 	private endConnections(): void {
-		for (const connection of this.connections.values()) {
+		for (const {connection} of this.connections.list()) {
 			connection.end();
 		}
 	}
 
 	private endIdleConnections(): void {
-		for (const connection of this.connections.values()) {
+		for (const {connection} of this.connections.list()) {
 			if (connection.isIdle) {
 				connection.end();
 			}
@@ -161,52 +201,91 @@
 	private async endIfSilent(socket: Socket): Promise<void> {
 		const {bytesRead} = socket;
 		await setImmediate();
-		const connection = this.connections.get(socket);
-		if (connection?.hasOpen === false && socket.bytesRead === bytesRead) {
+		const connection = this.connections.get(socket)?.connection;
+		// What has been read may wait for its turn to be parsed.
+		if (connection?.hasOpen === false && socket.bytesRead === bytesRead && socket.readableLength === 0) {
 			connection.end();
 		}
 	}
 
 	private accept(incoming: IncomingMessage, response: ServerResponse): void {
-		const connection = this.connections.get(incoming.socket)!;
+		const caller = this.connections.get(incoming.socket);
+		if (!caller) {
+			// Its connection was closed as too many were open.
+			return;
+		}
+
+		const {connection, memory} = caller;
+		caller.hasProgress = true;
+		caller.hasBegunChunks = incoming.headers['transfer-encoding'] !== undefined;
+		const ownBytes = estimateRequestBytes(incoming);
+		let waitingBytes = 0;
+		const wait = (bytes: number): void => {
+			caller.hasProgress = true;
+			if (bytes === 0 || memory.grow('waiting', bytes)) {
+				waitingBytes += bytes;
+			} else {
+				connection.dropWaitingRequests();
+			}
+		};
+
+		const readAhead = connection.hasOpen ? new ReadAhead(incoming, wait) : undefined;
+		let isShort = false;
 		const request: CallerRequest = {
 			incoming,
 			// The end of a connection is noticed only while it is read.
-			readAhead: connection.hasOpen ? new ReadAhead(incoming) : undefined,
+			readAhead,
 			response,
 			arrivedAt: this.options.clock(),
 			mayKeepAlive: () => this.mayKeepAlive(connection),
+			memory: {
+				get isShort() {
+					return isShort;
+				},
+				noteBody() {
+					caller.hasProgress = true;
+				},
+				grow: (part, bytes) => memory.grow(part, bytes),
+			},
 			inputFailure: connection.inputFailure,
 			disconnection: new AbortController(),
 		};
 		const serve = (): void => {
-			void this.serve(request, connection);
+			isShort = !memory.noteServed(ownBytes, waitingBytes);
+			void this.serve(request, caller);
 		};
 
 		this.openCount++;
+		if (readAhead) {
+			wait(ownBytes);
+		}
+
 		this.add(connection, {incoming, response, isLast: mayLoseBytes(incoming, connection)}, serve, () => {
 			// The connection is read on: a close with unread bytes would reset it.
-			request.readAhead?.take();
+			readAhead?.take();
 			incoming.resume();
+			incoming.rawHeaders = [];
+			incoming.headers = {};
+			memory.noteDropped(waitingBytes);
 			this.noteRequestEnd();
 		});
 	}
 
-	private add(connection: CallerConnection, {incoming: {method, url}, response, isLast}: ParsedRequest, serve: () => void, onDrop: () => void): void {
+	private add(connection: CallerConnection, {incoming, response, isLast}: ParsedRequest, serve: () => void, onDrop: () => void): void {
 		const drop = (): void => {
-			this.options.log(`${method} ${url} was not served: its connection closes or has closed`);
+			this.options.log(`${incoming.method} ${incoming.url} was not served: its connection closes or has closed`);
 			onDrop();
 		};
 
 		if (!connection.add({
-			serve, drop, response, isLast,
+			serve, drop, incoming, response, isLast,
 		})) {
 			drop();
 		}
 	}
 
-	private async serve(request: CallerRequest, connection: CallerConnection): Promise<void> {
-		const answered = this.watchAnswer(request, connection);
+	private async serve(request: CallerRequest, caller: Caller): Promise<void> {
+		const answered = this.watchAnswer(request, caller);
 		try {
 			await (lacksHost(request.incoming) ? refuse(request) : this.options.serve(request));
 		} catch (error) {
@@ -215,11 +294,15 @@
 		}
 
 		await answered;
+		if (caller.socket.destroyed) {
+			caller.memory.noteEnd();
+		}
+
 		this.noteRequestEnd();
 	}
 
 	/* Resolves when the answer has been written, or its connection has closed. */
-	private async watchAnswer({incoming: {socket}, response, disconnection}: CallerRequest, connection: CallerConnection): Promise<void> {
+	private async watchAnswer({incoming: {socket}, response, disconnection}: CallerRequest, {connection, memory}: Caller): Promise<void> {
 		let isWhole = false;
 		// Before Node's own listener. A connection that is destroyed with unwritten bytes also reports the answer as finished.
 		response.prependListener('finish', () => {
@@ -234,6 +317,10 @@
 			disconnection.abort(socket.readableEnded || isReset ? 'caller' : 'entry');
 		}
 
+		if (!socket.destroyed) {
+			memory.noteEnd();
+		}
+
 		connection.finish();
 		// The head may have been sent with `connection: keep-alive` before the stop began.
 		if (this.isStopping && !connection.hasOpen) {
@@ -251,7 +338,7 @@
 
 	/* Nothing more can be read from the caller. Its open requests are not affected, but for one whose body is still arriving. */
 	private handleInputError(error: NodeJS.ErrnoException, socket: Socket): void {
-		const connection = this.connections.get(socket);
+		const connection = this.connections.get(socket)?.connection;
 		if (!connection?.hasOpen) {
 			if (socket.writable) {
 				socket.write(formatInputRefusal(error));
@@ -260,7 +347,9 @@
 			socket.destroySoon();
 		} else if (socket.writable && !socket.readableEnded) {
 			this.options.log(`connection with an open request cannot be read any more: ${error.message}`);
-			connection.failInput(error);
+			connection.failInput(new Problem({
+				status: 400, title: 'Bad request', detail: `the body cannot be read: ${error.message}`, outcome: 'not-run',
+			}));
 		} else {
 			socket.destroy();
 		}
@@ -268,7 +357,11 @@
 
 	/* Node hands over the connection of a CONNECT request, whose target is not a path. */
 	private refuseTunnel(incoming: IncomingMessage, socket: Socket): void {
-		const connection = this.connections.get(socket)!;
+		const connection = this.connections.get(socket)?.connection;
+		if (!connection) {
+			return;
+		}
+
 		// Node has removed its own listeners.
 		socket.on('error', error => {
 			this.options.log(`connection of a caller failed: ${error.message}`);
@@ -276,7 +369,7 @@
 		socket.on('drain', () => {
 			connection.resumeAnswer();
 		});
-		socket.resume();
+		connection.discardInput();
 		this.add(connection, {incoming}, () => {
 			socket.write(tunnelRefusal);
 			connection.end();
--- a/src/calls/call.ts
+++ b/src/calls/call.ts
@@ -4,6 +4,8 @@
 /** Consumed parts after which the next acknowledgement is sent to the target. */
 const acknowledgeIntervalParts = 8;
 
+const mayHoldAll = (): boolean => true;
+
 /**
  * One attempt of a request at one target, on the entry's side.
  *
@@ -17,6 +19,7 @@
 	private consumed = 0;
 	private acknowledged = 0;
 	private isSettled = false;
+	private mayHold: (bytes: number) => boolean = mayHoldAll;
 
 	/**
 	 * @param id - id of the request
@@ -35,6 +38,11 @@
 		return this.isSettled;
 	}
 
+	/** Sets the function that is asked before bytes of the answer are kept; the call ends as lost when it returns false. */
+	countBytes(mayHold: (bytes: number) => boolean): void {
+		this.mayHold = mayHold;
+	}
+
 	/** Handles a message from the target for this call. */
 	receive(message: LinkMessage): void {
 		switch (message.type) {
@@ -87,6 +95,12 @@
 			return;
 		}
 
+		if (message.type === 'data' && !this.mayHold(message.chunk.length)) {
+			this.send({type: 'cancel', id: this.id, attempt: this.attempt});
+			this.settle({type: 'lost', reason: 'no memory is left to buffer the answer'});
+			return;
+		}
+
 		this.nextSequence++;
 		this.isSettled = message.type === 'end' || message.type === 'broken';
 		this.emit(message);
@@ -98,7 +112,8 @@
 			this.waiter = undefined;
 			waiter(event);
 		} else {
-			this.events.push(event);
+			// Copied, since the chunk is a view of the whole piece that was read from the link.
+			this.events.push(event.type === 'data' ? {...event, chunk: new Uint8Array(event.chunk)} : event);
 		}
 	}
 
--- a/src/calls/target-link.ts
+++ b/src/calls/target-link.ts
@@ -13,6 +13,8 @@
 	readonly random: () => number;
 	/** How long calls wait for a lost link to reconnect, milliseconds. */
 	readonly resumeMs: number;
+	/** Counts what is written to the target and not taken by it yet; false when there is no room, bytes. */
+	readonly holdPending: (bytes: number) => boolean;
 	/** Called with expert loads that the target reports. */
 	readonly onExpertLoads: (message: MessageOf<'map-loads'>) => void;
 	/** Called with the table version in a message of the target. */
@@ -82,7 +84,7 @@
 		this.lastUsedAt = this.options.clock();
 		this.calls.set(name, call);
 		this.sentSinceReport++;
-		if (!this.isReady || !this.link.current!.send(message)) {
+		if (!this.isReady || !this.hasRoom(message) || !this.link.current!.send(message)) {
 			this.calls.delete(name);
 			call.settle({type: 'unsent'});
 		}
@@ -105,8 +107,9 @@
 		return this.link.current?.send(message) ?? false;
 	}
 
-	/** Fails all calls when the link has been lost for longer than `resumeMs`. */
+	/** Counts what the target has taken meanwhile, and fails all calls when the link has been lost for longer than `resumeMs`. */
 	tick(now: number): void {
+		this.options.holdPending(this.link.current?.pendingBytes ?? 0);
 		if (this.disconnectedAt !== undefined && now - this.disconnectedAt > this.options.resumeMs) {
 			this.failCalls('the link to the target did not come back in time');
 		}
@@ -119,10 +122,16 @@
 
 	/** Closes the link for good and fails its calls. */
 	close(): void {
+		this.options.holdPending(0);
 		this.link.close();
 		this.failCalls('the link was closed');
 	}
 
+	/* A target that does not read must not make this process keep what it is sent. */
+	private hasRoom(message: MessageOf<'request'> | MessageOf<'attach'>): boolean {
+		return message.type === 'attach' || this.options.holdPending(this.link.current!.pendingBytes + message.body.length);
+	}
+
 	private open(connection: LinkConnection): void {
 		connection.onMessage(message => {
 			this.receive(message);
--- a/src/config/forward-entry-settings.ts
+++ b/src/config/forward-entry-settings.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {ProcessLimits} from './process-limits.js';
 import {SocketAddress} from './socket-address.js';
 
 const port = z.int().min(1).max(65_535);
@@ -30,6 +31,7 @@
 	requests: z.strictObject({
 		defaultDeadlineMs: z.int().min(1).default(60_000).meta({description: 'Deadline of a request that sets none, milliseconds; the route may set a shorter one'}),
 	}).prefault({}),
+	limits: ProcessLimits.prefault({}),
 	stop: z.strictObject({
 		graceMs: z.number().min(1000).default(8000).meta({description: 'Time between the stop signal and the forced end of the process, milliseconds'}),
 		noticeMs: z.int().min(0).default(2500).meta({description: 'Time during which connections are still accepted after readiness is withdrawn, so that the balancer notices, milliseconds'}),
--- a/src/config/target-settings.ts
+++ b/src/config/target-settings.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {NodeSettings} from './node-settings.js';
+import {ProcessLimits} from './process-limits.js';
 
 /** Settings of `wardswitch-target`. */
 const TargetSettings = NodeSettings.extend({
@@ -20,6 +21,7 @@
 		replayBytes: z.int().min(1024).default(256 * 1024).meta({description: 'Maximum unacknowledged answer bytes kept for one request'}),
 		resumeMs: z.int().min(0).default(5000).meta({description: 'Time for which a request without a link to its entry continues, milliseconds'}),
 	}).prefault({}),
+	limits: ProcessLimits.pick({heldBytes: true}).prefault({}),
 	stopMs: z.int().min(0).default(600_000).meta({description: 'Maximum wait for running requests at a planned stop, milliseconds'}),
 });
 type TargetSettings = z.infer<typeof TargetSettings>;
--- a/src/entry/request-server.ts
+++ b/src/entry/request-server.ts
@@ -15,13 +15,10 @@
 import {startSpan} from '../tracing/start-span.js';
 import {writeTraceParent} from '../tracing/write-trace-parent.js';
 
-type ServerOptions = {
-	readonly address: string;
-	readonly port: number;
+type ServerOptions = Pick<ConstructorParameters<typeof CallerServer>[0], 'address' | 'port' | 'budget' | 'getMaximumConnections' | 'onRelease' | 'clock' | 'log'> & {
 	readonly maximumBodyBytes: number;
 	/** Time from a request's head within which its body must arrive, milliseconds. */
 	readonly bodyTimeoutMs: number;
-	readonly clock: () => number;
 	readonly tracer: Tracer;
 	readonly metrics: ProcessMetrics;
 	readonly explanations: Explanations;
@@ -30,7 +27,6 @@
 	readonly filters: readonly Filter[];
 	/** Filters for `POST /tickets`. */
 	readonly ticketFilters: readonly Filter[];
-	readonly log: (message: string) => void;
 };
 
 /** Makes an exchange of each request of a caller and runs it through the filters. */
@@ -46,6 +42,11 @@
 		return this.server.port;
 	}
 
+	/** Number of open connections. */
+	get connectionCount(): number {
+		return this.server.connectionCount;
+	}
+
 	/** Number of requests that are still being handled. */
 	get openRequests(): number {
 		return this.server.openRequests;
@@ -67,16 +68,17 @@
 	}
 
 	private async serve(request: CallerRequest): Promise<void> {
-		const {clock, tracer, maximumBodyBytes, bodyTimeoutMs} = this.options;
-		const {incoming, response, arrivedAt, disconnection, mayKeepAlive} = request;
+		const {clock, tracer, budget, bodyTimeoutMs} = this.options;
+		const {incoming, response, arrivedAt, disconnection, mayKeepAlive, memory} = request;
+		const maximumBytes = Math.min(this.options.maximumBodyBytes, budget.maximumAccountBytes);
 		const id = randomUUID();
 		const span = startSpan(tracer, 'entry', incoming.headers);
 		const exchange = new Exchange({
-			id, method: incoming.method ?? 'GET', url: incoming.url ?? '/', headers: incoming.headers, response, arrivedAt, span, tracer, mayKeepAlive, callerAbort: disconnection,
+			id, method: incoming.method ?? 'GET', url: incoming.url ?? '/', headers: incoming.headers, response, arrivedAt, span, tracer, mayKeepAlive, memory, callerAbort: disconnection,
 		});
 		writeTraceParent(span, exchange.headers);
 		response.setHeader('wardswitch-request-id', id);
-		const readBody = makeBodyFilter(request, {maximumBytes: maximumBodyBytes, deadline: arrivedAt + bodyTimeoutMs, clock});
+		const readBody = makeBodyFilter(request, {maximumBytes, deadline: arrivedAt + bodyTimeoutMs, clock});
 		try {
 			this.finishExchange(exchange, await runFilters([readBody, ...this.listFilters(request)], exchange));
 		} catch (error) {
--- a/src/entry/start-entry.ts
+++ b/src/entry/start-entry.ts
@@ -2,6 +2,8 @@
 import {TargetLink} from '../calls/target-link.js';
 import {TargetPool} from '../calls/target-pool.js';
 import {type EntrySettings} from '../config/entry-settings.js';
+import {DescriptorShares} from '../descriptors/descriptor-shares.js';
+import {readDescriptorLimit} from '../descriptors/read-descriptor-limit.js';
 import {Lender} from '../limits/lender.js';
 import {LimitController} from '../limits/limit-controller.js';
 import {connectLink} from '../link/connect-link.js';
@@ -12,6 +14,9 @@
 import {type MessageOf} from '../link/message-of.js';
 import {getLogger} from '../log/get-logger.js';
 import {makeIncarnation} from '../membership/make-incarnation.js';
+import {getDefaultMemory} from '../memory/get-default-memory.js';
+import {type MemoryAccount} from '../memory/memory-account.js';
+import {MemoryBudget} from '../memory/memory-budget.js';
 import {Membership} from '../membership/membership.js';
 import {PeerPool} from '../membership/peer-pool.js';
 import {ProcessMetrics} from '../metrics/process-metrics.js';
@@ -49,6 +54,8 @@
 	const {id, availabilityZone, platform} = settings;
 	const incarnation = makeIncarnation(clock());
 	const metrics = new ProcessMetrics();
+	const budget = new MemoryBudget(settings.limits.heldBytes ?? getDefaultMemory());
+	const descriptors = new DescriptorShares({maximum: settings.limits.descriptors, readLimit: readDescriptorLimit});
 	const keyValue = createEtcdKeyValue({
 		url: platform.keyValue,
 		timeoutMs: platform.timeoutMs,
@@ -79,24 +86,30 @@
 		timeoutMs: platform.timeoutMs,
 		meter: metrics.meterLink,
 	});
+	/* What is sent over links cannot be taken back. */
+	const openPinnedAccount = (): MemoryAccount => budget.open({getReleasable: now => ({bytes: 0, since: now}), release: () => undefined});
 	const targets = new TargetPool({
 		id,
 		availabilityZone,
 		subsetSize: settings.routing.subsetSize,
-		openLink: vm => new TargetLink({
-			vm,
-			connect: async () => connect(vm),
-			hello,
-			clock,
-			random,
-			resumeMs: settings.requests.resumeMs,
-			onExpertLoads(message) {
-				controller.noteExpertLoads(message);
-			},
-			onTableVersion(version) {
-				controller.noteTableVersion(version);
-			},
-		}),
+		openLink(vm) {
+			const pending = openPinnedAccount();
+			return new TargetLink({
+				vm,
+				holdPending: bytes => pending.resize('body', bytes, clock()),
+				connect: async () => connect(vm),
+				hello,
+				clock,
+				random,
+				resumeMs: settings.requests.resumeMs,
+				onExpertLoads(message) {
+					controller.noteExpertLoads(message);
+				},
+				onTableVersion(version) {
+					controller.noteTableVersion(version);
+				},
+			});
+		},
 	});
 	const peers = new PeerPool({
 		connect, hello, clock, random,
@@ -159,6 +172,11 @@
 		maximumBodyBytes: settings.requests.maximumBodyBytes,
 		bodyTimeoutMs: settings.requests.defaultTimeoutMs,
 		clock,
+		budget,
+		getMaximumConnections: now => descriptors.getForCallers(now),
+		onRelease(kind) {
+			metrics.callers.noteRelease(kind);
+		},
 		tracer: createTracer(settings.tracing.otlpUrl),
 		metrics,
 		explanations,
@@ -180,6 +198,8 @@
 		},
 	});
 
+	metrics.callers.observe(() => budget.heldBytes, () => server.connectionCount);
+
 	const accept = (connection: LinkConnection): void => {
 		let peer: MessageOf<'hello'> | undefined;
 		connection.onMessage(message => {
@@ -254,7 +274,7 @@
 		async stop() {
 			controller.startLeaving();
 			await delay(settings.stopDelayMs);
-			await server.drain();
+			await Promise.race([server.drain(), delay(settings.stopMs, undefined, {ref: false})]);
 			server.close();
 			await close();
 		},
--- a/src/forward/connection-pool.ts
+++ b/src/forward/connection-pool.ts
@@ -8,20 +8,28 @@
 	readonly aliveAt: number;
 };
 
+/** Up to this many connections are opened without a look at the limit. */
+const uncheckedConnections = 32;
+
 /** Idle connections to targets, kept for reuse. */
 export class ConnectionPool {
 	/** By target id, the most recently used connection last. */
 	private readonly idle = new Map<string, IdleConnection[]>();
+	/** Connections that are open, idle or not. */
+	private openCount = 0;
 
-	/** @param clock - returns the present time, milliseconds */
-	constructor(private readonly clock: () => number) {}
+	/**
+	 * @param clock - returns the present time, milliseconds
+	 * @param getMaximum - returns the limit on open connections at this time, milliseconds
+	 */
+	constructor(private readonly clock: () => number, private readonly getMaximum: (now: number) => number) {}
 
 	/**
-	 * Returns an idle connection to a target, or a new one.
+	 * Returns an idle connection to a target, or a new one; undefined if too many are open and in use.
 	 *
 	 * @param maximumIdleMs - longest time that it may have been idle, milliseconds; the target may have closed it unnoticed
 	 */
-	take(target: Target, maximumIdleMs: number): TakenConnection {
+	take(target: Target, maximumIdleMs: number): TakenConnection | undefined {
 		const connections = this.idle.get(target.id) ?? [];
 		const now = this.clock();
 		while (connections.length > 0 && connections.at(-1)!.since >= now - maximumIdleMs) {
@@ -33,7 +41,7 @@
 			connection.destroy();
 		}
 
-		return {connection: new TargetConnection(target), aliveAt: now};
+		return this.hasRoom(now) ? {connection: this.open(target), aliveAt: now} : undefined;
 	}
 
 	/** Returns a connection to the pool after a complete answer. */
@@ -74,4 +82,20 @@
 			this.drop(target);
 		}
 	}
+
+	/* The idle connections to other targets give way to a new one. */
+	private hasRoom(now: number): boolean {
+		if (this.openCount < uncheckedConnections || this.openCount < this.getMaximum(now)) {
+			return true;
+		}
+
+		this.retire(now);
+		return this.openCount < this.getMaximum(now);
+	}
+
+	private open(target: Target): TargetConnection {
+		return new TargetConnection(target, change => {
+			this.openCount += change;
+		});
+	}
 }
--- a/src/forward/event-splitter.ts
+++ b/src/forward/event-splitter.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import {ChunkList} from './chunk-list.js';
+import {ChunkList} from '../memory/chunk-list.js';
 
 type StreamEvent = {
 	readonly bytes: Buffer;
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -224,7 +224,7 @@
 		} else if (cause === 'gone') {
 			directory.markGone(target);
 			serviceBreaker.allowNextProbe(getFailureDomain(target), now);
-		} else if (!wasSent && !isOver && cause !== 'invalid') {
+		} else if (!wasSent && !isOver && cause === undefined) {
 			health.noteUnreachable(target.id, now);
 		}
 	}
--- a/src/forward/forward-exchange.ts
+++ b/src/forward/forward-exchange.ts
@@ -4,7 +4,7 @@
 import {fingerprintRequest} from './fingerprint-request.js';
 import {type RequestMetadata} from './request-metadata.js';
 
-type Origin = Pick<ForwardExchange, 'incoming' | 'response' | 'arrivedAt' | 'metadata' | 'mayKeepAlive' | 'readAhead' | 'inputFailure' | 'disconnection'>;
+type Origin = Pick<ForwardExchange, 'incoming' | 'response' | 'arrivedAt' | 'metadata' | 'mayKeepAlive' | 'readAhead' | 'memory' | 'inputFailure' | 'disconnection'>;
 
 /** A caller's request and its response, with the state that filters and the dispatcher add. */
 export class ForwardExchange {
@@ -28,6 +28,8 @@
 	/** Whether the caller's connection may stay open after the answer. */
 	readonly mayKeepAlive: () => boolean;
 	readonly readAhead: CallerRequest['readAhead'];
+	/** What the process holds for the request. */
+	readonly memory: CallerRequest['memory'];
 	/** Aborted with a problem when nothing more can be read from the caller. */
 	readonly inputFailure: AbortSignal;
 	/** Aborted when the connection to the caller closes before the answer is complete. */
@@ -41,6 +43,7 @@
 		this.metadata = origin.metadata;
 		this.mayKeepAlive = origin.mayKeepAlive;
 		this.readAhead = origin.readAhead;
+		this.memory = origin.memory;
 		this.inputFailure = origin.inputFailure;
 		this.disconnection = origin.disconnection;
 	}
--- a/src/forward/make-http-transport.ts
+++ b/src/forward/make-http-transport.ts
@@ -1,4 +1,3 @@
-import {AnswerBudget} from './answer-budget.js';
 import {checkListener} from './check-listener.js';
 import {ConnectionPool} from './connection-pool.js';
 import {type HeaderDialect} from './header-dialect.js';
@@ -10,13 +9,15 @@
 	readonly dialect: HeaderDialect;
 	/** The present time, milliseconds. */
 	readonly clock: () => number;
+	/** Returns the limit on open connections to targets at this time, milliseconds. */
+	readonly getMaximumConnections: (now: number) => number;
 };
 
 /** Creates a transport that sends requests over HTTP, on pooled connections. */
-export function makeHttpTransport({dialect, clock}: TransportOptions, listener: TransportListener): TargetTransport {
-	const pool = new ConnectionPool(clock);
+export function makeHttpTransport({dialect, clock, getMaximumConnections}: TransportOptions, listener: TransportListener): TargetTransport {
+	const pool = new ConnectionPool(clock, getMaximumConnections);
 	const sender = new TargetSender({
-		...listener, pool, budget: new AnswerBudget(), dialect, clock,
+		...listener, pool, dialect, clock,
 	});
 	return {
 		send: async options => sender.send(options),
--- a/src/forward/send-outcome.ts
+++ b/src/forward/send-outcome.ts
@@ -9,8 +9,8 @@
 	readonly kind: 'not-run';
 	readonly reason: string;
 	readonly wasSent: boolean;
-	/** Why: the target is full, its group has stopped, it is gone, or the request cannot be sent to any target. */
-	readonly cause?: 'busy' | 'group-down' | 'gone' | 'invalid';
+	/** Why: the target is full, its group has stopped, it is gone, the request cannot be sent to any target, or no connection may be opened now. */
+	readonly cause?: 'busy' | 'group-down' | 'gone' | 'invalid' | 'no-connection';
 };
 /** It is unknown whether the request ran, or its stream was interrupted. */
 type Lost = {
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -1,12 +1,16 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {CallerServer} from '../callers/caller-server.js';
 import {type ForwardEntrySettings} from '../config/forward-entry-settings.js';
+import {DescriptorShares} from '../descriptors/descriptor-shares.js';
+import {readDescriptorLimit} from '../descriptors/read-descriptor-limit.js';
 import {connectLink} from '../link/connect-link.js';
 import {type LinkConnection} from '../link/link-connection.js';
 import {listenForLinks} from '../link/listen-for-links.js';
 import {type MessageOf} from '../link/message-of.js';
 import {getLogger} from '../log/get-logger.js';
 import {runGuarded} from '../log/run-guarded.js';
+import {getDefaultMemory} from '../memory/get-default-memory.js';
+import {MemoryBudget} from '../memory/memory-budget.js';
 import {makeIncarnation} from '../membership/make-incarnation.js';
 import {ForwardMetrics} from '../metrics/forward-metrics.js';
 import {registerViewGauges} from '../metrics/register-view-gauges.js';
@@ -61,6 +65,8 @@
 	const {id, availabilityZone, callers: {host: address, port: httpPort}} = settings;
 	const linkAddress = `${address}:${settings.linkPort}`;
 	const metrics = new ForwardMetrics();
+	const budget = new MemoryBudget(settings.limits.heldBytes ?? getDefaultMemory());
+	const descriptors = new DescriptorShares({maximum: settings.limits.descriptors, readLimit: readDescriptorLimit});
 	const pipeline = makeForwardPipeline({
 		...settings,
 		clock,
@@ -68,7 +74,7 @@
 		address: linkAddress,
 		listPeers: now => mesh.listLivePeers(now),
 		sendToPeer: (peer, message) => mesh.send(peer, message),
-		openTransport: listener => makeHttpTransport({dialect, clock}, listener),
+		openTransport: listener => makeHttpTransport({dialect, clock, getMaximumConnections: now => descriptors.getForTargets(now)}, listener),
 		countRegistered: () => entryState.countRegistered(),
 		isNewFleet: () => entryState.isNewFleet(),
 		getService: name => fleet.table?.findService(name),
@@ -179,7 +185,7 @@
 		filters: [
 			makeRouteFilter({getTable, defaultDeadlineMs: settings.requests.defaultDeadlineMs}),
 			makeKeyFilter(getTable),
-			makeReadFilter({getTable, clock}),
+			makeReadFilter({getTable, maximumHeldBytes: budget.maximumAccountBytes, clock}),
 			makeForwardFilter(dispatcher),
 		],
 		onEnd(exchange, problem) {
@@ -204,12 +210,19 @@
 		port: httpPort,
 		maximumHeaderBytes: parserHeaderBytes,
 		clock,
+		budget,
+		getMaximumConnections: now => descriptors.getForCallers(now),
+		onRelease(kind) {
+			metrics.callers.noteRelease(kind);
+		},
 		serve: async request => runner.serve(request),
 		log(message) {
 			requestLog.warn(message);
 		},
 	});
 
+	metrics.callers.observe(() => budget.heldBytes, () => server.connectionCount);
+
 	const passOrder = async ({number, engineAddress, order}: MessageOf<'engine-order'>, connection: LinkConnection): Promise<void> => {
 		const outcome = openEngine ? await openEngine(engineAddress).order(order) : 'refused';
 		entryLog.info(`order ${order.type} passed to engine ${engineAddress} for a planner: ${outcome}`);
--- a/src/forward/target-connection.ts
+++ b/src/forward/target-connection.ts
@@ -63,7 +63,11 @@
 	private bytesInTurn = 0;
 	private isTurnOver = false;
 
-	constructor(target: Target) {
+	/**
+	 * @param target - the target to connect to
+	 * @param onSocketCount - called with 1 when the socket is opened, and with -1 when it has closed
+	 */
+	constructor(target: Target, private readonly onSocketCount: (change: 1 | -1) => void = () => undefined) {
 		this.client = new Client(`http://${target.address}:${target.port}`, {
 			pipelining: 1,
 			headersTimeout: 0,
@@ -204,6 +208,10 @@
 
 	private open(target: Target, callback: (...result: [Error, null] | [null, Socket]) => void): void {
 		const socket = connect({host: target.address, port: target.port, noDelay: true});
+		this.onSocketCount(1);
+		socket.once('close', () => {
+			this.onSocketCount(-1);
+		});
 		const timer = setTimeout(() => {
 			socket.destroy(new Error(`no connection within ${connectTimeoutMs} ms`));
 		}, connectTimeoutMs);
--- a/src/forward/target-sender.ts
+++ b/src/forward/target-sender.ts
@@ -1,8 +1,7 @@
 import {type Buffer} from 'node:buffer';
 import {type Target} from '../fleet/target.js';
-import {type AnswerBudget} from './answer-budget.js';
+import {ChunkList} from '../memory/chunk-list.js';
 import {type AnswerMetadata} from './answer-metadata.js';
-import {ChunkList} from './chunk-list.js';
 import {type ConnectionPool} from './connection-pool.js';
 import {dropHopHeaders} from './drop-hop-headers.js';
 import {ExcessError} from './excess-error.js';
@@ -15,7 +14,6 @@
 
 type SenderOptions = TransportListener & {
 	readonly pool: ConnectionPool;
-	readonly budget: AnswerBudget;
 	readonly dialect: HeaderDialect;
 	readonly clock: () => number;
 };
@@ -62,7 +60,7 @@
 	private hasBody = false;
 	private readonly chunks = new ChunkList();
 	private discardedBytes = 0;
-	/** Bytes of the answer that count against the budget. */
+	/** Bytes of the answer that are counted as held for the request. */
 	private bufferedBytes = 0;
 	private cause: 'busy' | 'group-down' | 'gone' = 'busy';
 	private retryAfter: string | undefined;
@@ -109,7 +107,15 @@
 	private start(): void {
 		const {exchange, target, onConnection} = this.options;
 		try {
-			const {connection, aliveAt} = this.sender.pool.take(target, exchange.isRetryable ? Number.POSITIVE_INFINITY : maximumIdleOnceMs);
+			const taken = this.sender.pool.take(target, exchange.isRetryable ? Number.POSITIVE_INFINITY : maximumIdleOnceMs);
+			if (!taken) {
+				this.settle({
+					kind: 'not-run', reason: 'not sent: too many connections to targets are open', wasSent: false, cause: 'no-connection',
+				}, false);
+				return;
+			}
+
+			const {connection, aliveAt} = taken;
 			this.connection = connection;
 			onConnection(aliveAt);
 			connection.send({
@@ -250,27 +256,31 @@
 	}
 
 	private buffer(chunk: Buffer): void {
-		if (this.chunks.length + chunk.length > maximumAnswerBytes) {
+		if (this.options.exchange.disconnection.signal.aborted) {
+			// A request that must not run twice goes on although nobody takes its answer.
+			this.chunks.take();
+			this.releaseBuffer();
+		} else if (this.chunks.length + chunk.length > maximumAnswerBytes) {
 			this.fail('the answer is too large', {isExcessive: true});
 		} else if (this.resizeBuffer(this.chunks.length + chunk.length)) {
 			this.chunks.push(chunk);
 		}
 	}
 
-	/* Fails when all answers together buffer too much. */
+	/* Fails when there is no room, and nothing else can be given up. */
 	private resizeBuffer(bytes: number): boolean {
-		const isWithinBudget = this.sender.budget.resize(this.bufferedBytes, bytes);
-		if (isWithinBudget) {
+		const hasRoom = this.options.exchange.memory.grow('answer', bytes - this.bufferedBytes);
+		if (hasRoom) {
 			this.bufferedBytes = bytes;
 		} else {
 			this.fail('no memory is left to buffer the answer');
 		}
 
-		return isWithinBudget;
+		return hasRoom;
 	}
 
 	private releaseBuffer(): void {
-		this.sender.budget.resize(this.bufferedBytes, 0);
+		this.options.exchange.memory.grow('answer', -this.bufferedBytes);
 		this.bufferedBytes = 0;
 	}
 
@@ -279,7 +289,7 @@
 		const isFlowing = delivery.push(chunk);
 		const {excess, pendingBytes} = delivery;
 		if (excess === undefined) {
-			this.resizeBuffer(pendingBytes);
+			this.resizeBuffer(pendingBytes + this.options.exchange.response.writableLength);
 		} else {
 			this.fail(excess, {isExcessive: true});
 		}
@@ -370,13 +380,8 @@
 
 		this.isSettled = true;
 		const {connection} = this;
-		const {response} = this.options.exchange;
-		if (outcome.kind === 'answered' && !response.closed) {
-			// The answer stays in memory until the caller has read it.
-			response.once('close', () => {
-				this.releaseBuffer();
-			});
-		} else {
+		// An answer stays in memory until the caller has read it, which ends the request.
+		if (outcome.kind !== 'answered') {
 			this.releaseBuffer();
 		}
 
--- a/src/link/link-connection.ts
+++ b/src/link/link-connection.ts
@@ -41,6 +41,11 @@
 		return this.isUsable;
 	}
 
+	/** Bytes that the peer has not taken yet. */
+	get pendingBytes(): number {
+		return this.socket.writableLength;
+	}
+
 	/** Sets the handler of messages; there is only one. */
 	onMessage(handler: (message: LinkMessage) => void): void {
 		this.messageHandler = handler;
--- a/src/forward/chunk-list.ts
+++ b/src/memory/chunk-list.ts
@@ -10,6 +10,8 @@
 export class ChunkList {
 	private chunks: Buffer[] = [];
 	private bytes = 0;
+	/** Bytes of the buffers that the chunks are part of. */
+	private held = 0;
 	/** Block that small chunks are copied into, and the bytes of it in use, which are not among `chunks` yet. */
 	private block = Buffer.alloc(0);
 	private blockBytes = 0;
@@ -19,6 +21,11 @@
 		return this.bytes;
 	}
 
+	/** Memory taken, bytes: a chunk may be a small part of the buffer that it is a view of. */
+	get heldBytes(): number {
+		return this.held;
+	}
+
 	/** Adds a chunk. */
 	push(chunk: Buffer): void {
 		if (chunk.length < smallChunkBytes) {
@@ -26,6 +33,7 @@
 		} else {
 			this.closeBlock();
 			this.chunks.push(chunk);
+			this.held += chunk.buffer.byteLength;
 		}
 
 		this.bytes += chunk.length;
@@ -37,6 +45,8 @@
 		const {chunks} = this;
 		this.chunks = [];
 		this.bytes = 0;
+		// What is left of the block is used on.
+		this.held = this.block.length;
 		return chunks;
 	}
 
@@ -45,6 +55,7 @@
 			if (this.blockBytes === this.block.length) {
 				this.closeBlock();
 				this.block = Buffer.alloc(Math.min(maximumBlockBytes, Math.max(firstBlockBytes, this.bytes)));
+				this.held += this.block.length;
 			}
 
 			const copied = chunk.copy(this.block, this.blockBytes, start);
--- a/src/metrics/forward-metrics.ts
+++ b/src/metrics/forward-metrics.ts
@@ -3,12 +3,14 @@
 } from 'prom-client';
 import {type ForwardExchange} from '../forward/forward-exchange.js';
 import {type Problem} from '../requests/problem.js';
+import {CallerMetrics} from './caller-metrics.js';
 import {makeLinkMeter} from './make-link-meter.js';
 
 /** The Prometheus metrics of an entry that forwards directly to targets. */
 export class ForwardMetrics {
 	readonly registry = new Registry();
 	readonly meterLink = makeLinkMeter(this.registry);
+	readonly callers = new CallerMetrics(this.registry);
 
 	readonly requests = new Counter({
 		name: 'wardswitch_requests_total',
--- a/src/metrics/process-metrics.ts
+++ b/src/metrics/process-metrics.ts
@@ -2,6 +2,7 @@
 import {
 	Counter, Gauge, Histogram, Registry, collectDefaultMetrics,
 } from 'prom-client';
+import {CallerMetrics} from './caller-metrics.js';
 
 /** Sampling interval of the event loop lag, milliseconds; the default of 10 ms costs 1% of a core. */
 const eventLoopSampleIntervalMs = 500;
@@ -9,6 +10,7 @@
 /** The Prometheus metrics of `wardswitch-entry` and `wardswitch-target`. */
 export class ProcessMetrics {
 	readonly registry = new Registry();
+	readonly callers = new CallerMetrics(this.registry);
 	/** Bytes on links; control messages and callers' requests are counted separately. */
 	readonly linkBytes = new Counter({
 		name: 'wardswitch_link_bytes_total',
--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -1,9 +1,10 @@
 import {type IncomingHttpHeaders, type ServerResponse} from 'node:http';
 import {type Span, type Tracer} from '@opentelemetry/api';
+import {type RequestMemory} from '../callers/request-memory.js';
 import {traceHop} from '../tracing/trace-hop.js';
 import {type Row} from '../table/row.js';
 
-type ExchangeOptions = Pick<Exchange, 'id' | 'method' | 'url' | 'headers' | 'response' | 'arrivedAt' | 'span' | 'tracer' | 'mayKeepAlive' | 'callerAbort'>;
+type ExchangeOptions = Pick<Exchange, 'id' | 'method' | 'url' | 'headers' | 'response' | 'arrivedAt' | 'span' | 'tracer' | 'mayKeepAlive' | 'memory' | 'callerAbort'>;
 
 /** One request of a caller and its response, passed along the chain of filters; each filter sets the fields that it determines. */
 export class Exchange {
@@ -43,6 +44,8 @@
 	readonly tracer: Tracer;
 	/** Whether the connection may stay open after the answer; must be asked once, before the head of the answer is written. */
 	readonly mayKeepAlive: () => boolean;
+	/** What the process holds for the request. */
+	readonly memory: RequestMemory;
 	/** Aborted when the caller disconnects before its response is complete. */
 	readonly callerAbort: AbortController;
 
@@ -56,6 +59,7 @@
 		this.span = options.span;
 		this.tracer = options.tracer;
 		this.mayKeepAlive = options.mayKeepAlive;
+		this.memory = options.memory;
 		this.callerAbort = options.callerAbort;
 	}
 
--- a/src/requests/follow-call.ts
+++ b/src/requests/follow-call.ts
@@ -37,6 +37,7 @@
 		giveUp('the caller left');
 	};
 
+	call.countBytes(bytes => exchange.memory.grow('answer', bytes));
 	exchange.callerAbort.signal.addEventListener('abort', onCallerAbort, {once: true});
 	try {
 		return await readResult(call, exchange);
--- a/src/requests/relay-answer.ts
+++ b/src/requests/relay-answer.ts
@@ -41,6 +41,7 @@
 		switch (event.type) {
 			case 'data': {
 				await writeChunk(response, event.chunk);
+				exchange.memory.grow('answer', -event.chunk.length);
 				break;
 			}
 
--- a/src/target/answer-buffer.ts
+++ b/src/target/answer-buffer.ts
@@ -29,6 +29,11 @@
 		return last === 'end' || last === 'broken';
 	}
 
+	/** Bytes of the parts that are kept. */
+	get heldBytes(): number {
+		return this.bufferedBytes;
+	}
+
 	/** Whether more parts may be added now; while false, reading from the engine pauses. */
 	get hasRoom(): boolean {
 		return this.unacknowledgedBytes < this.maximumBytes;
@@ -68,6 +73,12 @@
 		return sequence < first ? undefined : this.parts.slice(sequence - first);
 	}
 
+	/** Drops all parts but the last one, which says that the answer has ended. */
+	clear(): void {
+		this.parts = this.parts.slice(-1);
+		this.bufferedBytes = this.parts.reduce((sum, {bytes}) => sum + bytes, 0);
+	}
+
 	private trim(): void {
 		const mustDrop = () => !this.isReplayable || this.bufferedBytes > this.maximumBytes;
 		let count = 0;
--- a/src/target/call-engine.ts
+++ b/src/target/call-engine.ts
@@ -8,6 +8,8 @@
 	readonly dispatcher: Dispatcher;
 	/** Latest version of the table that this process knows of; sent with the head of the answer. */
 	readonly tableVersion: () => number;
+	/** The present time, milliseconds. */
+	readonly clock: () => number;
 };
 
 const hopByHopHeaders = new Set(['connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'content-length', 'host', 'te', 'trailer']);
@@ -67,12 +69,12 @@
 		status: answer.statusCode,
 		headers: removeHopByHopHeaders(answer.headers),
 		tableVersion: options.tableVersion(),
-	});
+	}, options.clock());
 	let hasBody = false;
 	for await (const chunk of answer.body) {
 		hasBody = true;
 		for (const part of split(chunk as Uint8Array, execution.maximumPartBytes)) {
-			execution.addPart({type: 'data', chunk: part});
+			execution.addPart({type: 'data', chunk: part}, options.clock());
 			await execution.waitForRoom();
 		}
 	}
@@ -81,5 +83,5 @@
 		throw new Error('the answer ended after its head');
 	}
 
-	execution.addPart({type: 'end'});
+	execution.addPart({type: 'end'}, options.clock());
 }
--- a/src/target/record-table.ts
+++ b/src/target/record-table.ts
@@ -67,6 +67,7 @@
 	remove(execution: Execution): void {
 		const {id, attempt, once} = execution.request;
 		this.executions.delete(`${id}/${attempt}`);
+		execution.close();
 		if (once && this.byKey.get(once.key) === execution) {
 			this.byKey.delete(once.key);
 		}
--- a/src/target/request-controller.ts
+++ b/src/target/request-controller.ts
@@ -1,6 +1,7 @@
 import {type AdmissionQueue} from '../admission/admission-queue.js';
 import {type LinkMessage} from '../link/link-message.js';
 import {type MessageOf} from '../link/message-of.js';
+import {type MemoryBudget} from '../memory/memory-budget.js';
 import {EngineRefusal} from './engine-refusal.js';
 import {Execution} from './execution.js';
 import {findRefusal} from './find-refusal.js';
@@ -15,6 +16,8 @@
 	readonly records: RecordTable;
 	/** Bytes of an answer that are buffered at most. */
 	readonly replayBytes: number;
+	/** Limits what all requests make the process hold. */
+	readonly budget: MemoryBudget;
 	/** How long a request without a reader keeps running, and an unread answer is kept, milliseconds. */
 	readonly resumeMs: number;
 	readonly clock: () => number;
@@ -61,7 +64,7 @@
 			}
 
 			case 'acknowledge': {
-				this.acknowledge(message);
+				this.acknowledge(message, now);
 				break;
 			}
 
@@ -105,9 +108,9 @@
 		}
 	}
 
-	private acknowledge({id, attempt, sequence}: MessageOf<'acknowledge'>): void {
+	private acknowledge({id, attempt, sequence}: MessageOf<'acknowledge'>, now: number): void {
 		const execution = this.options.records.get(id, attempt);
-		execution?.acknowledge(sequence);
+		execution?.acknowledge(sequence, now);
 		if (execution?.state === 'done' && execution.isDelivered) {
 			this.active.delete(execution);
 			this.notifyIdle();
@@ -127,7 +130,17 @@
 			return;
 		}
 
-		const execution = new Execution({request, replayBytes: this.options.replayBytes, arrivedAt: now});
+		const {replayBytes, budget} = this.options;
+		// The body is a view of the whole piece that was read from the link.
+		const execution = new Execution({
+			request: {...request, body: new Uint8Array(request.body)}, replayBytes, budget, arrivedAt: now,
+		});
+		if (!execution.reserve(now)) {
+			execution.close();
+			this.refuse(request, send, 'full', now);
+			return;
+		}
+
 		const decision = this.options.queue.offer({
 			id: `${request.id}/${request.attempt}`,
 			organisation: request.organisation,
@@ -138,6 +151,7 @@
 			mayWait: request.mayWait,
 		}, now);
 		if (decision.kind === 'refuse') {
+			execution.close();
 			this.refuse(request, send, decision.reason, now, decision.retryAfterMs);
 			return;
 		}
@@ -256,7 +270,7 @@
 				this.options.records.remove(execution);
 				this.refuse(request, send, 'unavailable', now);
 			} else {
-				execution.addPart({type: 'broken', reason: (error as Error).message});
+				execution.addPart({type: 'broken', reason: (error as Error).message}, now);
 			}
 		}
 
@@ -267,8 +281,7 @@
 	private finish(execution: Execution): void {
 		const now = this.options.clock();
 		const {id, attempt} = execution.request;
-		execution.state = 'done';
-		execution.endedAt = now;
+		execution.end(now);
 		this.options.queue.finish(`${id}/${attempt}`, now - execution.startedAt);
 		this.options.records.noteEnd(execution, now);
 	}
--- a/src/target/start-target.ts
+++ b/src/target/start-target.ts
@@ -9,6 +9,8 @@
 import {getLogger} from '../log/get-logger.js';
 import {runGuarded} from '../log/run-guarded.js';
 import {GroupMember} from '../map-switch/group-member.js';
+import {getDefaultMemory} from '../memory/get-default-memory.js';
+import {MemoryBudget} from '../memory/memory-budget.js';
 import {makeIncarnation} from '../membership/make-incarnation.js';
 import {ProcessMetrics} from '../metrics/process-metrics.js';
 import {startAdminServer} from '../metrics/start-admin-server.js';
@@ -44,6 +46,7 @@
 	const metrics = new ProcessMetrics();
 	const dispatcher = openStreamAgent(settings.admission.concurrency * 2);
 	const tracer = createTracer(settings.tracing.otlpUrl);
+	const budget = new MemoryBudget(settings.limits.heldBytes ?? getDefaultMemory());
 	const queue = new AdmissionQueue(settings.admission);
 	let tableVersion = 0;
 	let resolveStopped: () => void;
@@ -80,6 +83,7 @@
 		queue,
 		records: new RecordTable({maximum: settings.records.maximum, minimumAgeMs: minimumTombstoneAgeMs}),
 		replayBytes: settings.records.replayBytes,
+		budget,
 		resumeMs: settings.records.resumeMs,
 		clock,
 		isLeaving: () => lifecycle.state !== 'serving',
@@ -88,7 +92,7 @@
 			const span = startSpan(tracer, 'target', headers, execution.arrivedAt);
 			await traceHop(tracer, 'engine', span, async engineSpan => {
 				writeTraceParent(engineSpan, headers);
-				await callEngine(execution, {url: settings.url, dispatcher, tableVersion: () => tableVersion});
+				await callEngine(execution, {url: settings.url, dispatcher, tableVersion: () => tableVersion, clock});
 			}).finally(() => {
 				span.end();
 			});
--- a/features/support/crowd/crowd-forms.ts
+++ b/stand-ins/callers/crowd-forms.ts
@@ -1,9 +1,9 @@
 import {Buffer} from 'node:buffer';
-import {type CrowdSystem} from './crowd-system.js';
+import {type CrowdAim} from './crowd-aim.js';
 
 type Form = {
 	/** Pieces that each caller writes, one after the other. */
-	readonly write: (system: CrowdSystem) => Iterable<Uint8Array | string>;
+	readonly write: (aim: CrowdAim) => Iterable<Uint8Array | string>;
 	/** Whether each piece goes out in a packet of its own. */
 	readonly isTrickle?: boolean;
 	/** Whether the callers read nothing. */
@@ -27,7 +27,7 @@
 const trickleCount = 20_000;
 const unreadCount = 3;
 
-const makeHead = ({path, makeHeaders}: CrowdSystem, name: string, framing: string): string =>
+const makeHead = ({path, makeHeaders}: CrowdAim, name: string, framing: string): string =>
 	`PUT ${path}${name} HTTP/1.1\r\nHost: desk.example\r\n${makeHeaders()}${framing}\r\n`;
 const chunked = 'Transfer-Encoding: chunked\r\n';
 const makeLength = (bytes: number): string => `Content-Length: ${bytes}\r\n`;
@@ -37,19 +37,19 @@
 	}
 };
 
-const writeLargeChunks: Form['write'] = function * (system) {
-	yield makeHead(system, 'x', chunked);
-	yield * repeat(Math.floor(system.bodyBytes / pieceBytes) - 1, () => chunk);
+const writeLargeChunks: Form['write'] = function * (aim) {
+	yield makeHead(aim, 'x', chunked);
+	yield * repeat(Math.floor(aim.bodyBytes / pieceBytes) - 1, () => chunk);
 };
 
-const writeSmallChunks: Form['write'] = function * (system) {
-	yield makeHead(system, 'x', chunked);
-	yield * repeat(Math.floor(system.bodyBytes / smallChunkCount) - 1, () => smallChunks);
+const writeSmallChunks: Form['write'] = function * (aim) {
+	yield makeHead(aim, 'x', chunked);
+	yield * repeat(Math.floor(aim.bodyBytes / smallChunkCount) - 1, () => smallChunks);
 };
 
-const writeStatedBody = function * (system: CrowdSystem, name: string, missing: number): Iterable<Uint8Array | string> {
-	const count = Math.floor(system.bodyBytes / pieceBytes);
-	yield makeHead(system, name, makeLength(count * pieceBytes));
+const writeStatedBody = function * (aim: CrowdAim, name: string, missing: number): Iterable<Uint8Array | string> {
+	const count = Math.floor(aim.bodyBytes / pieceBytes);
+	yield makeHead(aim, name, makeLength(count * pieceBytes));
 	yield * repeat(count - missing, () => piece);
 };
 
@@ -57,32 +57,32 @@
 export const crowdForms: Readonly<Record<string, Form>> = {
 	'stop short of the end of bodies in large chunks': {write: writeLargeChunks},
 	'stop short of the end of bodies in chunks of one byte': {write: writeSmallChunks},
-	'stop short of a stated length': {write: system => writeStatedBody(system, 'x', 1)},
-	'send whole bodies at once to a slow target': {write: system => writeStatedBody(system, 'hold', 0)},
+	'stop short of a stated length': {write: aim => writeStatedBody(aim, 'x', 1)},
+	'send whole bodies at once to a slow target': {write: aim => writeStatedBody(aim, 'hold', 0)},
 	'leave within large bodies and come again': {write: writeLargeChunks, rounds: 4},
 	'send a chunk of one byte in each packet': {
-		* write(system) {
-			yield makeHead(system, 'x', chunked);
+		* write(aim) {
+			yield makeHead(aim, 'x', chunked);
 			yield * repeat(trickleCount, () => smallChunk);
 		},
 		isTrickle: true,
 	},
 	'write bodies ahead': {
-		* write(system) {
-			yield makeHead(system, 'hold', makeLength(0));
-			yield * repeat(aheadCount, () => makeHead(system, 'x', makeLength(aheadBodyBytes)) + 'x'.repeat(aheadBodyBytes));
+		* write(aim) {
+			yield makeHead(aim, 'hold', makeLength(0));
+			yield * repeat(aheadCount, () => makeHead(aim, 'x', makeLength(aheadBodyBytes)) + 'x'.repeat(aheadBodyBytes));
 		},
 	},
 	'write small requests ahead': {
-		* write(system) {
-			yield makeHead(system, 'hold', makeLength(0));
-			yield * repeat(200, () => makeHead(system, 'x', makeLength(0)).repeat(100));
+		* write(aim) {
+			yield makeHead(aim, 'hold', makeLength(0));
+			yield * repeat(200, () => makeHead(aim, 'x', makeLength(0)).repeat(100));
 		},
 	},
 	'write heads of many fields ahead': {
-		* write(system) {
-			yield makeHead(system, 'hold', makeLength(0));
-			yield * repeat(aheadCount, () => makeHead(system, 'x', makeLength(0) + 'ab:cd\r\n'.repeat(1800)));
+		* write(aim) {
+			yield makeHead(aim, 'hold', makeLength(0));
+			yield * repeat(aheadCount, () => makeHead(aim, 'x', makeLength(0) + 'ab:cd\r\n'.repeat(1800)));
 		},
 	},
 	'stop within a head of many fields': {
@@ -91,30 +91,30 @@
 		},
 	},
 	'stop within a trailer of many fields': {
-		* write(system) {
-			yield makeHead(system, 'x', chunked) + smallChunk + '0\r\n' + 'ab:cd\r\n'.repeat(Math.floor(headBytes / 7));
+		* write(aim) {
+			yield makeHead(aim, 'x', chunked) + smallChunk + '0\r\n' + 'ab:cd\r\n'.repeat(Math.floor(headBytes / 7));
 		},
 	},
 	'do not read large answers': {
-		* write(system) {
-			yield * repeat(unreadCount, () => makeHead(system, 'large', makeLength(0)));
+		* write(aim) {
+			yield * repeat(unreadCount, () => makeHead(aim, 'large', makeLength(0)));
 		},
 		isDeaf: true,
 	},
 	'send nothing': {write: () => []},
 	'stop short of a short body': {
-		* write(system) {
-			yield makeHead(system, 'x', makeLength(2)) + 'x';
+		* write(aim) {
+			yield makeHead(aim, 'x', makeLength(2)) + 'x';
 		},
 	},
 	'wait for a slow target': {
-		* write(system) {
-			yield makeHead(system, 'hold', makeLength(0));
+		* write(aim) {
+			yield makeHead(aim, 'hold', makeLength(0));
 		},
 	},
 	'send a whole body in chunks of one byte': {
-		* write(system) {
-			yield * writeSmallChunks(system);
+		* write(aim) {
+			yield * writeSmallChunks(aim);
 			yield '0\r\n\r\n';
 		},
 	},
--- a/features/support/crowd/crowd.ts
+++ b/stand-ins/callers/crowd.ts
@@ -1,8 +1,8 @@
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
+import {type CrowdAim} from './crowd-aim.js';
 import {type crowdForms} from './crowd-forms.js';
-import {type CrowdSystem} from './crowd-system.js';
 
 type Form = (typeof crowdForms)[string];
 
@@ -12,7 +12,7 @@
 	private answers: Array<Promise<unknown>> = [];
 	private writtenBefore = 0;
 
-	constructor(private readonly system: CrowdSystem, private readonly port: number, private readonly form: Form) {}
+	constructor(private readonly aim: CrowdAim, private readonly address: {readonly host: string; readonly port: number}, private readonly form: Form) {}
 
 	/** Bytes that the callers have handed to the system so far, in all rounds, and connections that were opened or have closed. */
 	get progress(): number {
@@ -48,7 +48,7 @@
 	}
 
 	private open(): Socket {
-		const socket = connect({port: this.port, host: '127.0.0.1', noDelay: true});
+		const socket = connect({...this.address, noDelay: true});
 		socket.on('error', () => undefined);
 		if (!this.form.isDeaf) {
 			this.answers.push(new Promise(resolve => {
@@ -63,7 +63,7 @@
 	}
 
 	private async write(socket: Socket): Promise<void> {
-		for (const bytes of this.form.write(this.system)) {
+		for (const bytes of this.form.write(this.aim)) {
 			if (socket.destroyed) {
 				return;
 			}
