--- a/features/soak.feature
+++ b/features/soak.feature
@@ -28,6 +28,7 @@
       | a running request is answered 400 for what follows it     | answer        |
       | a request has no answer 0.8 s after the timeout of its route | timeout    |
       | an entry ends by itself                                   | end           |
+      | an entry outgrows its machine                             | memory        |
 
   # Without it, a checker that takes what is allowed for a loss would fail for no fault.
   Scenario Outline: The checker reports no loss of a request if <excuse>
@@ -106,3 +107,8 @@
   Scenario: Six entries, faults of eight seconds and callers of kept connections, seed 5
     When a soak with 6 entries and callers of kept connections runs for 8 seconds, seed 5
     Then the soak has no violation
+
+  # Guards against crowds that take from ordinary callers what is promised to them, or end a process, beside other faults.
+  Scenario: Ordinary callers keep the guarantees beside crowds of callers that misbehave
+    When a soak with 6 entries and crowds of callers that misbehave runs for 8 seconds, seed 1
+    Then the soak has no violation
