Test each part of the fix against late releases of a hold

switch-orders.feature adds a schedule drawn from a seed, in which planners decide by reports of any age, are replaced and act on, give up maps, and their orders are lost, carried out, or carried out again at any later time; and a table of the decisions that such schedules rarely reach.

Ruled out: that the fix itself is incomplete on these paths.

--- a/features/expert-balance.feature
+++ b/features/expert-balance.feature
@@ -97,6 +97,17 @@
       | 1    |
       | 2    |
 
+  # Guards against a group that is held for good: its release waits until every rank has replaced the map, and a process that has ended takes no order.
+  Scenario: The planner and the process of another rank end as soon as the group is held
+    Given a lock-step group with a planner
+    When the process of rank 2 ends for good as soon as the group is held
+    And the planner crashes
+    And another planner is elected
+    And 5 seconds pass
+    Then no rank is held
+    And no pass was delayed for more than 2000 milliseconds
+    And no pass began on two maps
+
   Scenario: The planner's VM is suspended as soon as the group is held
     Given a lock-step group with a planner
     When the planner's VM is suspended as soon as the group is held
--- a/features/steps/expert-balance-steps.ts
+++ b/features/steps/expert-balance-steps.ts
@@ -138,6 +138,10 @@
 	harness.planners[0].isAlive = false;
 });
 
+When('the planner crashes', function (this: SystemWorld) {
+	getHarness(this).planners.at(-1)!.isAlive = false;
+});
+
 When('the planner is suspended as soon as a rank is armed', async function (this: SystemWorld) {
 	const harness = getHarness(this);
 	await waitFor(harness, isArmed);
--- /dev/null
+++ b/features/switch-orders.feature
@@ -0,0 +1,65 @@
+Feature: Orders of a map switch are safe whatever earlier orders without an answer still do
+
+  # Guards against an order of this planner or an earlier one that takes effect under a hold that no longer protects the ranks: passes began on two maps.
+  Scenario: Planners decide by reports of any age, are replaced and act on, and their orders take effect at any time
+    When planners and their late orders act in any order, seeds 1 to 4000
+    Then no pass began on two maps, and no group stands at its end
+
+  # Guards against a late release or a late order to arm that meets a later hold or map of the same planner, or of its successor.
+  Scenario Outline: <what>
+    Given a planner that knows the group since step 0, when its ranks had begun <begun> orders
+    And it has ordered "<ordered>"
+    When its map 8 is prepared at step <step>, and rank 1 holds "<held>"
+    Then it orders "<orders>"
+
+    Examples:
+      | what                                                              | begun | ordered                        | step | held    | orders        |
+      | Ranks are armed under a hold that was ordered and not released    | 0     | hold 100                       | 99   | 100     | arm 8 100     |
+      | No rank is armed under a hold whose release may be in flight      | 0     | hold 100, release 100          | 99   | 100     | release 100   |
+      | No rank is armed under the hold of an earlier planner             | 0     |                                | 99   | 100     | release 100   |
+      | A hold does not repeat the step of a released one                 | 0     | hold 100, release 100          | 60   | nothing | hold 101      |
+      | A hold that would be beyond the longest lead waits                | 0     | hold 100, release 100          | 30   | nothing | nothing       |
+      | A map armed for a step is not armed for a later one               | 0     | hold 100, arm 8 at 100         | 120  | nothing | nothing       |
+      | A map armed for a step is not armed under another hold            | 0     | hold 90, arm 8 at 90, hold 100 | 99   | 100     | release 100   |
+      | A map that may be armed is replaced before a release              | 0     | hold 100, arm 8 at 100         | 89   | 90      | a replacement |
+      | A hold waits until it is beyond those of earlier planners         | 1     |                                | 59   | nothing | nothing       |
+      | A hold is ordered once it is beyond those of earlier planners     | 1     |                                | 60   | nothing | hold 70       |
+      | A group whose ranks have begun no order has no earlier holds      | 0     |                                | 5    | nothing | hold 15       |
+      | A group that was formed again has no earlier holds                | 1     | hold 100, release 100, re-formed | 5    | nothing | hold 15       |
+
+  # Guards against a group that stands for good: some ranks are armed, and one has no such map.
+  Scenario: No rank is armed until all have prepared the map
+    Given a planner that knows the group since step 0, when its ranks had begun 0 orders
+    And it has ordered "hold 100"
+    And rank 2 has not prepared its map
+    When its map 8 is prepared at step 99, and rank 1 holds "100"
+    Then it orders "release 100"
+
+  # Guards against a planner that switches to a map whose only use is to make ranks refuse another.
+  Scenario: A map that replaces others is never armed
+    Given a planner that knows the group since step 0, when its ranks had begun 0 orders
+    And it has ordered "hold 100"
+    And its map only replaces others
+    When its map 8 is prepared at step 99, and rank 1 holds "100"
+    Then it orders "release 100"
+
+  # Guards against two planners that order a group at once: each stops as soon as a rank shows it a later term.
+  Scenario Outline: A planner of term 5 is superseded as soon as one of its ranks reports a later term: <ranks> report term <term>
+    Given a planner of term 5 whose ranks are held, armed for a step
+    When <ranks> of its ranks report with term <term>, the others with its own
+    Then it has sent orders: <sent>
+
+    Examples:
+      | ranks | term | sent |
+      | 0     | 6    | yes  |
+      | 1     | 6    | no   |
+
+  # Guards against an order of a superseded planner that reaches the engine after those of its successor.
+  Scenario Outline: A rank's process refuses the orders of earlier terms: it knows term <known>, the order is of term <term>
+    When a rank that knows term <known> receives an order of term <term>
+    Then it has sent orders: <sent>
+
+    Examples:
+      | known | term | sent |
+      | 5     | 5    | yes  |
+      | 6     | 5    | no   |
