Write registrations and records of crashes on condition that they have not changed

What callers and operators see: an entry that is alive is no longer registered ten minutes after its start, so that peers that start later do not find it and reckon the retry budget for too few entries; or entries read the listing of an earlier epoch of a group in place of the present one.

Its page says that a call without an answer may be executed seconds later if its condition still holds; these writes had no condition. The first write of a registration, carried out after the second, attaches the key to the first lease, which nobody renews.

Ruled out: claims, the planner's election, map plans and the table are written on condition already. A condition cannot keep the first record of a request that crashes targets from returning after its removal, as a key that is absent again has revision 0; entries that know the answer clear it in the reports to their peers.

Change: both read the key and write on condition of what they read, one reading call more for each registration; a key that has changed meanwhile is a failed attempt, tried again as before.

--- a/src/forward/crash-records.ts
+++ b/src/forward/crash-records.ts
@@ -1,5 +1,8 @@
+import {ok, type Result} from 'neverthrow';
 import {describeItemProblem} from '../key-value/describe-item-problem.js';
+import {type PlatformError} from '../key-value/platform-error.js';
 import {type Registry} from '../key-value/registry.js';
+import {replaceKey} from '../key-value/replace-key.js';
 import {type StoredValue} from '../key-value/stored-value.js';
 
 /** Keeps what is known of the causes of crashes, by fingerprint of a request or by crashed incarnation. */
@@ -84,21 +87,30 @@
 	}
 
 	private async write(subject: string): Promise<string | undefined> {
-		const {prefix, suspects, registry} = this.options;
-		const key = `${prefix}${subject}`;
+		const {prefix, registry} = this.options;
+		const put = await this.makePut(subject);
+		if (put.isErr()) {
+			return put.error.message;
+		}
+
+		const written = await replaceKey(registry, {key: `${prefix}${subject}`, put: put.value});
+		if (written.isErr()) {
+			return written.error.message;
+		}
+
+		return written.value === undefined ? 'the key has changed meanwhile' : undefined;
+	}
+
+	/* What the store is to hold; undefined if nothing. */
+	private async makePut(subject: string): Promise<Result<Parameters<typeof replaceKey>[1]['put'], PlatformError>> {
+		const {suspects, registry} = this.options;
 		const record = suspects.getRecord(subject);
 		if (record === undefined) {
-			const removed = await registry.commit({conditions: [], puts: [], deletes: [key]});
-			return removed.isErr() ? removed.error.message : undefined;
+			return ok(undefined);
 		}
 
 		const lease = await registry.grantLeaseFor(recordLifeMs);
-		if (lease.isErr()) {
-			return lease.error.message;
-		}
-
-		const written = await registry.commit({conditions: [], puts: [{key, value: JSON.stringify(record), lease: lease.value}]});
-		return written.isErr() ? written.error.message : undefined;
+		return lease.map(id => ({value: JSON.stringify(record), lease: id}));
 	}
 
 	private readOne({key, value}: StoredValue, now: number): void {
--- a/src/mesh/registration.ts
+++ b/src/mesh/registration.ts
@@ -1,3 +1,4 @@
+import {replaceKey} from '../key-value/replace-key.js';
 import {type Revision} from '../key-value/revision.js';
 import {type StoredValue} from '../key-value/stored-value.js';
 import {type Registry} from '../key-value/registry.js';
@@ -86,9 +87,9 @@
 			return false;
 		}
 
-		const written = await registry.commit({conditions: [], puts: [{key, value, lease: lease.value}]});
-		if (written.isErr()) {
-			log(`registration failed: ${written.error.message}`);
+		const written = await replaceKey(registry, {key, put: {value, lease: lease.value}});
+		if (written.isErr() || written.value === undefined) {
+			log(`registration failed: ${written.isErr() ? written.error.message : 'the key has changed meanwhile'}`);
 			return false;
 		}
 
