Let ranks' processes, not engines' counts of orders, tell whether a group may have been held

What callers see: passes of a group begin on two maps, and go on so, after its planner was replaced twice (MAP).

Cause: a planner that is new waits until the group is beyond all steps that earlier ones could have held, since a release of theirs may still be in flight, unless the reports show that the engines have begun no order. On the platform they always show that: its workers do not count orders on maps. The stand-in did, so that no scenario saw it. The guard was never in force outside of our own tests.

Ruled out: that the prepared map alone tells it, since a rank that copies the next map reports none.

Change: each rank's process knows which orders to prepare it has passed on in the present epoch, and whether it has run since the epoch began; it adds that to the report (hasPrepared, absent if it does not know). A group may have been held unless some process knows that there was no such order.

Test: "A release takes effect late, when a later planner holds the group at the same step" fails on the code before with the stand-in counting as the workers do (passes 23 and on, on two maps) and passes now; rows on what a process knows. expert-balance.feature and switch-orders.feature: 78 passed, 0 failed. The first pass of the stand-in now begins after the time of a pass instead of at once, so that processes that start with the engines see the group before it.

Conclusion: the first planner of a new system holds at once, as before; one that replaces another waits 60 passes, which costs map changes after planners are killed.

--- a/features/expert-balance.feature
+++ b/features/expert-balance.feature
@@ -141,6 +141,20 @@
     And the group goes on, and changes its map again
     And no pass began on two maps
 
+  # Guards against a planner that holds at a step at which an earlier one has held: passes began on two maps. Engines do not count the
+  # orders from which a planner could tell that there were none.
+  Scenario: A release takes effect late, when a later planner holds the group at the same step
+    Given a lock-step group with a planner
+    And it holds the group far ahead, as most of its orders have had no answer, and is replaced
+    When the release of the hold waits, and its planner is replaced by one beside the first
+    And the hold is released, and only holds of the same step reach the group
+    And the release takes effect as soon as a rank is armed, or 2 seconds later
+    And 3 seconds pass
+    Then no pass began on two maps
+    And no rank is held
+    And the group goes on, and changes its map again
+    And no pass began on two maps
+
   # Guards against a group that is held for good: a late order replaced the map that the other ranks were armed with.
   Scenario: An order to prepare takes effect late, when the other ranks are armed for an earlier map
     Given a lock-step group with a planner
--- a/features/steps/late-order-steps.ts
+++ b/features/steps/late-order-steps.ts
@@ -14,6 +14,8 @@
 /** Time of a pass while there is little traffic, and otherwise, milliseconds. */
 const slowStepMs = 300;
 const usualStepMs = 60;
+/** Passes until a hold that is far ahead, so that the next planners can replace the maps meanwhile. */
+const leastAheadSteps = 12;
 
 const readReports = async ({group}: GroupHarness): Promise<RankReport[]> => Promise.all(ranks.map(async rank => group.openEngine(rank).readReport()));
 
@@ -42,10 +44,9 @@
 	harness.group.isHeldBack = (to, {type}) => types.includes(type) && (rank === undefined || to === rank);
 };
 
-const replacePlanner = (harness: GroupHarness): void => {
-	const last = harness.planners.at(-1)!;
-	last.isAlive = false;
-	harness.followAll(harness.startPlanner((last.rank + 1) % ranks.length));
+const replacePlanner = (harness: GroupHarness, rank = (harness.planners.at(-1)!.rank + 1) % ranks.length): void => {
+	harness.planners.at(-1)!.isAlive = false;
+	harness.followAll(harness.startPlanner(rank));
 };
 
 Given('the order to hold the group waits, and its planner is replaced', async function (this: SystemWorld) {
@@ -60,21 +61,26 @@
 When('the next planner orders other maps to be prepared, and the hold takes effect', async function (this: SystemWorld) {
 	const harness = getHarness(this);
 	holdBack(harness, []);
-	const before = await readReports(harness);
-	await until(harness, async () => {
-		const reports = await readReports(harness);
-		return reports.every(({orders}, rank) => orders! > before[rank].orders!);
-	});
+	const before = harness.group.countOrders();
+	await until(harness, () => harness.group.countOrders().every((orders, rank) => orders > before[rank]));
 	harness.group.carryOut('hold');
 	const after = await readReports(harness);
 	assert.ok(after.some(({heldStep}) => heldStep !== undefined), harness.log.join('\n'));
 });
 
-When('the release of the hold waits, and its planner is replaced', async function (this: SystemWorld) {
-	const harness = getHarness(this);
+const waitForRelease = async (harness: GroupHarness, rank?: number): Promise<void> => {
 	holdBack(harness, ['release']);
 	await until(harness, () => waitsFor(harness, 'release'));
-	replacePlanner(harness);
+	replacePlanner(harness, rank);
+};
+
+When('the release of the hold waits, and its planner is replaced', async function (this: SystemWorld) {
+	await waitForRelease(getHarness(this));
+});
+
+When('the release of the hold waits, and its planner is replaced by one beside the first', async function (this: SystemWorld) {
+	const harness = getHarness(this);
+	await waitForRelease(harness, harness.planners[0].rank);
 });
 
 When('the release takes effect as soon as a rank is armed, or {int} seconds later', async function (this: SystemWorld, seconds: number) {
@@ -88,6 +94,34 @@
 	holdBack(harness, []);
 });
 
+Given('it holds the group far ahead, as most of its orders have had no answer, and is replaced', async function (this: SystemWorld) {
+	const harness = getHarness(this);
+	const {group} = harness;
+	group.options.unansweredShare = 0.6;
+	await until(harness, async () => {
+		const reports = await readReports(harness);
+		return reports.some(({heldStep, step}) => heldStep !== undefined && heldStep - step >= leastAheadSteps);
+	});
+	group.options.unansweredShare = 0;
+	group.options.stepMs = slowStepMs;
+	replacePlanner(harness);
+});
+
+When('the hold is released, and only holds of the same step reach the group', async function (this: SystemWorld) {
+	const harness = getHarness(this);
+	const {order: late} = harness.group.heldBack.find(({order}) => order.type === 'release')!;
+	const {step} = late as Extract<RankOrder, {type: 'release'}>;
+	harness.group.isHeldBack = (_rank, order) => order.type === 'hold' && order.step !== step;
+	await until(harness, async () => {
+		const reports = await readReports(harness);
+		return reports.every(({heldStep}) => heldStep === undefined);
+	});
+	await until(harness, async () => {
+		const reports = await readReports(harness);
+		return reports.some(report => report.heldStep === step || report.step >= step);
+	});
+});
+
 Given('the orders of {word} to rank {int} wait, and the planner is replaced as soon as there is one', async function (this: SystemWorld, type: RankOrder['type'], rank: number) {
 	const harness = getHarness(this);
 	holdBack(harness, [type], rank);
--- a/features/steps/switch-order-steps.ts
+++ b/features/steps/switch-order-steps.ts
@@ -6,7 +6,9 @@
 import {GroupController} from '../../src/expert-balance/group-controller.js';
 import {HoldRecord} from '../../src/expert-balance/hold-record.js';
 import {RankAgent} from '../../src/expert-balance/rank-agent.js';
+import {type RankOrder} from '../../src/expert-balance/rank-order.js';
 import {type RankReport} from '../../src/expert-balance/rank-report.js';
+import {type LinkMessage} from '../../src/link/link-message.js';
 import {SwitchSchedule} from '../support/switch-schedule.js';
 import {type SystemWorld} from '../support/system-world.js';
 
@@ -21,8 +23,8 @@
 
 const getHolds = (world: SystemWorld): HoldRecord => world.notes.get('holds') as HoldRecord;
 
-const makeReports = (step: number, version: number, held: number | undefined, orders: number): RankReport[] => Array.from({length: size}, (_empty, rank) => ({
-	group: 'group', epoch: 1, rank, size, isOpen: true, step, mapVersion: 0, preparedVersion: version, orders, pace: 1, ...(rank === holder && held !== undefined && {heldStep: held}),
+const makeReports = (step: number, version: number, held: number | undefined, hasPrepared?: boolean): RankReport[] => Array.from({length: size}, (_empty, rank) => ({
+	group: 'group', epoch: 1, rank, size, isOpen: true, step, mapVersion: 0, preparedVersion: version, hasPrepared, pace: 1, ...(rank === holder && held !== undefined && {heldStep: held}),
 }));
 
 /* For example "hold 9", "arm 5 at 9", "release 9", "re-formed". */
@@ -62,9 +64,9 @@
 	return `${type}${version}${step}`;
 };
 
-Given('a planner that knows the group since step {int}, when its ranks had begun {int} orders', function (this: SystemWorld, step: number, orders: number) {
+Given('a planner that knows the group since step {int}, when its ranks had been ordered to prepare maps: {word}', function (this: SystemWorld, step: number, prepared: string) {
 	const holds = new HoldRecord();
-	holds.noteReports(makeReports(step, 0, undefined, orders));
+	holds.noteReports(makeReports(step, 0, undefined, prepared === 'unknown' ? undefined : prepared === 'yes'));
 	this.notes.set('holds', holds);
 });
 
@@ -77,7 +79,7 @@
 When('its map {int} is prepared at step {int}, and rank 1 holds {string}', function (this: SystemWorld, version: number, step: number, held: string) {
 	const isReplacement = this.notes.get('isReplacement') === true;
 	const unprepared = this.notes.get('unprepared');
-	const reports = makeReports(step, version, held === 'nothing' ? undefined : Number(held), 1)
+	const reports = makeReports(step, version, held === 'nothing' ? undefined : Number(held))
 		.map(report => report.rank === unprepared ? {...report, preparedVersion: undefined} : report);
 	const holds = getHolds(this);
 	this.notes.set('decision', decideOrders({
@@ -115,7 +117,7 @@
 
 When('{int} of its ranks report with term {int}, the others with its own', async function (this: SystemWorld, later: number, laterTerm: number) {
 	const controller = this.notes.get('planner') as GroupController;
-	for (const report of makeReports(99, 8, 100, 1)) {
+	for (const report of makeReports(99, 8, 100)) {
 		controller.handleReport({
 			type: 'rank-status',
 			term: report.rank < later ? laterTerm : 5,
@@ -132,28 +134,78 @@
 	assert.equal((this.notes.get('sent') as string[]).length > 0 ? 'yes' : 'no', expected);
 });
 
-When('a rank that knows term {int} receives an order of term {int}', async function (this: SystemWorld, known: number, term: number) {
-	const taken: string[] = [];
-	const [report] = makeReports(99, 8, undefined, 1);
-	const agent = new RankAgent({
-		engine: {
-			readReport: async () => report,
-			readCounts: async () => ({step: 99, epoch: 1, chosen: []}),
-			readPlacement: async () => ({epoch: 1, version: 0, experts: []}),
-			async order({type}) {
-				taken.push(type);
-				return 'taken';
+type RankScene = {report: RankReport; readonly taken: string[]; readonly sent: LinkMessage[]; readonly agent: RankAgent};
+
+const getRank = (world: SystemWorld): RankScene => world.notes.get('rank') as RankScene;
+
+const startRank = (report: RankReport): RankScene => {
+	const scene: RankScene = {
+		report,
+		taken: [],
+		sent: [],
+		agent: new RankAgent({
+			engine: {
+				readReport: async () => scene.report,
+				readCounts: async () => ({step: 99, epoch: 1, chosen: []}),
+				readPlacement: async () => ({epoch: 1, version: 0, experts: []}),
+				async order({type}) {
+					scene.taken.push(type);
+					return 'taken';
+				},
 			},
-		},
-		engineAddress: '0', clock: () => 0, send: () => true, log: () => undefined,
-	});
-	await agent.tick(0);
-	agent.recordTerm(known);
+			engineAddress: '0',
+			clock: () => 0,
+			send(message) {
+				scene.sent.push(message);
+				return true;
+			},
+			log: () => undefined,
+		}),
+	};
+	return scene;
+};
+
+const receiveOrder = async ({agent}: RankScene, term: number, order: RankOrder): Promise<void> => {
 	agent.receive({
-		type: 'rank-order', group: 'group', term, number: 1, order: {type: 'release', epoch: 1, step: 100},
+		type: 'rank-order', group: 'group', term, number: 1, order,
 	});
 	await setImmediate();
-	this.notes.set('sent', taken);
+};
+
+When('a rank that knows term {int} receives an order of term {int}', async function (this: SystemWorld, known: number, term: number) {
+	const scene = startRank(makeReports(99, 8, undefined)[0]);
+	await scene.agent.tick(0);
+	scene.agent.recordTerm(known);
+	await receiveOrder(scene, term, {type: 'release', epoch: 1, step: 100});
+	this.notes.set('sent', scene.taken);
+});
+
+Given('a rank\'s process that starts at step {int} of epoch {int}, with {} prepared', async function (this: SystemWorld, step: number, epoch: number, prepared: string) {
+	const [report] = makeReports(step, 0, undefined);
+	const scene = startRank({...report, epoch, preparedVersion: prepared === 'no map' ? undefined : Number(prepared.split(' ')[1])});
+	await scene.agent.tick(0);
+	this.notes.set('rank', scene);
+});
+
+When('it meets {string}', async function (this: SystemWorld, events: string) {
+	const scene = getRank(this);
+	for (const event of events.split(', ').filter(Boolean)) {
+		if (event === 'prepare') {
+			await receiveOrder(scene, 1, {
+				type: 'prepare', epoch: scene.report.epoch, version: 8, map,
+			});
+		} else {
+			scene.report = {...scene.report, epoch: Number(event.split(' ')[1]), step: 0};
+		}
+	}
+
+	scene.agent.receive({type: 'rank-term', term: 1, sentAt: 0});
+	await scene.agent.tick(0);
+});
+
+Then('it reports that an order to prepare was given: {word}', function (this: SystemWorld, expected: string) {
+	const {report} = getRank(this).sent.findLast(message => message.type === 'rank-status')!;
+	assert.equal(report.hasPrepared === undefined ? 'unknown' : (report.hasPrepared ? 'yes' : 'no'), expected);
 });
 
 Given('its map only replaces others', function (this: SystemWorld) {
--- a/features/support/switch-schedule.ts
+++ b/features/support/switch-schedule.ts
@@ -35,6 +35,9 @@
 	private readonly planners: Planner[] = [];
 	/** Latest term that each rank's process knows. */
 	private readonly knownTerms = Array.from({length: rankCount}, () => 0);
+	/** Last epoch in which each rank was ordered to prepare a map through its process, and whether that process has not ended since. */
+	private readonly preparedEpochs = Array.from({length: rankCount}, () => 0);
+	private readonly isOriginal = Array.from({length: rankCount}, () => true);
 	private readonly late: LateOrder[] = [];
 	private now = 0;
 	private readonly random: () => number;
@@ -96,6 +99,8 @@
 			await this.carryOutLate();
 		} else if (draw < elected + passes + 0.052) {
 			this.group.startNextEpoch();
+		} else if (draw < elected + passes + 0.053) {
+			this.isOriginal[this.pick(rankCount)] = false;
 		} else {
 			await this.actAs(this.random() < 0.8 ? this.planners.at(-1)! : this.planners[this.pick(this.planners.length)]);
 		}
@@ -147,6 +152,10 @@
 		}
 
 		this.record(planner, order);
+		if (order.type === 'prepare' && !isDirect) {
+			this.preparedEpochs[rank] = order.epoch;
+		}
+
 		const isLate = isFaulty && this.random() < this.shares.late;
 		if (isLate) {
 			this.late.push({rank, order});
@@ -199,7 +208,8 @@
 		if (this.knownTerms[rank] <= planner.term) {
 			this.knownTerms[rank] = planner.term;
 			const report = await this.group.openEngine(rank).readReport();
-			planner.reports[rank] = report;
+			const hasPrepared = this.isOriginal[rank] ? this.preparedEpochs[rank] === report.epoch : undefined;
+			planner.reports[rank] = {...report, hasPrepared};
 			if (report.epoch > planner.epoch) {
 				planner.epoch = report.epoch;
 				planner.proposal = undefined;
--- a/src/expert-balance/hold-record.ts
+++ b/src/expert-balance/hold-record.ts
@@ -55,7 +55,7 @@
 	 * rank had prepared a map.
 	 */
 	noteReports(reports: readonly RankReport[]): void {
-		const mayHaveHeld = reports.every(({orders}) => orders !== 0);
+		const mayHaveHeld = reports.every(({hasPrepared}) => hasPrepared !== false);
 		this.firstStep ??= mayHaveHeld ? getStep(reports) + maximumLeadSteps : 0;
 	}
 
--- a/stand-ins/engine/lockstep-group.ts
+++ b/stand-ins/engine/lockstep-group.ts
@@ -60,13 +60,14 @@
 	heldBack: Array<{readonly rank: number; readonly order: RankOrder}> = [];
 	private ranks: Rank[] = [];
 	private delayedOrders: DelayedOrder[] = [];
-	private nextStepAt = 0;
+	private nextStepAt: number;
 	private lastVersion = 0;
 	private bornAt = 0;
 	/** How often each expert is chosen in a step, by layer. */
 	private demand: number[][] = [];
 
 	constructor(readonly options: GroupOptions) {
+		this.nextStepAt = options.stepMs;
 		this.isHeldBack = () => false;
 		this.shiftDemand();
 		this.resetRanks();
@@ -113,6 +114,11 @@
 		this.beginStep();
 	}
 
+	/** Number of orders that each rank has begun. */
+	countOrders(): number[] {
+		return this.ranks.map(({orders}) => orders);
+	}
+
 	/** Lets the orders of a type that wait take effect now. */
 	carryOut(type: RankOrder['type']): void {
 		const due = this.heldBack.filter(({order}) => order.type === type);
@@ -175,7 +181,7 @@
 	}
 
 	private report(index: number): RankReport {
-		const {map, prepared, preparedAt, armed, heldStep, orders} = this.ranks[index];
+		const {map, prepared, preparedAt, armed, heldStep} = this.ranks[index];
 		return {
 			group: this.options.name ?? 'group',
 			epoch: this.epoch,
@@ -188,7 +194,6 @@
 			preparedVersion: prepared && this.now - preparedAt >= expertCopyMs ? prepared.version : undefined,
 			armed: armed && {...armed},
 			heldStep,
-			orders,
 			pace: 1,
 		};
 	}
