Send on no request that a planned stop would cut, and refuse it at once

What callers saw: requests that came late in the grace period of an entry were taken and passed on, and cut without an answer as the process ended, among them requests that may not be repeated.

Cause: the notice (2.5 s) and the wait for bodies (4 s) follow each other, and nothing on the way of a request asks whether what is left of the grace period is enough: not a queue, a wait for a permit, a second attempt, a move from a silent target, or a request written ahead whose turn comes.

Ruled out: a shorter wait for bodies alone, as it changes nothing for the others.

Change: GracePeriod decides by the request's deadline, or, while callers cannot know of the stop and for requests that may have run, by the longest time of the route's requests in the last half minute, with half as much again. It is asked before the body is read, while it arrives, before each attempt and before a move. What is not sent is refused as not run with Connection: close and a Retry-After of 20 ms (250 before for late bodies): another entry can serve it.

The price is refusals: what may run only once is refused from the signal on where its deadline is beyond the end and fewer than eight requests of its route are known.

--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -8,6 +8,7 @@
 import {SharedRetryBudget} from '../../src/balance/shared-retry-budget.js';
 import {ServiceBreaker} from '../../src/balance/service-breaker.js';
 import {TargetHealth} from '../../src/balance/target-health.js';
+import {GracePeriod} from '../../src/callers/grace-period.js';
 import {getFailureDomain} from '../../src/fleet/get-failure-domain.js';
 import {TargetDirectory} from '../../src/fleet/target-directory.js';
 import {type Target} from '../../src/fleet/target.js';
@@ -17,6 +18,7 @@
 import {StreamAdmission} from '../../src/forward/stream-admission.js';
 import {TargetTracker} from '../../src/forward/target-tracker.js';
 import {StallDetector} from '../../src/forward/stall-detector.js';
+import {StopAdmission} from '../../src/forward/stop-admission.js';
 import {type Problem} from '../../src/requests/problem.js';
 import {type SystemWorld} from '../support/system-world.js';
 
@@ -320,6 +322,7 @@
 		retryBudget: new SharedRetryBudget({
 			ratio: 0.2, slack: 90, windowMs: 10_000, countEntries: () => 1, startedAt: 0, isNewFleet: () => false, onRefusal: String, log: String,
 		}),
+		stops: new StopAdmission(new GracePeriod()),
 		stalls: new StallDetector({
 			inFlightCounts,
 			health,
--- a/features/support/raw-caller.ts
+++ b/features/support/raw-caller.ts
@@ -3,6 +3,14 @@
 
 type Answer = {readonly status: number; readonly head: string; readonly body: string; readonly isWhole: boolean};
 
+type Request = {
+	readonly id: string;
+	readonly body?: string;
+	readonly more?: string;
+	/** Bytes of the body that are written. */
+	readonly written?: number;
+};
+
 const readChunks = (text: string): {readonly body: string; readonly isWhole: boolean; readonly length: number} => {
 	let body = '';
 	let position = 0;
@@ -78,8 +86,9 @@
 	}
 
 	/** Writes a request with the key of an organisation; `more` are further lines of its head, each with its line end. */
-	request(method: string, path: string, {id, body = '', more = ''}: {readonly id: string; readonly body?: string; readonly more?: string}): void {
-		this.write(`${method} ${path} HTTP/1.1\r\nhost: desk.example\r\nauthorization: Bearer ${this.key}\r\nx-request: ${id}\r\n${more}content-length: ${body.length}\r\n\r\n${body}`);
+	request(method: string, path: string, {id, body = '', more = '', written = body.length}: Request): void {
+		const head = `${method} ${path} HTTP/1.1\r\nhost: desk.example\r\nauthorization: Bearer ${this.key}\r\nx-request: ${id}\r\n${more}`;
+		this.write(`${head}content-length: ${body.length}\r\n\r\n${body.slice(0, written)}`);
 	}
 
 	/** Writes bytes. */
--- a/src/callers/caller-server.ts
+++ b/src/callers/caller-server.ts
@@ -11,6 +11,7 @@
 import {estimateRequestBytes} from './estimate-request-bytes.js';
 import {formatInputRefusal} from './format-input-refusal.js';
 import {IdleAwareServer} from './idle-aware-server.js';
+import {makeStopProblem} from './make-stop-problem.js';
 import {ReadAhead} from './read-ahead.js';
 
 type ServerOptions = Omit<ConstructorParameters<typeof CallerConnections>[0], 'onEmpty'> & {
@@ -37,8 +38,6 @@
 const lastRequestsMs = 1000;
 /** Time after the start of a drain in which bodies may still arrive, milliseconds; the requests are refused then. */
 const lastBodiesMs = 4000;
-/** When to retry a request that is refused since the process stops, milliseconds: at another entry. */
-const stopRetryAfterMs = 250;
 /** Answer to CONNECT: the server opens no tunnels. */
 const tunnelRefusal = 'HTTP/1.1 405 Method Not Allowed\r\nallow: GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
 
@@ -176,9 +175,7 @@
 
 		for (const {connection} of this.connections.list()) {
 			if (connection.isReceivingFirst) {
-				connection.failInput(new Problem({
-					status: 503, title: 'Stopping', detail: 'the body had not arrived when this entry stopped', outcome: 'not-run', retryAfterMs: stopRetryAfterMs,
-				}));
+				connection.failInput(makeStopProblem('the body had not arrived when this entry stopped'));
 			}
 		}
 	}
--- a/src/callers/read-body.ts
+++ b/src/callers/read-body.ts
@@ -12,6 +12,8 @@
 	/** Time by which the body must have arrived, milliseconds on `clock`. */
 	readonly deadline: number;
 	readonly clock: () => number;
+	/** Registers the function that refuses the request while its body arrives; returns a function that ends that. */
+	readonly watch?: (refuse: (problem: Problem) => void) => () => void;
 };
 
 /* Joins the chunks of a body; one that has arrived in one piece is not copied. */
@@ -24,7 +26,7 @@
  * Reads the whole body of a request; returns the problem to send to its caller when it is too large, too late or breaks off, or when there
  * is no memory for it.
  */
-export async function readBody({incoming, readAhead, inputFailure, memory}: Input, {maximumBytes, deadline, clock}: ReadOptions): Promise<Result<Uint8Array<ArrayBuffer>, Problem>> {
+export async function readBody({incoming, readAhead, inputFailure, memory}: Input, {maximumBytes, deadline, clock, watch}: ReadOptions): Promise<Result<Uint8Array<ArrayBuffer>, Problem>> {
 	const chunks = new ChunkList();
 	let isSettled = false;
 	/** Bytes counted in the budget for what has been read. */
@@ -33,6 +35,7 @@
 		const settle = (result: Result<Uint8Array<ArrayBuffer>, Problem>): void => {
 			isSettled = true;
 			cancel();
+			endWatch?.();
 			inputFailure.removeEventListener('abort', handleFailure);
 			incoming.off('data', handleData).off('end', handleEnd).off('error', handleError).off('close', handleClose);
 			// The rest is discarded.
@@ -94,6 +97,7 @@
 		const cancel = runAt(deadline, clock, () => {
 			fail(408, 'Body too late', 'the body had not arrived at the deadline');
 		});
+		const endWatch = watch?.(drop);
 		if (memory.isShort) {
 			drop(makeMemoryProblem());
 			return;
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -1,4 +1,5 @@
 import {err, ok, type Result} from 'neverthrow';
+import {stopRetryAfterMs} from '../callers/stop-retry-after-ms.js';
 import {getFailureDomain} from '../fleet/get-failure-domain.js';
 import {type Target} from '../fleet/target.js';
 import {Problem} from '../requests/problem.js';
@@ -16,6 +17,8 @@
 import {type SendProgress} from './send-progress.js';
 import {silentConnectionReason} from './silent-connection-reason.js';
 import {type StallDetector} from './stall-detector.js';
+import {type StopAdmission} from './stop-admission.js';
+import {stopDetail} from './stop-detail.js';
 import {StreamDelivery} from './stream-delivery.js';
 import {TargetPicker} from './target-picker.js';
 import {type TargetTransport} from './target-transport.js';
@@ -24,6 +27,7 @@
 	/** Sends a request to one target. */
 	readonly send: TargetTransport['send'];
 	readonly stalls: StallDetector;
+	readonly stops: StopAdmission;
 	/** Returns the number of entries registered in the store. */
 	readonly countRegistered: () => number;
 	/** Called for each attempt. */
@@ -36,6 +40,8 @@
 /** Lowest status that is retried at another target. */
 const minimumServerError = 500;
 
+const stopRefusal: Refusal = {detail: stopDetail, spread: 0, retryAfterMs: stopRetryAfterMs};
+
 /** Sends each request to a target with capacity, and retries at others where that is safe and within the retry budget. */
 export class ForwardDispatcher {
 	private readonly picker: TargetPicker;
@@ -85,7 +91,7 @@
 
 	private async sendUntilAnswered(exchange: ForwardExchange, progress: SendProgress): Promise<Result<void, Problem>> {
 		for (;;) {
-			const target = await this.picker.pick(exchange, progress);
+			const target = this.refuseLate(exchange, progress) ?? await this.picker.pick(exchange, progress);
 			if ('detail' in target) {
 				return this.conclude(exchange, progress, target);
 			}
@@ -98,8 +104,19 @@
 		}
 	}
 
+	/* A request that may have run is sent again if it is expected to end in time: no refusal is true any more. */
+	private refuseLate(exchange: ForwardExchange, {isNotRun, reason, reservation}: SendProgress): Refusal | undefined {
+		const {stops, clock} = this.options;
+		// For a request that was moved, this was decided before.
+		if (reservation?.state === 'used' || stops.hasTimeFor(exchange, !isNotRun, clock())) {
+			return undefined;
+		}
+
+		return isNotRun ? stopRefusal : {...stopRefusal, detail: `${reason}; ${stopDetail}`};
+	}
+
 	private async sendTo(target: Target, exchange: ForwardExchange, progress: SendProgress): Promise<SendOutcome> {
-		const {inFlightCounts, tracker, clock, send, stalls, onSend, log} = this.options;
+		const {inFlightCounts, tracker, clock, send, stalls, stops, onSend, log} = this.options;
 		const now = clock();
 		const remainingMs = exchange.deadline - now;
 		if (exchange.disconnection.signal.aborted) {
@@ -111,6 +128,13 @@
 			return {kind: 'not-run', reason: 'the deadline passed', wasSent: false};
 		}
 
+		// It may have waited for a permit.
+		if (progress.isNotRun && this.refuseLate(exchange, progress)) {
+			return {
+				kind: 'not-run', reason: stopDetail, wasSent: false, cause: 'stopping',
+			};
+		}
+
 		progress.inFlight = inFlightCounts.count(target.id, now);
 		inFlightCounts.noteStart(target.id, now);
 		tracker.noteSend(target.id, now);
@@ -119,7 +143,7 @@
 		progress.attempts++;
 		const onAnswerPart = this.options.crashes.watchAnswer(exchange);
 		try {
-			return await sendWithTimeouts({
+			const outcome = await sendWithTimeouts({
 				exchange,
 				target,
 				progress,
@@ -130,6 +154,11 @@
 					exchange, target, delivery: progress.delivery, signal, onAnswerPart, ...callbacks,
 				}),
 			});
+			if (outcome.kind !== 'not-run') {
+				stops.noteRun(exchange, clock() - now, clock());
+			}
+
+			return outcome;
 		} catch (error) {
 			// Whatever is thrown in an attempt is its outcome: it is not known how far the attempt had come.
 			const {message, stack} = error as Error;
@@ -235,7 +264,7 @@
 		exchange.noteDecision(`${target.id} with ${progress.inFlight} in flight: ${reason}`);
 	}
 
-	private conclude(exchange: ForwardExchange, progress: SendProgress, {detail, spread, unavailableMs}: Refusal): Result<void, Problem> {
+	private conclude(exchange: ForwardExchange, progress: SendProgress, {detail, spread, unavailableMs, retryAfterMs}: Refusal): Result<void, Problem> {
 		if (progress.isUnsendable && progress.isNotRun) {
 			return err(new Problem({
 				status: 400, title: 'Bad request', detail: `the request cannot be sent on: ${progress.reason}`, outcome: 'not-run',
@@ -244,7 +273,7 @@
 
 		const {clock, random} = this.options;
 		const leftMs = exchange.deadline - clock();
-		const reservedMs = unavailableMs === undefined ? undefined : this.reserveRetry(exchange.service, leftMs, unavailableMs);
+		const reservedMs = unavailableMs === undefined ? retryAfterMs : this.reserveRetry(exchange.service, leftMs, unavailableMs);
 		return concludeRequest(exchange, progress, detail, reservedMs ?? chooseRetryDelay(leftMs, spread * random(), unavailableMs ?? 0));
 	}
 
--- a/src/forward/make-forward-pipeline.ts
+++ b/src/forward/make-forward-pipeline.ts
@@ -3,6 +3,7 @@
 import {ProbeBudget} from '../balance/probe-budget.js';
 import {SharedRetryBudget} from '../balance/shared-retry-budget.js';
 import {ServiceBreaker} from '../balance/service-breaker.js';
+import {GracePeriod} from '../callers/grace-period.js';
 import {type ForwardEntrySettings} from '../config/forward-entry-settings.js';
 import {type Service} from '../fleet/service.js';
 import {getFailureDomain} from '../fleet/get-failure-domain.js';
@@ -12,6 +13,7 @@
 import {ForwardDispatcher} from './forward-dispatcher.js';
 import {type ForwardDependencies} from './forward-dependencies.js';
 import {StallDetector} from './stall-detector.js';
+import {StopAdmission} from './stop-admission.js';
 import {StreamAdmission} from './stream-admission.js';
 import {TargetTracker} from './target-tracker.js';
 import {type TargetTransport} from './target-transport.js';
@@ -24,6 +26,8 @@
 	readonly address: string;
 	/** Opens the transport to targets; the listener is notified of what they send. */
 	readonly openTransport: (listener: TransportListener) => TargetTransport;
+	/** The time that a planned stop of this process leaves. */
+	readonly grace?: GracePeriod;
 	/** Returns the configuration of a service; undefined while it is not known. */
 	readonly getService: (name: string) => Service | undefined;
 	/** Whether all entries have started for the first time. */
@@ -49,6 +53,7 @@
 	readonly tracker: TargetTracker;
 	readonly dispatcher: ForwardDispatcher;
 	readonly crashes: CrashDetector;
+	readonly stops: StopAdmission;
 	/** Returns the digest to send to peers; the whole one for a peer that may not have received any yet. */
 	getDigest(isFull: boolean, now: number): EntryDigest;
 	/** Merges a peer's digest; `isSameZone` says whether the peer is in the same availability zone. */
@@ -135,6 +140,7 @@
 		log,
 	});
 	const entryCount = new EntryCount(now => Math.max(inFlightCounts.countLivePeers(now) + 1, countRegistered()));
+	const stops = new StopAdmission(options.grace ?? new GracePeriod());
 	const dispatcher = new ForwardDispatcher({
 		send: async sendOptions => transport.send(sendOptions),
 		tracker,
@@ -151,6 +157,7 @@
 			log,
 		}),
 		stalls,
+		stops,
 		admission,
 		availabilityZone,
 		clock,
@@ -165,6 +172,7 @@
 		tracker,
 		dispatcher,
 		crashes,
+		stops,
 		getDigest(isFull, now) {
 			const active = stalls.listActive(now);
 			return {
@@ -186,6 +194,7 @@
 			const now = clock();
 			crashes.tick(now);
 			stalls.tick();
+			stops.tick(now);
 			tracker.tick(now);
 			admission.tick(now);
 		},
--- a/src/forward/refusal.ts
+++ b/src/forward/refusal.ts
@@ -6,4 +6,6 @@
 	readonly spread: number;
 	/** Where no target is available, time until the first one is, milliseconds. */
 	readonly unavailableMs?: number;
+	/** When the caller should retry, milliseconds; chosen by the above if absent. */
+	readonly retryAfterMs?: number;
 };
--- a/src/forward/send-outcome.ts
+++ b/src/forward/send-outcome.ts
@@ -9,8 +9,8 @@
 	readonly kind: 'not-run';
 	readonly reason: string;
 	readonly wasSent: boolean;
-	/** Why: the target is full, its group has stopped, it is gone, the request cannot be sent to any target, or no connection may be opened now. */
-	readonly cause?: 'busy' | 'group-down' | 'gone' | 'invalid' | 'no-connection';
+	/** Why: the target is full, its group has stopped, it is gone, the request cannot be sent to any target, no connection may be opened now, or this process stops. */
+	readonly cause?: 'busy' | 'group-down' | 'gone' | 'invalid' | 'no-connection' | 'stopping';
 };
 /** It is unknown whether the request ran, or its stream was interrupted. */
 type Lost = {
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -1,5 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {CallerServer} from '../callers/caller-server.js';
+import {GracePeriod} from '../callers/grace-period.js';
 import {type ForwardEntrySettings} from '../config/forward-entry-settings.js';
 import {DescriptorShares} from '../descriptors/descriptor-shares.js';
 import {readDescriptorLimit} from '../descriptors/read-descriptor-limit.js';
@@ -67,8 +68,10 @@
 	const metrics = new ForwardMetrics();
 	const budget = new MemoryBudget(settings.limits.heldBytes ?? getDefaultMemory());
 	const descriptors = new DescriptorShares({maximum: settings.limits.descriptors, readLimit: readDescriptorLimit});
+	const grace = new GracePeriod();
 	const pipeline = makeForwardPipeline({
 		...settings,
+		grace,
 		clock,
 		random,
 		address: linkAddress,
@@ -109,7 +112,7 @@
 			requestLog.info(message);
 		},
 	});
-	const {inFlightCounts, tracker, dispatcher, crashes} = pipeline;
+	const {inFlightCounts, tracker, dispatcher, crashes, stops} = pipeline;
 	const crashRecords = makeCrashRecords(crashes, {
 		registry: dependencies.registry,
 		log(message) {
@@ -185,7 +188,9 @@
 		filters: [
 			makeRouteFilter({getTable, defaultDeadlineMs: settings.requests.defaultDeadlineMs}),
 			makeKeyFilter(getTable),
-			makeReadFilter({getTable, maximumHeldBytes: budget.maximumAccountBytes, clock}),
+			makeReadFilter({
+				getTable, maximumHeldBytes: budget.maximumAccountBytes, clock, stops,
+			}),
 			makeForwardFilter(dispatcher),
 		],
 		onEnd(exchange, problem) {
@@ -309,11 +314,15 @@
 		getRevision: () => view.asOf.number,
 		stopped,
 		async stop() {
+			const {graceMs, noticeMs} = settings.stop;
+			const now = clock();
 			isStopping = true;
+			grace.begin({noticedAt: now + noticeMs, endsAt: now + graceMs - graceMarginMs});
+			stops.tick(now);
 			server.announceStop();
 			entryLog.info(`stopping, ${server.openRequests} open requests`);
-			await delay(settings.stop.noticeMs);
-			const leftMs = settings.stop.graceMs - settings.stop.noticeMs - graceMarginMs;
+			await delay(noticeMs);
+			const leftMs = graceMs - noticeMs - graceMarginMs;
 			await Promise.race([server.drain(), delay(leftMs, undefined, {ref: false})]);
 			entryLog.info(`stopped, ${server.openRequests} open requests`);
 			server.close();
--- a/src/forward/target-picker.ts
+++ b/src/forward/target-picker.ts
@@ -13,6 +13,7 @@
 import {type SendProgress} from './send-progress.js';
 import {silentConnectionReason} from './silent-connection-reason.js';
 import {type UnavailableTarget} from './unavailable-target.js';
+import {type StopAdmission} from './stop-admission.js';
 import {type StreamAdmission} from './stream-admission.js';
 import {type TargetTracker} from './target-tracker.js';
 
@@ -31,6 +32,8 @@
 	/** Limits requests sent as probes to targets that have refused some. */
 	readonly probes: ProbeBudget;
 	readonly admission: StreamAdmission;
+	/** Says whether another attempt would end before this process stops. */
+	readonly stops: StopAdmission;
 	readonly availabilityZone: string;
 	/** The present time, milliseconds. */
 	readonly clock: () => number;
@@ -131,8 +134,9 @@
 	}
 
 	/* Returns why no further attempt is possible, without taking anything from the budget of retries or of probes. */
-	private findObstacle({route, service}: ForwardExchange, {attempts, sent, misdirected, excluded, isRetryCharged}: SendProgress): string | undefined {
-		const {tracker, retryBudget, clock} = this.options;
+	private findObstacle(exchange: ForwardExchange, {attempts, sent, misdirected, excluded, isRetryCharged}: SendProgress): string | undefined {
+		const {tracker, retryBudget, stops, clock} = this.options;
+		const {route, service} = exchange;
 		if (attempts >= maximumAttempts || sent - misdirected >= route!.maximumAttempts) {
 			return 'all its attempts are used';
 		}
@@ -141,6 +145,10 @@
 			return 'no other target takes requests';
 		}
 
+		if (!stops.hasTimeToMove(exchange, clock())) {
+			return 'this process stops too soon for another attempt';
+		}
+
 		return isRetryCharged || retryBudget.mayRetry(service, clock()) ? undefined : 'the budget of repeats is spent';
 	}
 
