Wait as long before moving a request again where it is alone at its target

What callers saw: a stream that its target let wait (as one that is short of memory does with its newest request) was moved, let wait there too, and moved once more after 0.9 s, as long as its route allows attempts.

Cause: a request that was moved for silence is to be moved again only after a longer one (1.5 s); the check for a silent target, unlike those for silent connections, did not ask that. Seen from one entry, a target with a single request of its own is silent with it, whatever it sends to other entries.

Ruled out: that silence ends anything else sooner than the deadline. Read for it: timeouts of the clients to targets and engines (none), the links of the own interface (they end calls only when the link itself is lost), the server for callers (a stall counts only bytes that the caller has not taken).

Seven new scenarios of stall.feature.

--- a/features/stall.feature
+++ b/features/stall.feature
@@ -155,6 +155,62 @@
     And one gets an event each 50 ms and the other none, for 50 ms
     Then 1 of them is aborted
 
+  # Guards against a request that is moved for a silence that is over.
+  Scenario: A silence that could not be acted on is over with the next event
+    Given two streams at one target, both with their first event
+    And no other attempt is possible
+    When one gets an event each 50 ms and the other none, for 1500 ms
+    And the silent one gets an event
+    And another attempt is possible
+    And one gets an event each 50 ms and the other none, for 500 ms
+    Then 0 of them are aborted
+
+  # Guards against moving a request that was just sent, for the silence of another one that could not be moved.
+  Scenario: A request is not moved for the silence of an earlier one at its target
+    Given a stream at each of two targets, of which only the first makes progress, for 1500 ms
+    When another request is sent to the second, and 500 ms pass
+    Then 1 of them is aborted
+
+  # Guards against moving requests again and again when several targets let them wait at once.
+  Scenario Outline: Streams that were moved and stop at the same time are moved again only after a longer silence: <ms> ms
+    Given 6 streams at four targets that were moved there, all with their first event
+    When the last 4 stop within 0 ms, and the others go on for <ms> ms
+    Then <aborted> of them are aborted
+
+    Examples:
+      | ms   | aborted |
+      | 1400 | 0       |
+      | 1700 | 4       |
+
+  # Guards against ending a stream for the silence of its caller.
+  Scenario: Of streams that stop at the same time, those whose callers do not read are not on silent connections
+    Given 6 streams at four targets, all with their first event
+    And the callers of the last 2 do not read
+    When the last 4 stop within 0 ms, and the others go on for 500 ms
+    Then 2 of them are aborted
+
+  # Guards against refusing the requests of a service since some callers do not read.
+  Scenario: A service whose callers do not read is not considered stopped
+    Given 3 streams at one target, all with their first event
+    And the callers of the last 3 do not read
+    When none gets an event for 650 ms
+    Then the service isn't considered stopped
+
+  # Guards against refusing the requests of a service for streams that are known to be on silent connections.
+  Scenario: Streams on silent connections that cannot be moved do not show that their service has stopped
+    Given 4 streams at four targets, all with their first event
+    And no other attempt is possible
+    When none gets an event for 650 ms, and "the links to peers are silent too"
+    And none gets an event for 650 ms, and "peers report something else"
+    Then the service isn't considered stopped
+
+  # Guards against moving a request that has only just been sent, before its target can have answered.
+  Scenario: A request that was just sent on a connection used before is not moved yet
+    Given 6 streams at four targets, all with their first event
+    And a request is sent 300 ms after the last 4 have stopped, on a connection used before
+    When the last 4 stop within 0 ms, and the others go on for 450 ms
+    Then 4 of them are aborted
+
   # Guards against moving a request from target to target, each of which lets its newest request wait.
   Scenario Outline: A stream that was moved because of silence is moved again only after a longer one: <ms> ms
     Given two streams at one target, both with their first event
--- a/features/steps/stall-steps.ts
+++ b/features/steps/stall-steps.ts
@@ -86,8 +86,8 @@
 		}
 	}
 
-	/** Starts a request on a new connection. */
-	start(index: number): void {
+	/** Starts a request on a connection that last proved to work at `aliveAt`, milliseconds; on a new one by default. */
+	start(index: number, aliveAt = this.now): void {
 		const abort = new AbortController();
 		const to = this.getTarget(index);
 		this.aborts.push(abort);
@@ -96,7 +96,7 @@
 		const watch = this.detector.watch({
 			target: to, move: reason => this.move(abort, reason), hasMoved: this.hasMoved, isWaitingForCaller: () => this.waitingForCaller[index],
 		});
-		watch.noteConnection(this.now);
+		watch.noteConnection(aliveAt);
 		this.watches.push(watch);
 	}
 
@@ -216,13 +216,54 @@
 	const newAt = this.notes.get('opened after') as number | undefined;
 	const live = all.slice(0, all.length - count);
 	if (newAt !== undefined) {
+		const stoppedAt = streams.now;
 		streams.pass(newAt, live);
-		streams.start(all.length);
+		streams.start(all.length, this.notes.get('is used') === true ? stoppedAt : undefined);
 	}
 
 	streams.pass(ms - (newAt ?? 0), live);
 });
 
+Given('a request is sent {int} ms after the last 4 have stopped, on a connection used before', function (this: SystemWorld, ms: number) {
+	this.notes.set('opened after', ms);
+	this.notes.set('is used', true);
+});
+
+Given('{int} streams at four targets that were moved there, all with their first event', function (this: SystemWorld, count: number) {
+	const streams = new Streams(0, 4);
+	streams.hasMoved = true;
+	for (let index = 0; index < count; index++) {
+		streams.start(index);
+	}
+
+	this.notes.set('streams', streams);
+	streams.pass(tickMs, [...streams.aborts.keys()]);
+});
+
+Given('the callers of the last {int} do not read', function (this: SystemWorld, count: number) {
+	getStreams(this).waitingForCaller.fill(true, -count);
+});
+
+Given('a stream at each of two targets, of which only the first makes progress, for {int} ms', function (this: SystemWorld, ms: number) {
+	const streams = new Streams(2, 2);
+	this.notes.set('streams', streams);
+	streams.isMovable = false;
+	streams.progress(0);
+	streams.progress(1);
+	streams.pass(ms, [0]);
+});
+
+When('another request is sent to the second, and {int} ms pass', function (this: SystemWorld, ms: number) {
+	const streams = getStreams(this);
+	streams.start(3);
+	streams.isMovable = true;
+	streams.pass(ms, [0]);
+});
+
+When('the silent one gets an event', function (this: SystemWorld) {
+	getStreams(this).progress(1);
+});
+
 Given('a request is sent on a connection opened {int} ms after the last 4 have stopped', function (this: SystemWorld, ms: number) {
 	this.notes.set('opened after', ms);
 });
--- a/src/forward/stall-detector.ts
+++ b/src/forward/stall-detector.ts
@@ -316,10 +316,11 @@
 	 * A group that pauses as a whole is silent at all targets; then no single target has failed. Where a silent request is held, the
 	 * target's silence says nothing of a request that was sent later, on another connection.
 	 */
-	private isTargetSilent({target: {id, service}, progressAt, startedAt}: WatchedRequest, heldTargets: ReadonlySet<string>, now: number): boolean {
+	private isTargetSilent(watched: WatchedRequest, heldTargets: ReadonlySet<string>, now: number): boolean {
+		const {target: {id, service}, progressAt, startedAt} = watched;
 		const activeMs = now - (this.activeSince.get(service) ?? now);
 		const isOwn = !heldTargets.has(id) || now - (progressAt ?? startedAt) > stallTimeoutMs;
-		return isOwn && this.options.inFlightCounts.getSilenceMs(id, now) > stallTimeoutMs && activeMs > stallTimeoutMs;
+		return isOwn && !this.mayBeDeferred(watched, now) && this.options.inFlightCounts.getSilenceMs(id, now) > stallTimeoutMs && activeMs > stallTimeoutMs;
 	}
 
 	/* A target makes progress on all of its answers together, so a single silent one means a lost connection. */
