Claim an epoch of a group in the store before the first hold in it

Cause: a new planner must know whether an earlier one may have held the group in this epoch. The ranks' processes know only if they have run since it began; after a loss of power none has.

Ruled out: reports of engines (busy stays false while they copy experts, sequence stays 0, and a map that is prepared is not reported while the next is copied).

Change: EpochClaim writes the epoch to the store before the planner first holds the group in it, on condition that its own term is the latest and that nobody has changed the claims; a planner that finds no earlier claim of the epoch need not wait. Claims have no lease. In a later era of the store none is trusted, since a restored store may have lost it. What added to the ranks' processes is taken back. One call to read and, for each new epoch, one to write.

Not covered: while the store is away a planner does not hold its group in an epoch that it has not claimed.

--- a/features/expert-balance.feature
+++ b/features/expert-balance.feature
@@ -15,6 +15,16 @@
     And 12 seconds pass with a shift of demand every 4 seconds
     Then the planner has proposed maps for at least 3 demands
 
+  # Guards against a planner that holds a group of which later planners do not know it.
+  Scenario: A planner that cannot claim the epoch of its group does not hold it
+    Given a lock-step group with a planner
+    And the store does not answer the planner
+    When 5 seconds pass
+    Then the group has not been held
+    When the store answers the planner
+    And 5 seconds pass
+    Then the group has changed its map
+
   Scenario: A switch does not delay a group with short passes
     Given a lock-step group with a planner, whose passes and messages each take 20 milliseconds
     When 20 seconds pass with a shift of demand every 2 seconds
--- a/features/steps/expert-balance-steps.ts
+++ b/features/steps/expert-balance-steps.ts
@@ -83,6 +83,18 @@
 	this.notes.set('harness', harness);
 });
 
+Given('the store does not answer the planner', function (this: SystemWorld) {
+	getHarness(this).store.setFault('planner-1', 'down');
+});
+
+When('the store answers the planner', function (this: SystemWorld) {
+	getHarness(this).store.setFault('planner-1', 'none');
+});
+
+Then('the group has not been held', function (this: SystemWorld) {
+	assert.equal(getHarness(this).group.holds, 0);
+});
+
 Given('an entry that the planner can reach', function (this: SystemWorld) {
 	getHarness(this).hasEntry = true;
 });
--- a/features/steps/odd-message-steps.ts
+++ b/features/steps/odd-message-steps.ts
@@ -4,6 +4,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {EpochClaim} from '../../src/expert-balance/epoch-claim.js';
 import {PlannerServer} from '../../src/expert-balance/planner-server.js';
 import {type LinkConnection} from '../../src/link/link-connection.js';
 import {LinkMessage} from '../../src/link/link-message.js';
@@ -11,6 +12,7 @@
 import {RawLink} from '../support/raw-link.js';
 import {ForwardSystem} from '../support/forward-system.js';
 import {makeOddMessage} from '../support/make-odd-message.js';
+import {MemoryStore} from '../../stand-ins/forward/memory-store.js';
 import {type SystemWorld} from '../support/system-world.js';
 
 type Peer = {readonly send: (message: LinkMessage) => void};
@@ -62,13 +64,17 @@
 		onClose: () => undefined,
 		send: () => false,
 	} as unknown as LinkConnection);
+	const claim = new EpochClaim({
+		registry: new MemoryStore().createClient('planner'), key: 'claims', planner: {key: 'planner', revision: {era: 0, number: 1}}, log: String,
+	});
+	const term = {term: 1, group, claim};
 	this.notes.set('peer', {
 		send(message) {
 			receive!(message);
-			planner.tick({term: 1, group}, performance.now());
+			planner.tick(term, performance.now());
 		},
 	} satisfies Peer);
-	planner.tick({term: 1, group}, performance.now());
+	planner.tick(term, performance.now());
 	this.onClose(() => {
 		planner.close();
 	});
--- a/features/support/group-harness.ts
+++ b/features/support/group-harness.ts
@@ -2,16 +2,19 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {BalanceSettings} from '../../src/expert-balance/balance-settings.js';
+import {EpochClaim} from '../../src/expert-balance/epoch-claim.js';
 import {GroupController} from '../../src/expert-balance/group-controller.js';
 import {type RankEngine} from '../../src/expert-balance/rank-engine.js';
 import {RankAgent} from '../../src/expert-balance/rank-agent.js';
 import {type RankOrder} from '../../src/expert-balance/rank-order.js';
 import {type LinkMessage} from '../../src/link/link-message.js';
 import {LockstepGroup} from '../../stand-ins/engine/lockstep-group.js';
+import {MemoryStore} from '../../stand-ins/forward/memory-store.js';
 
-type Planner = {readonly term: number; readonly rank: number; readonly controller: GroupController; readonly clockOffsetMs: number; isAlive: boolean; isSuspended: boolean};
+type Planner = {readonly term: number; readonly rank: number; readonly controller: GroupController; readonly claim: EpochClaim; readonly clockOffsetMs: number; isAlive: boolean; isSuspended: boolean};
 
 const turnMs = 20;
+const plannerKey = 'planner';
 const shape = {
 	ranks: 4, layers: 2, experts: 8, slots: 3, maximumNew: 2,
 };
@@ -20,6 +23,8 @@
 export class GroupHarness {
 	now = 0;
 	readonly group: LockstepGroup;
+	/** Holds the planner's key, and the claims on epochs. */
+	readonly store = new MemoryStore();
 	readonly log: string[] = [];
 	readonly planners: Planner[] = [];
 	/** Share of the messages between processes that are lost. */
@@ -57,9 +62,19 @@
 	 */
 	startPlanner(rank: number, clockOffsetMs = 0): Planner {
 		const term = this.planners.length + 1;
+		this.store.put(plannerKey, String(term));
+		const claim = new EpochClaim({
+			registry: this.store.createClient(`planner-${term}`),
+			key: 'claims',
+			planner: {key: plannerKey, revision: {era: 0, number: this.store.lastRevision}},
+			log: line => {
+				this.log.push(`${this.now} term ${term}: ${line}`);
+			},
+		});
 		const planner: Planner = {
 			term,
 			rank,
+			claim,
 			clockOffsetMs,
 			isAlive: true,
 			isSuspended: false,
@@ -68,6 +83,7 @@
 				term,
 				ownRank: () => rank,
 				settings: BalanceSettings.parse({}),
+				claim,
 				getShape: () => shape,
 				send: (to, message) => this.deliver(planner, to, message),
 				orderViaEntry: (address, order) => this.orderViaEntry(Number(address), order),
@@ -126,6 +142,7 @@
 
 			for (const planner of this.planners) {
 				if (planner.isAlive && !planner.isSuspended) {
+					void planner.claim.tick(this.group.epoch, this.now);
 					void planner.controller.tick(this.now + planner.clockOffsetMs);
 				}
 			}
--- a/features/support/switch-schedule.ts
+++ b/features/support/switch-schedule.ts
@@ -12,6 +12,9 @@
 	readonly holds: HoldRecord;
 	/** Last report of each rank that the planner knows. */
 	readonly reports: Array<RankReport | undefined>;
+	/** Epochs that were claimed before its term, and those that it has claimed. */
+	readonly earlier: readonly number[];
+	readonly claimed: Set<number>;
 	epoch: number;
 	proposal: Proposal | undefined;
 	proposals: number;
@@ -35,9 +38,7 @@
 	private readonly planners: Planner[] = [];
 	/** Latest term that each rank's process knows. */
 	private readonly knownTerms = Array.from({length: rankCount}, () => 0);
-	/** Last epoch in which each rank was ordered to prepare a map through its process, and whether that process has not ended since. */
-	private readonly preparedEpochs = Array.from({length: rankCount}, () => 0);
-	private readonly isOriginal = Array.from({length: rankCount}, () => true);
+	private readonly claimed = new Set<number>();
 	private readonly late: LateOrder[] = [];
 	private now = 0;
 	private readonly random: () => number;
@@ -99,8 +100,6 @@
 			await this.carryOutLate();
 		} else if (draw < elected + passes + 0.052) {
 			this.group.startNextEpoch();
-		} else if (draw < elected + passes + 0.053) {
-			this.isOriginal[this.pick(rankCount)] = false;
 		} else {
 			await this.actAs(this.random() < 0.8 ? this.planners.at(-1)! : this.planners[this.pick(this.planners.length)]);
 		}
@@ -129,7 +128,7 @@
 
 		planner.holds.noteReports(reports);
 		const decision = decideOrders({
-			reports, proposal: planner.proposal, holds: planner.holds, nextStep: planner.holds.findNextStep(reports, 1 + this.pick(20)), holder: this.pick(rankCount),
+			reports, proposal: planner.proposal, holds: planner.holds, nextStep: this.findNextStep(planner, reports), holder: this.pick(rankCount),
 		});
 		if (decision.needsReplacement) {
 			planner.proposal = undefined;
@@ -143,6 +142,17 @@
 		}
 	}
 
+	/* Only the planner of the latest term can claim an epoch. */
+	private findNextStep(planner: Planner, reports: readonly RankReport[]): number | undefined {
+		const {epoch, earlier, claimed, holds} = planner;
+		if (planner === this.planners.at(-1)) {
+			claimed.add(epoch);
+			this.claimed.add(epoch);
+		}
+
+		return claimed.has(epoch) ? holds.findNextStep(reports, 1 + this.pick(20), !earlier.includes(epoch)) : undefined;
+	}
+
 	/* A rank's process refuses the orders of a superseded planner; those sent directly to its engine, or through an entry, are not refused. */
 	private async send(planner: Planner, {rank, order}: LateOrder, isFaulty: boolean): Promise<void> {
 		const mayGoDirectly = order.type !== 'prepare' || planner.proposal?.isReplacement;
@@ -152,10 +162,6 @@
 		}
 
 		this.record(planner, order);
-		if (order.type === 'prepare' && !isDirect) {
-			this.preparedEpochs[rank] = order.epoch;
-		}
-
 		const isLate = isFaulty && this.random() < this.shares.late;
 		if (isLate) {
 			this.late.push({rank, order});
@@ -189,7 +195,14 @@
 
 	private elect(): Planner {
 		const planner: Planner = {
-			term: this.planners.length + 1, holds: new HoldRecord(), reports: Array.from({length: rankCount}, () => undefined), epoch: 0, proposal: undefined, proposals: 0,
+			term: this.planners.length + 1,
+			holds: new HoldRecord(),
+			reports: Array.from({length: rankCount}, () => undefined),
+			earlier: [...this.claimed],
+			claimed: new Set(),
+			epoch: 0,
+			proposal: undefined,
+			proposals: 0,
 		};
 		this.planners.push(planner);
 		return planner;
@@ -208,8 +221,7 @@
 		if (this.knownTerms[rank] <= planner.term) {
 			this.knownTerms[rank] = planner.term;
 			const report = await this.group.openEngine(rank).readReport();
-			const hasPrepared = this.isOriginal[rank] ? this.preparedEpochs[rank] === report.epoch : undefined;
-			planner.reports[rank] = {...report, hasPrepared};
+			planner.reports[rank] = report;
 			if (report.epoch > planner.epoch) {
 				planner.epoch = report.epoch;
 				planner.proposal = undefined;
--- a/src/expert-balance/group-controller.ts
+++ b/src/expert-balance/group-controller.ts
@@ -5,6 +5,7 @@
 import {runGuarded} from '../log/run-guarded.js';
 import {type BalanceSettings} from './balance-settings.js';
 import {decideOrders} from './decide-orders.js';
+import {type EpochClaim} from './epoch-claim.js';
 import {HoldRecord} from './hold-record.js';
 import {LoadEstimator} from './load-estimator.js';
 import {planGroupMap} from './plan-group-map.js';
@@ -21,6 +22,8 @@
 	/** Rank on whose VM this planner runs. */
 	readonly ownRank: () => number;
 	readonly settings: BalanceSettings;
+	/** This planner's claim on the group's epochs. */
+	readonly claim: Pick<EpochClaim, 'has' | 'isFirst'>;
 	/** Slots per rank and layer, and new experts that one map change may add to each; undefined until known. */
 	readonly getShape: () => {readonly slots: number; readonly maximumNew: number} | undefined;
 	/** Sends a message to a rank's process; false if it is not connected. */
@@ -201,7 +204,7 @@
 
 	/* Returns the next orders, or none while a rank that may be lost must report first. */
 	private decide(reports: readonly RankReport[], now: number): ReturnType<typeof decideOrders> {
-		const nextStep = this.holds.findNextStep(reports, this.timing.getLeadSteps(this.tracker.getMaximumRoundTripMs()));
+		const nextStep = this.findNextStep(reports);
 		if (this.phase === 'hold' && nextStep === undefined) {
 			// No hold has been tried yet.
 			this.phaseSince = now;
@@ -222,6 +225,13 @@
 		return mustWait ? {phase: decision.phase, orders: []} : decision;
 	}
 
+	private findNextStep(reports: readonly RankReport[]): number | undefined {
+		const {claim} = this.options;
+		const {epoch} = this.tracker;
+		const leadSteps = this.timing.getLeadSteps(this.tracker.getMaximumRoundTripMs());
+		return claim.has(epoch) ? this.holds.findNextStep(reports, leadSteps, claim.isFirst(epoch)) : undefined;
+	}
+
 	/* How old reports may be for a hold that has waited long, milliseconds; 0 before. */
 	private getRoundTripAllowanceMs(now: number): number {
 		const hasWaited = this.phase === 'hold' && now - this.phaseSince > holdPatienceMs;
--- a/src/expert-balance/hold-record.ts
+++ b/src/expert-balance/hold-record.ts
@@ -8,7 +8,7 @@
 /** The holds that one planner has ordered in the present epoch, by step, and what it has ordered for them since. */
 export class HoldRecord {
 	private readonly holds = new Map<number, Hold>();
-	/** First step of the group at which a hold may be ordered; undefined until all ranks have reported to this planner. */
+	/** First step of the group beyond all that earlier planners may have held; undefined until all ranks have reported to this planner. */
 	private firstStep: number | undefined;
 
 	/** Whether this planner has ordered a hold of this step. */
@@ -51,12 +51,10 @@
 
 	/**
 	 * Records the first reports of all ranks to this planner. A release of an earlier planner's hold may take effect at any time, so no own
-	 * hold may have the same step. Earlier planners chose steps within the maximum lead of the steps that they knew of, and only when every
-	 * rank had prepared a map.
+	 * hold may have the same step. Earlier planners chose steps within the maximum lead of the steps that they knew of.
 	 */
 	noteReports(reports: readonly RankReport[]): void {
-		const mayHaveHeld = reports.every(({hasPrepared}) => hasPrepared !== false);
-		this.firstStep ??= mayHaveHeld ? getStep(reports) + maximumLeadSteps : 0;
+		this.firstStep ??= getStep(reports) + maximumLeadSteps;
 	}
 
 	/**
@@ -64,12 +62,14 @@
 	 * maximum lead.
 	 *
 	 * @param leadSteps - passes until every rank can be armed
+	 * @param isFirst - whether no earlier planner can have held the group in this epoch
 	 * @returns the step; undefined while no hold may be ordered
 	 */
-	findNextStep(reports: readonly RankReport[], leadSteps: number): number | undefined {
+	findNextStep(reports: readonly RankReport[], leadSteps: number, isFirst: boolean): number | undefined {
+		const firstStep = isFirst ? 0 : this.firstStep;
 		const step = getStep(reports);
 		const next = Math.max(step + leadSteps, 1 + Math.max(...this.holds.keys()));
-		const isAllowed = this.firstStep !== undefined && step >= this.firstStep && next <= step + maximumLeadSteps;
+		const isAllowed = firstStep !== undefined && step >= firstStep && next <= step + maximumLeadSteps;
 		return isAllowed ? next : undefined;
 	}
 
--- a/src/expert-balance/planner-election.ts
+++ b/src/expert-balance/planner-election.ts
@@ -1,4 +1,5 @@
 import {type Registry} from '../key-value/registry.js';
+import {type Revision} from '../key-value/revision.js';
 import {type StoredItem} from '../view/stored-item.js';
 import {toTerm} from './to-term.js';
 
@@ -23,7 +24,7 @@
 	readonly stored: StoredItem | undefined;
 };
 
-type HeldTerm = {readonly term: number; readonly era: number; readonly lease: string; renewAt: number; reacquireAt: number};
+type HeldTerm = {readonly term: number; readonly era: number; readonly revision: Revision; readonly lease: string; renewAt: number; reacquireAt: number};
 
 /** Duration of the planner's lease, and time between renewals, milliseconds. A crashed planner is replaced once its lease has expired. */
 const leaseMs = 2500;
@@ -52,6 +53,11 @@
 		return this.heldTerm?.term;
 	}
 
+	/** Revision of the planner key with which this process's term began; undefined while it is not the planner. */
+	get revision(): Revision | undefined {
+		return this.heldTerm?.revision;
+	}
+
 	/**
 	 * Renews the lease, steps down or campaigns.
 	 *
@@ -148,7 +154,7 @@
 		}
 
 		this.heldTerm = {
-			term: toTerm(written.value), era: written.value.era, lease: lease.value, renewAt: now + renewIntervalMs, reacquireAt: now,
+			term: toTerm(written.value), era: written.value.era, revision: written.value, lease: lease.value, renewAt: now + renewIntervalMs, reacquireAt: now,
 		};
 		log(`elected planner, term ${this.heldTerm.term}`);
 		return 'taken';
--- a/src/expert-balance/planner-server.ts
+++ b/src/expert-balance/planner-server.ts
@@ -4,6 +4,7 @@
 import {type LinkMessage} from '../link/link-message.js';
 import {runGuarded} from '../log/run-guarded.js';
 import {type BalanceSettings} from './balance-settings.js';
+import {type EpochClaim} from './epoch-claim.js';
 import {GroupController} from './group-controller.js';
 import {type RankEngine} from './rank-engine.js';
 import {type RankOrder} from './rank-order.js';
@@ -28,8 +29,8 @@
 const batchMs = 10;
 /** Time between two heartbeats to each rank, milliseconds. */
 const heartbeatIntervalMs = 1000;
-/** A planner's term for one group. */
-type PlannerTerm = {readonly term: number; readonly group: string};
+/** A planner's term for one group, and its claim on the group's epochs. */
+type PlannerTerm = {readonly term: number; readonly group: string; readonly claim: EpochClaim};
 
 /** Stands for the rank agent in this process among the links. */
 const localLink = 'local';
@@ -136,11 +137,12 @@
 		this.service = await this.options.readService() ?? this.service;
 	}
 
-	private createController({term, group}: PlannerTerm): GroupController {
+	private createController({term, group, claim}: PlannerTerm): GroupController {
 		return new GroupController({
 			...this.options,
 			group,
 			term,
+			claim,
 			getShape: () => this.service?.experts,
 			send: (rank, message) => this.sendTo(rank, message),
 		});
--- a/src/expert-balance/rank-agent.ts
+++ b/src/expert-balance/rank-agent.ts
@@ -60,10 +60,6 @@
 	private nextCountAt = 0;
 	private idleIntervalMs = minimumIdleIntervalMs;
 	private lastOrder: {readonly type: RankOrder['type']; readonly at: number} | undefined;
-	/** First epoch in which all orders to prepare have passed through this process; undefined until the first report. */
-	private knownSinceEpoch: number | undefined;
-	/** Last epoch of an order to prepare. */
-	private preparedEpoch: number | undefined;
 	private placement: RankPlacement | undefined;
 	/** Term of the planner to which the placement was last sent. */
 	private placementTerm = 0;
@@ -163,7 +159,6 @@
 		}
 
 		this.lastOrder = {type: order.type, at: this.options.clock()};
-		this.preparedEpoch = order.type === 'prepare' ? order.epoch : this.preparedEpoch;
 		this.nextReportAt = Math.min(this.nextReportAt, this.lastOrder.at + this.getInterval(this.lastOrder.at));
 		const outcome = await this.options.engine.order(order);
 		if (outcome !== 'taken') {
@@ -181,7 +176,8 @@
 		const {engine, engineAddress, clock, send, log} = this.options;
 		const term = this.highestTerm;
 		try {
-			const report = this.recordReport(await engine.readReport());
+			const report = await engine.readReport();
+			this.recordReport(report);
 			const counts = areCountsDue && report.isOpen ? await engine.readCounts() : undefined;
 			if (counts) {
 				const countMs = getCountInterval(report.size, counts);
@@ -216,9 +212,7 @@
 		}
 	}
 
-	/* Records a report, and adds what this process knows to it. */
-	private recordReport(read: RankReport): RankReport {
-		const report = {...read, hasPrepared: this.hasPrepared(read)};
+	private recordReport(report: RankReport): void {
 		const isWaiting = report.heldStep !== undefined && report.step >= report.heldStep - 1;
 		this.heldSince = isWaiting ? (this.heldSince ?? this.options.clock()) : undefined;
 		if (this.report && this.report.bornAt !== report.bornAt) {
@@ -233,17 +227,5 @@
 		}
 
 		this.report = report;
-		return report;
-	}
-
-	private hasPrepared({epoch, step, mapVersion, preparedVersion}: RankReport): boolean | undefined {
-		// Maps are planned by the counts of passes: before the first one, no order can have been given through an earlier process of this rank.
-		const isBeforeFirst = step <= 0 && mapVersion === 0 && preparedVersion === undefined;
-		this.knownSinceEpoch ??= isBeforeFirst ? epoch : epoch + 1;
-		if (epoch === this.preparedEpoch) {
-			return true;
-		}
-
-		return epoch >= this.knownSinceEpoch ? false : undefined;
 	}
 }
--- a/src/expert-balance/rank-process.ts
+++ b/src/expert-balance/rank-process.ts
@@ -10,6 +10,8 @@
 import {unorderedItems} from '../view/unordered-items.js';
 import {runGuarded} from '../log/run-guarded.js';
 import {type BalanceSettings} from './balance-settings.js';
+import {EpochClaim} from './epoch-claim.js';
+import {getClaimKey} from './get-claim-key.js';
 import {getPlannerKey} from './get-planner-key.js';
 import {GroupPublication} from './group-publication.js';
 import {OrderProxy} from './order-proxy.js';
@@ -63,6 +65,8 @@
 	readonly agent: RankAgent;
 	/** Undefined until the engine has reported its group. */
 	private groupElection: GroupElection | undefined;
+	/** This process's term as planner, if any. */
+	private plannerTerm: {readonly term: number; readonly group: string; readonly claim: EpochClaim} | undefined;
 	private readonly plannerLink: PlannerLink;
 	private readonly orderProxy: OrderProxy;
 	private readonly plannerServer: PlannerServer;
@@ -227,6 +231,25 @@
 		}
 	}
 
+	private updateTerm(group: string, key: string, {term, revision}: PlannerElection): void {
+		if (term === undefined || revision === undefined) {
+			this.plannerTerm = undefined;
+		} else if (this.plannerTerm?.term !== term) {
+			const {service, registry, log} = this.options;
+			const claim = new EpochClaim({
+				registry, key: getClaimKey(service, group), planner: {key, revision}, log,
+			});
+			this.plannerTerm = {term, group, claim};
+		}
+	}
+
+	private claimEpoch(claim: EpochClaim, now: number): void {
+		const {report} = this.agent;
+		if (report) {
+			runGuarded(this.options.log, 'claim on an epoch', async () => claim.tick(report.epoch, now));
+		}
+	}
+
 	private scheduleReport(): void {
 		clearTimeout(this.reportTimer);
 		this.reportTimer = setTimeout(() => {
@@ -259,8 +282,10 @@
 			era: view.asOf.era, holder: view.get(key), planner, stored: view.getStored(key),
 		};
 		runGuarded(this.options.log, 'election', async () => election.tick(now, view.isLoaded ? known : undefined, isStuck));
-		this.plannerServer.tick(election.term === undefined ? undefined : {term: election.term, group}, now);
-		if (election.term !== undefined) {
+		this.updateTerm(group, key, election);
+		this.plannerServer.tick(this.plannerTerm, now);
+		if (this.plannerTerm) {
+			this.claimEpoch(this.plannerTerm.claim, now);
 			publication.tick(this.plannerServer.getListing(now), view.asOf.era, now);
 		}
 	}
--- a/src/expert-balance/rank-report.ts
+++ b/src/expert-balance/rank-report.ts
@@ -23,11 +23,6 @@
 	armed: z.object({version: z.int(), step: z.int()}).optional(),
 	/** Pass that the group does not start until this rank is released. */
 	heldStep: z.int().optional(),
-	/**
-	 * Whether a planner has ordered the rank to prepare a map in this epoch, as its process knows; absent if it does not know. Engines
-	 * do not report that, and do not count orders on maps.
-	 */
-	hasPrepared: z.boolean().optional(),
 	/** How many times slower than usual the rank is. */
 	pace: z.number(),
 });
