Say that a request may have run when it was lost with its target and no other takes it

What callers of the product's own interface saw: 503 with outcome not-run for a request that may be repeated, after the target that ran it was lost.

Cause: the dispatcher kept one reason for the last attempt, and gave up with not-run whatever an earlier attempt had come to. On the platform's interface this is kept apart (isNotRun). Found by following a second attempt during a planned stop.

Change: the reason for which an attempt was lost is kept, and the request ends as 502 unknown with both reasons.

Test: "All targets crash while one of them runs a request that may be repeated" got 503 not-run before, 502 unknown now; drain, not-run, once and path pass.

--- a/features/drain.feature
+++ b/features/drain.feature
@@ -68,6 +68,15 @@
     And the engines run 60 steps
     Then the reply has status 200
 
+  # Guards against "not run" said of a request that was lost with its target while it ran.
+  Scenario: All targets crash while one of them runs a request that may be repeated
+    Given a running system that waits 200 ms for a lost link, whose engines advance step by step
+    When a caller asks "stone-drafts" for 3 tokens about "granite"
+    And an engine runs the request
+    And all targets crash
+    Then the reply has status 502
+    And the reply says that it is not known whether the request ran
+
   # Guards against a running request being answered for, or cut by, what follows it on its connection.
   Scenario Outline: The reply to a running request is not affected by <bytes> after it
     Given a running system whose engines advance step by step
--- a/features/steps/drain-steps.ts
+++ b/features/steps/drain-steps.ts
@@ -45,6 +45,15 @@
 	await this.system.targets.get(id)!.target.kill();
 });
 
+When('all targets crash', async function (this: SystemWorld) {
+	await Promise.all([...this.system.targets.values()].map(async ({target}) => target.kill()));
+});
+
+Then('the reply says that it is not known whether the request ran', async function (this: SystemWorld) {
+	const {text} = await this.replies.get('last')!;
+	assert.ok(text.includes('"outcome":"unknown"'), text);
+});
+
 When('an engine runs the request', async function (this: SystemWorld) {
 	await findRunning(this);
 });
--- a/src/requests/dispatcher.ts
+++ b/src/requests/dispatcher.ts
@@ -33,6 +33,8 @@
 	readonly busy: Map<string, number>;
 	retryAfterMs: number;
 	reason: string;
+	/** Why the last attempt that may have run was lost; undefined while none has been. */
+	lostReason: string | undefined;
 	readonly excluded: Set<string>;
 };
 
@@ -48,7 +50,7 @@
 	/** Runs a request to its end: either its answer has been relayed to the caller, or the problem is returned. */
 	async run(exchange: Exchange, guard: RunGuard): Promise<Result<void, Problem>> {
 		const progress: Progress = {
-			attempt: 0, probeAttempts: 0, probesLeft: maximumProbes, busy: new Map(), retryAfterMs: 0, reason: 'no target is ready', excluded: new Set(),
+			attempt: 0, probeAttempts: 0, probesLeft: maximumProbes, busy: new Map(), retryAfterMs: 0, reason: 'no target is ready', lostReason: undefined, excluded: new Set(),
 		};
 		this.options.budget.deposit();
 		while (progress.attempt - progress.probeAttempts < this.options.maximumAttempts) {
@@ -150,6 +152,7 @@
 			return err(makeUnknownProblem(result.reason, now >= exchange.deadline, guard));
 		}
 
+		progress.lostReason = result.reason;
 		const isAllowed = this.options.budget.tryWithdraw();
 		this.options.onRetry(isAllowed);
 		progress.excluded.add(id);
@@ -217,6 +220,10 @@
 
 	private async giveUp(exchange: Exchange, guard: RunGuard, progress: Progress): Promise<Result<void, Problem>> {
 		const keyState = await guard.abandon();
+		if (progress.lostReason !== undefined) {
+			return err(makeUnknownProblem(`${progress.lostReason}; not sent again: ${progress.reason}`, false, guard));
+		}
+
 		const isLate = progress.reason === 'late' || progress.reason === 'expired';
 		return err(new Problem({
 			status: isLate ? 504 : 503,
