Claim an epoch only when a map for it has been proposed

Cause: a planner claimed each epoch as soon as it saw it.

Change: the claims of earlier planners are read when a term begins; an epoch is claimed once a map has been proposed for it, while the ranks prepare that map.

--- a/features/support/group-harness.ts
+++ b/features/support/group-harness.ts
@@ -142,7 +142,7 @@
 
 			for (const planner of this.planners) {
 				if (planner.isAlive && !planner.isSuspended) {
-					void planner.claim.tick(this.group.epoch, this.now);
+					void planner.claim.tick(planner.controller.claimedEpoch, this.now);
 					void planner.controller.tick(this.now + planner.clockOffsetMs);
 				}
 			}
--- a/features/support/switch-schedule.ts
+++ b/features/support/switch-schedule.ts
@@ -145,7 +145,7 @@
 	/* Only the planner of the latest term can claim an epoch. */
 	private findNextStep(planner: Planner, reports: readonly RankReport[]): number | undefined {
 		const {epoch, earlier, claimed, holds} = planner;
-		if (planner === this.planners.at(-1)) {
+		if (planner === this.planners.at(-1) && planner.proposal?.isReplacement === false) {
 			claimed.add(epoch);
 			this.claimed.add(epoch);
 		}
--- a/src/expert-balance/epoch-claim.ts
+++ b/src/expert-balance/epoch-claim.ts
@@ -48,21 +48,27 @@
 		return this.options.planner.revision.era === 0 && !this.isOdd && this.earlier?.includes(epoch) === false;
 	}
 
-	/** Claims the group's present epoch if that was not done; `now` in milliseconds. */
-	async tick(epoch: number, now: number): Promise<void> {
-		if (this.isBusy || this.has(epoch) || now < this.nextAt) {
+	/**
+	 * Reads the claims of earlier planners, and claims an epoch if that was not done.
+	 *
+	 * @param epoch - epoch in which the planner is about to hold the group; undefined if it is not
+	 * @param now - milliseconds
+	 */
+	async tick(epoch: number | undefined, now: number): Promise<void> {
+		const isDone = this.stored !== undefined && (epoch === undefined || this.has(epoch));
+		if (this.isBusy || isDone || now < this.nextAt) {
 			return;
 		}
 
 		this.isBusy = true;
-		this.nextAt = now + retryIntervalMs;
 		try {
 			await this.read();
-			if (this.stored && !this.has(epoch)) {
+			if (this.stored && epoch !== undefined && !this.has(epoch)) {
 				await this.write(epoch, this.stored);
 			}
 		} finally {
 			this.isBusy = false;
+			this.nextAt = this.stored ? now : now + retryIntervalMs;
 		}
 	}
 
--- a/src/expert-balance/group-controller.ts
+++ b/src/expert-balance/group-controller.ts
@@ -162,6 +162,11 @@
 		return this.tracker.getListing(now);
 	}
 
+	/** Epoch in which this planner is about to hold the group; undefined if it is not. */
+	get claimedEpoch(): number | undefined {
+		return this.proposal?.isReplacement === false ? this.proposal.epoch : undefined;
+	}
+
 	/** Sends the next orders, and plans a new map while no switch is in progress. */
 	async tick(now: number): Promise<void> {
 		if (this.isSuperseded) {
--- a/src/expert-balance/planner-server.ts
+++ b/src/expert-balance/planner-server.ts
@@ -89,6 +89,11 @@
 		this.control();
 	}
 
+	/** Epoch in which this planner is about to hold its group; undefined if it is not, or if this process is not the planner. */
+	get claimedEpoch(): number | undefined {
+		return this.controller?.claimedEpoch;
+	}
+
 	/** Returns the group's engines, or undefined while this process is not the planner or some rank has not reported recently. */
 	getListing(now: number): GroupListing | undefined {
 		return this.controller?.getListing(now);
--- a/src/expert-balance/rank-process.ts
+++ b/src/expert-balance/rank-process.ts
@@ -244,10 +244,7 @@
 	}
 
 	private claimEpoch(claim: EpochClaim, now: number): void {
-		const {report} = this.agent;
-		if (report) {
-			runGuarded(this.options.log, 'claim on an epoch', async () => claim.tick(report.epoch, now));
-		}
+		runGuarded(this.options.log, 'claim on an epoch', async () => claim.tick(this.plannerServer.claimedEpoch, now));
 	}
 
 	private scheduleReport(): void {
