Answer what still runs at the end of a planned stop as not known

What callers saw: a request that was sent within the notice on an estimate that proved wrong, or before the signal, and still ran at the end of the grace period: its connection closed without an answer.

Cause: at the end the server closed all connections; nothing ended the attempts before that, though the process knows the time. The bound that is never wrong was missing behind the estimate.

Ruled out: a longer margin in the estimate, as it refuses more and stays wrong.

Change: GracePeriod knows the time that is left for requests and its end; 0.2 s before that of the process all attempts whose answer has not begun are aborted, are not repeated, and conclude as 502 unknown; what was written ahead behind them is refused as not run. A stream that has begun goes on until its connection closes.

--- a/features/late-requests.feature
+++ b/features/late-requests.feature
@@ -86,3 +86,19 @@
     And the first is answered
     Then it gets whole answers with status "200, 503"
     And the target has run 1 request
+
+  # Guards against a connection that closes without an answer at the end of the grace period, where its caller can be told that it may have run.
+  Scenario Outline: <first> that still runs at the end of the grace period is answered as not known, and what was written ahead as not run
+    Given an entry before 1 target, with a grace period of 1000 ms, of which callers may not know it for 100
+    And the next 1 answers of target 1 wait
+    When a caller writes "<first>" and "POST /release/2" at once, and the first runs
+    And the entry is told to stop, and 0 ms pass
+    Then it gets whole answers with status "502, 503"
+    And the target has run 1 request
+    And the entry has stopped
+
+    Examples:
+      | first           |
+      | GET /read/1     |
+      | POST /release/1 |
+      | POST /long/1    |
--- a/features/steps/late-request-steps.ts
+++ b/features/steps/late-request-steps.ts
@@ -94,10 +94,10 @@
 	assert.ok(problem?.outcome !== 'not-run' || (problem.retryAfterMs! > 0 && problem.retryAfterMs! < soonMs));
 });
 
-Given('an entry before 1 target, with a grace period of {int} ms', async function (this: SystemWorld, graceMs: number) {
+const addEntry = async (world: SystemWorld, graceMs: number, noticeMs: number): Promise<void> => {
 	const system = new ForwardSystem();
-	this.notes.set('forward', system);
-	this.onClose(() => {
+	world.notes.set('forward', system);
+	world.onClose(() => {
 		system.close();
 	});
 	system.configure(({routes}) => {
@@ -107,7 +107,15 @@
 		routes[2].timeoutMs = 8000;
 	});
 	await system.addTarget('target-1');
-	await system.addEntry('entry-1', true, {stop: {graceMs, noticeMs: 2500}});
+	await system.addEntry('entry-1', true, {stop: {graceMs, noticeMs}});
+};
+
+Given('an entry before 1 target, with a grace period of {int} ms', async function (this: SystemWorld, graceMs: number) {
+	await addEntry(this, graceMs, 2500);
+});
+
+Given('an entry before 1 target, with a grace period of {int} ms, of which callers may not know it for {int}', async function (this: SystemWorld, graceMs: number, noticeMs: number) {
+	await addEntry(this, graceMs, noticeMs);
 });
 
 const connect = (world: SystemWorld): RawCaller => {
--- a/src/callers/grace-period.ts
+++ b/src/callers/grace-period.ts
@@ -17,7 +17,7 @@
 	readonly endsAt: number;
 };
 
-/** Time between the end of an answer and that of the process, milliseconds, in which it is written. */
+/** Time between the end of a request and that of the process, milliseconds, in which its answer is written. */
 const answerMarginMs = 200;
 /** Requests may take this many times as long as expected. */
 const expectationMargin = 1.5;
@@ -30,19 +30,39 @@
  */
 export class GracePeriod {
 	private times: StopTimes | undefined;
+	private isEnded = false;
 
 	/** Whether the process stops. */
 	get hasBegun(): boolean {
 		return this.times !== undefined;
 	}
 
+	/** Whether nothing is sent any more. */
+	get isOver(): boolean {
+		return this.isEnded;
+	}
+
 	/** Begins the stop. */
 	begin(times: StopTimes): void {
 		this.times = times;
 	}
 
+	/** Ends the time for requests; what is left of the stop is for answers. */
+	end(): void {
+		this.isEnded = true;
+	}
+
+	/** Returns how long requests may still run, milliseconds; `now` in milliseconds. */
+	getLeftMs(now: number): number {
+		return this.times ? Math.max(0, this.times.endsAt - answerMarginMs - now) : Number.POSITIVE_INFINITY;
+	}
+
 	/** Whether a request that is sent now ends before the process does; `now` in milliseconds. */
 	hasTimeFor({deadline, expectedMs, isRepeatable = false, hasBegun = false}: Work, now: number): boolean {
+		if (this.isEnded) {
+			return false;
+		}
+
 		if (!this.times) {
 			return true;
 		}
--- a/src/forward/forward-dispatcher.ts
+++ b/src/forward/forward-dispatcher.ts
@@ -148,6 +148,7 @@
 				target,
 				progress,
 				stalls,
+				stops,
 				clock,
 				reserve: reason => this.picker.reserve(exchange, progress, {target, reason}),
 				send: async (signal, callbacks) => send({
@@ -173,7 +174,7 @@
 	private async handleOutcome(outcome: SendOutcome, target: Target, exchange: ForwardExchange, progress: SendProgress): Promise<Result<void, Problem> | undefined> {
 		const now = this.options.clock();
 		progress.isUnsendable = outcome.kind === 'not-run' && outcome.cause === 'invalid';
-		const isOver = exchange.disconnection.signal.aborted || progress.isExpired;
+		const isOver = exchange.disconnection.signal.aborted || progress.isExpired || this.options.stops.isOver;
 		switch (outcome.kind) {
 			case 'streamed': {
 				this.options.tracker.health.noteOutcome(target.id, false, now);
--- a/src/forward/send-with-timeouts.ts
+++ b/src/forward/send-with-timeouts.ts
@@ -4,6 +4,8 @@
 import {type SendOutcome} from './send-outcome.js';
 import {type SendProgress} from './send-progress.js';
 import {type StallDetector} from './stall-detector.js';
+import {type StopAdmission} from './stop-admission.js';
+import {stopDetail} from './stop-detail.js';
 import {type TargetTransport} from './target-transport.js';
 
 type SendOptions = {
@@ -11,6 +13,7 @@
 	readonly target: Target;
 	readonly progress: SendProgress;
 	readonly stalls: StallDetector;
+	readonly stops: StopAdmission;
 	/** The present time, milliseconds; the request's deadline is on the same clock. */
 	readonly clock: () => number;
 	/** Reserves another attempt, at another target; returns why none is possible now, undefined once it is reserved. */
@@ -25,10 +28,10 @@
 const reserveIntervalMs = 200;
 
 /**
- * Sends a request to one target; aborts at the deadline, and when the caller disconnects. After the attempt timeout, or when the target
+ * Sends a request to one target; aborts at the deadline, at the end of a planned stop, and when the caller disconnects. After the attempt timeout, or when the target
  * stalls, the attempt ends only if another one is possible: a target that lets a request wait may still answer it.
  */
-export async function sendWithTimeouts({exchange, target, progress, stalls, clock, reserve, send}: SendOptions): Promise<SendOutcome> {
+export async function sendWithTimeouts({exchange, target, progress, stalls, stops, clock, reserve, send}: SendOptions): Promise<SendOutcome> {
 	const route = exchange.route!;
 	const abort = new AbortController();
 	let isHeld = false;
@@ -76,6 +79,12 @@
 	const watched = {
 		target, move, hasMoved: progress.hasMoved, isWaitingForCaller: () => exchange.response.writableNeedDrain,
 	};
+	const cancelStop = stops.watchRun(() => {
+		// A stream that has begun gets all that arrives until its connection closes.
+		if (!progress.delivery.hasBegun) {
+			abort.abort(stopDetail);
+		}
+	});
 	const watch = exchange.isRetryable ? stalls.watch(watched) : undefined;
 	try {
 		return await send(abort.signal, {
@@ -90,6 +99,7 @@
 		watch?.stop();
 		exchange.disconnection.signal.removeEventListener('abort', handleDisconnect);
 		cancelDeadline();
+		cancelStop();
 		cancelMove();
 	}
 }
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -316,14 +316,17 @@
 		async stop() {
 			const {graceMs, noticeMs} = settings.stop;
 			const now = clock();
+			const endsAt = now + graceMs - graceMarginMs;
 			isStopping = true;
-			grace.begin({noticedAt: now + noticeMs, endsAt: now + graceMs - graceMarginMs});
+			grace.begin({noticedAt: now + noticeMs, endsAt});
 			stops.tick(now);
 			server.announceStop();
 			entryLog.info(`stopping, ${server.openRequests} open requests`);
 			await delay(noticeMs);
-			const leftMs = graceMs - noticeMs - graceMarginMs;
-			await Promise.race([server.drain(), delay(leftMs, undefined, {ref: false})]);
+			const drained = server.drain();
+			await Promise.race([drained, delay(grace.getLeftMs(clock()), undefined, {ref: false})]);
+			stops.end();
+			await Promise.race([drained, delay(endsAt - clock(), undefined, {ref: false})]);
 			entryLog.info(`stopped, ${server.openRequests} open requests`);
 			server.close();
 			await close();
--- a/src/forward/stop-admission.ts
+++ b/src/forward/stop-admission.ts
@@ -12,9 +12,16 @@
 	private readonly runTimes = new RunTimes();
 	/** Requests whose body still arrives, and how they are refused. */
 	private readonly arriving = new Map<ForwardExchange, Refuse>();
+	/** Ends the attempts that run. */
+	private readonly running = new Set<() => void>();
 
 	constructor(private readonly grace: GracePeriod) {}
 
+	/** Whether nothing is sent any more, and running attempts have been ended. */
+	get isOver(): boolean {
+		return this.grace.isOver;
+	}
+
 	/** Records that a request has taken `ms` milliseconds at a target; `now` in milliseconds. */
 	noteRun({route}: ForwardExchange, ms: number, now: number): void {
 		this.runTimes.note(route!.name, ms, now);
@@ -48,6 +55,25 @@
 		};
 	}
 
+	/** Has an attempt ended with the grace period, until the returned function is called. */
+	watchRun(end: () => void): () => void {
+		this.running.add(end);
+		return () => {
+			this.running.delete(end);
+		};
+	}
+
+	/**
+	 * Ends all attempts, as late as their callers can still be told that their requests may have run. A connection that closes with the
+	 * process says less.
+	 */
+	end(): void {
+		this.grace.end();
+		for (const endRun of this.running) {
+			endRun();
+		}
+	}
+
 	/** Refuses the requests whose body would arrive too late; to be called at short intervals. */
 	tick(now: number): void {
 		if (!this.grace.hasBegun) {
