Go on with a planned stop when SIGTERM comes again

What callers saw: all answers of an entry that was stopping were cut as SIGTERM came a second time, with most of the grace period left.

Cause: any second signal ended the process at once, as Ctrl-C twice does in a terminal; platforms and supervisors may send SIGTERM more than once.

Ruled out: a signal that an error had begun the stop before; that was told apart already.

Change: only SIGINT during a stop ends the process at once (exit code 1). SIGTERM is logged and changes nothing. SIGKILL is left to the platform.

SIGTERM+SIGINT ends at once as before. The steps of stops by an error are shared; their checks are as before.

--- a/features/process.feature
+++ b/features/process.feature
@@ -20,24 +20,25 @@
     Then it <reaction>
 
     Examples:
-      | program               | signal         | moment                   | reaction                       |
-      | bin/wardswitch-entry  | SIGHUP         | before it reads settings | goes on and logs the signal    |
-      | bin/wardswitch-entry  | SIGHUP         | while it reads settings  | goes on and logs the signal    |
-      | bin/wardswitch-entry  | SIGTERM        | while it reads settings  | stops as planned               |
-      | bin/wardswitch-entry  | SIGTERM        | as soon as it listens    | stops as planned               |
-      | bin/wardswitch-target | SIGHUP         | while it reads settings  | goes on and logs the signal    |
-      | bin/wardswitch-target | SIGTERM        | before it reads settings | stops as planned               |
-      | bin/wardswitch-target | SIGINT         | while it reads settings  | stops as planned               |
-      | bin/wardswitch-target | SIGTERM        | as soon as it listens    | stops as planned               |
-      | forwarding entry      | SIGHUP         | before it reads settings | goes on and logs the signal    |
-      | forwarding entry      | SIGHUP         | while it reads settings  | goes on and logs the signal    |
-      | forwarding entry      | SIGHUP         | as soon as it listens    | goes on and logs the signal    |
-      | forwarding entry      | SIGTERM        | while it reads settings  | stops as planned               |
-      | forwarding entry      | SIGTERM        | as soon as it listens    | stops as planned               |
-      | forwarding entry      | SIGTERM+SIGINT | while it reads settings  | ends at once, with exit code 1 |
-      | rank process          | SIGHUP         | before it reads settings | goes on and logs the signal    |
-      | rank process          | SIGTERM        | while it reads settings  | stops as planned               |
-      | rank process          | SIGTERM        | as soon as it listens    | stops as planned               |
+      | program               | signal          | moment                   | reaction                       |
+      | bin/wardswitch-entry  | SIGHUP          | before it reads settings | goes on and logs the signal    |
+      | bin/wardswitch-entry  | SIGHUP          | while it reads settings  | goes on and logs the signal    |
+      | bin/wardswitch-entry  | SIGTERM         | while it reads settings  | stops as planned               |
+      | bin/wardswitch-entry  | SIGTERM         | as soon as it listens    | stops as planned               |
+      | bin/wardswitch-target | SIGHUP          | while it reads settings  | goes on and logs the signal    |
+      | bin/wardswitch-target | SIGTERM         | before it reads settings | stops as planned               |
+      | bin/wardswitch-target | SIGINT          | while it reads settings  | stops as planned               |
+      | bin/wardswitch-target | SIGTERM         | as soon as it listens    | stops as planned               |
+      | forwarding entry      | SIGHUP          | before it reads settings | goes on and logs the signal    |
+      | forwarding entry      | SIGHUP          | while it reads settings  | goes on and logs the signal    |
+      | forwarding entry      | SIGHUP          | as soon as it listens    | goes on and logs the signal    |
+      | forwarding entry      | SIGTERM         | while it reads settings  | stops as planned               |
+      | forwarding entry      | SIGTERM         | as soon as it listens    | stops as planned               |
+      | forwarding entry      | SIGTERM+SIGINT  | while it reads settings  | ends at once, with exit code 1 |
+      | forwarding entry      | SIGTERM+SIGTERM | while it reads settings  | stops as planned               |
+      | rank process          | SIGHUP          | before it reads settings | goes on and logs the signal    |
+      | rank process          | SIGTERM         | while it reads settings  | stops as planned               |
+      | rank process          | SIGTERM         | as soon as it listens    | stops as planned               |
 
   # Guards against one error outside of requests, in whatever part, that ends a process with all requests that it has accepted.
   Scenario Outline: An error that nothing handles stops a process as planned: <manner>
@@ -56,6 +57,12 @@
     When an error is thrown that nothing handles, and SIGTERM follows
     Then the stream is whole, and the process ends with exit code 70
 
+  # Guards against a second SIGTERM, as platforms and operators may send, that cuts all answers of a planned stop.
+  Scenario: A process that is stopping is told to stop again
+    Given an entry process at which a caller reads a stream
+    When the process is sent SIGTERM, and SIGTERM again during its stop
+    Then the stream is whole, and the process has stopped as planned
+
   # Guards against a path on the ready or metrics address that ends the process.
   Scenario Outline: An admin page that cannot be served is answered with an error: <path>
     Given an admin server
--- a/features/steps/internal-error-steps.ts
+++ b/features/steps/internal-error-steps.ts
@@ -67,17 +67,18 @@
 	await untilContains(stream, () => complete.body, 'first');
 });
 
-const failAndRelease = async ({notes}: SystemWorld, manner: string, signal?: NodeJS.Signals): Promise<void> => {
-	const running = notes.get('running') as Running;
+/* Begins a stop, lets a signal follow once it is under way, and then lets the target end the stream. */
+const stopAndRelease = async (world: SystemWorld, begin: (child: ChildProcess) => void, signal?: NodeJS.Signals): Promise<void> => {
+	const running = getRunning(world);
 	const {child, stream} = running;
-	child.stdin!.write(manner === 'thrown' ? 'throw\n' : 'reject\n');
+	begin(child);
 	await Promise.race([
 		untilContains(child.stdout!, () => running.text, 'stopping, 1 open requests'),
 		once(child, 'exit'),
 	]);
 	if (signal) {
 		child.kill(signal);
-		await untilContains(child.stdout!, () => running.text, signal);
+		await Promise.race([untilContains(child.stdout!, () => running.text, `${signal}: the process is stopping`), once(child, 'exit')]);
 	}
 
 	const closed = stream.destroyed ? Promise.resolve() : once(stream, 'close');
@@ -86,16 +87,12 @@
 	await closed;
 };
 
-When('an error is {word} that nothing handles', {timeout: longScenarioMs}, async function (this: SystemWorld, manner: string) {
-	await failAndRelease(this, manner);
-});
-
-When('an error is {word} that nothing handles, and SIGTERM follows', {timeout: longScenarioMs}, async function (this: SystemWorld, manner: string) {
-	await failAndRelease(this, manner, 'SIGTERM');
-});
+const fail = (manner: string) => (child: ChildProcess): void => {
+	child.stdin!.write(manner === 'thrown' ? 'throw\n' : 'reject\n');
+};
 
-Then('the stream is whole, and the process ends with exit code {int}', {timeout: longScenarioMs}, async function (this: SystemWorld, code: number) {
-	const {child, stream, body, text} = getRunning(this);
+const checkEnd = async (world: SystemWorld, code: number): Promise<void> => {
+	const {child, stream, body, text} = getRunning(world);
 	assert.ok(stream.complete, text);
 	assert.match(body, /last\n\n$/v);
 	if (child.exitCode === null) {
@@ -103,5 +100,28 @@
 	}
 
 	assert.equal(child.exitCode, code);
+};
+
+When('an error is {word} that nothing handles', {timeout: longScenarioMs}, async function (this: SystemWorld, manner: string) {
+	await stopAndRelease(this, fail(manner));
+});
+
+When('an error is {word} that nothing handles, and SIGTERM follows', {timeout: longScenarioMs}, async function (this: SystemWorld, manner: string) {
+	await stopAndRelease(this, fail(manner), 'SIGTERM');
+});
+
+When('the process is sent SIGTERM, and SIGTERM again during its stop', {timeout: longScenarioMs}, async function (this: SystemWorld) {
+	await stopAndRelease(this, child => {
+		child.kill('SIGTERM');
+	}, 'SIGTERM');
+});
+
+Then('the stream is whole, and the process has stopped as planned', {timeout: longScenarioMs}, async function (this: SystemWorld) {
+	await checkEnd(this, 0);
+});
+
+Then('the stream is whole, and the process ends with exit code {int}', {timeout: longScenarioMs}, async function (this: SystemWorld, code: number) {
+	await checkEnd(this, code);
+	const {text} = getRunning(this);
 	assert.match(text, /process: (uncaughtException|unhandledRejection), the process stops: Error: nothing handles this/v);
 });
--- a/src/bin/process-lifecycle.ts
+++ b/src/bin/process-lifecycle.ts
@@ -38,7 +38,7 @@
 		if (signal === 'SIGHUP') {
 			// Settings are applied only at the start, so a changed file never affects running requests.
 			this.options.logger.info(`SIGHUP: ${this.options.describeReload()}`);
-		} else if (this.isAsked) {
+		} else if (this.isAsked && signal === 'SIGINT') {
 			this.options.logger.warn(`${signal} during the stop: the process ends at once`);
 			this.kill();
 		} else {
