Refuse at an entry with links what its planned stop would cut

What callers of the product's own interface saw: with a stopMs shorter than their deadlines, requests were sent on by an entry that was stopping, up to its end, and their connections closed without an answer.

Ruled out: the defaults, where stopMs (10 min) is longer than all deadlines; a cut of the target's work, which goes on at the target and can be asked for by key.

The entry sends Connection: close from the signal on, so that a refused caller goes elsewhere. RunTimes moves to src/requests and GracePeriod keeps the attempts that run, for both interfaces.

--- a/features/drain.feature
+++ b/features/drain.feature
@@ -101,6 +101,25 @@
     Then the connection carries 2 whole replies with status 200
     And it is closed
 
+  # Guards against requests that are sent on by an entry which ends before them, and cut there with no answer.
+  Scenario: A request written ahead at an entry that ends before its deadline is refused in its turn
+    Given a running system whose entries stop within 20000 ms, and whose engines advance step by step
+    When a caller asks "stone-drafts" for 6 tokens twice at once on a connection of its own
+    And an engine runs the request
+    And the entry is told to stop
+    And the engines run until the connection carries 2 replies
+    Then the connection carries whole replies with status "200, 503"
+    And the engines have run 1 request
+
+  # Guards against a connection that closes without an answer as its entry ends before the request that it runs.
+  Scenario: An entry that ends before a running request tells its caller that it may have run
+    Given a running system whose entries stop within 800 ms, and whose engines advance step by step
+    When a caller asks "stone-drafts" for 6 tokens twice at once on a connection of its own
+    And an engine runs the request
+    And the entry is told to stop
+    Then the connection carries whole replies with status "502, 503"
+    And the engines have run 1 request
+
   # Guards against a connection that is closed without an answer to a method that is not served.
   Scenario: A request to open a tunnel is refused with a reply
     Given a running system whose engines advance step by step
--- a/features/steps/drain-steps.ts
+++ b/features/steps/drain-steps.ts
@@ -35,6 +35,10 @@
 	await this.startSystem({isPaced: true, entrySettings: {requests: {resumeMs: ms}}});
 });
 
+Given('a running system whose entries stop within {int} ms, and whose engines advance step by step', async function (this: SystemWorld, stopMs: number) {
+	await this.startSystem({isPaced: true, entrySettings: {stopMs}});
+});
+
 When('the target that runs it is told to stop', async function (this: SystemWorld) {
 	const id = await findRunning(this);
 	this.notes.set('stop', this.system.targets.get(id)!.target.stop());
@@ -190,6 +194,16 @@
 	assert.deepEqual(caller.answers.slice(0, count).map(answer => [answer.status, answer.isWhole]), Array.from({length: count}, () => [status, true]), caller.text);
 });
 
+Then('the connection carries whole replies with status {string}', async function (this: SystemWorld, statuses: string) {
+	const caller = getCaller(this);
+	await this.system.waitUntil('the connection closes', () => caller.isClosed);
+	assert.deepEqual(caller.answers.map(({status, isWhole}) => isWhole && status), statuses.split(', ').map(Number), caller.text);
+});
+
+Then('the engines have run {int} request(s)', function (this: SystemWorld, count: number) {
+	assert.equal([...this.system.engines.values()].reduce((sum, {runs}) => sum + runs.size, 0), count);
+});
+
 Then('it is closed', async function (this: SystemWorld) {
 	await this.system.waitUntil('the connection closes', () => getCaller(this).isClosed);
 });
--- a/src/callers/grace-period.ts
+++ b/src/callers/grace-period.ts
@@ -31,6 +31,8 @@
 export class GracePeriod {
 	private times: StopTimes | undefined;
 	private isEnded = false;
+	/** Ends the attempts that run. */
+	private readonly running = new Set<() => void>();
 
 	/** Whether the process stops. */
 	get hasBegun(): boolean {
@@ -47,9 +49,28 @@
 		this.times = times;
 	}
 
-	/** Ends the time for requests; what is left of the stop is for answers. */
+	/** Revokes the stop. */
+	revoke(): void {
+		this.times = undefined;
+	}
+
+	/** Has an attempt ended with the time for requests, until the returned function is called. */
+	watchRun(end: () => void): () => void {
+		this.running.add(end);
+		return () => {
+			this.running.delete(end);
+		};
+	}
+
+	/**
+	 * Ends the time for requests, and all attempts that run, as late as their callers can still be told that their requests may have run: a
+	 * connection that closes with the process says less. What is left of the stop is for answers.
+	 */
 	end(): void {
 		this.isEnded = true;
+		for (const endRun of this.running) {
+			endRun();
+		}
 	}
 
 	/** Returns how long requests may still run, milliseconds; `now` in milliseconds. */
--- a/src/entry/request-server.ts
+++ b/src/entry/request-server.ts
@@ -57,6 +57,11 @@
 		await this.server.listen();
 	}
 
+	/** From now on, connections are closed after the next answer. */
+	announceStop(): void {
+		this.server.announceStop();
+	}
+
 	/** Accepts no more connections, and waits until every open request has been answered. */
 	async drain(): Promise<void> {
 		await this.server.drain();
--- a/src/entry/start-entry.ts
+++ b/src/entry/start-entry.ts
@@ -1,6 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {TargetLink} from '../calls/target-link.js';
 import {TargetPool} from '../calls/target-pool.js';
+import {GracePeriod} from '../callers/grace-period.js';
 import {type EntrySettings} from '../config/entry-settings.js';
 import {DescriptorShares} from '../descriptors/descriptor-shares.js';
 import {readDescriptorLimit} from '../descriptors/read-descriptor-limit.js';
@@ -150,8 +151,10 @@
 	});
 	const explanations = new Explanations();
 	const getTable = () => table.current;
+	const grace = new GracePeriod();
 	const dispatcher = new Dispatcher({
 		pool: targets,
+		grace,
 		budget: new RetryBudget(settings.requests.retryRatio),
 		maximumAttempts: settings.requests.maximumAttempts,
 		clock,
@@ -272,9 +275,16 @@
 			}
 		},
 		async stop() {
+			const noticedAt = clock() + settings.stopDelayMs;
+			const endsAt = noticedAt + settings.stopMs;
+			grace.begin({noticedAt, endsAt});
 			controller.startLeaving();
+			server.announceStop();
 			await delay(settings.stopDelayMs);
-			await Promise.race([server.drain(), delay(settings.stopMs, undefined, {ref: false})]);
+			const drained = server.drain();
+			await Promise.race([drained, delay(grace.getLeftMs(clock()), undefined, {ref: false})]);
+			grace.end();
+			await Promise.race([drained, delay(endsAt - clock(), undefined, {ref: false})]);
 			server.close();
 			await close();
 		},
--- a/src/forward/start-forward-entry.ts
+++ b/src/forward/start-forward-entry.ts
@@ -325,7 +325,7 @@
 			await delay(noticeMs);
 			const drained = server.drain();
 			await Promise.race([drained, delay(grace.getLeftMs(clock()), undefined, {ref: false})]);
-			stops.end();
+			grace.end();
 			await Promise.race([drained, delay(endsAt - clock(), undefined, {ref: false})]);
 			entryLog.info(`stopped, ${server.openRequests} open requests`);
 			server.close();
--- a/src/forward/stop-admission.ts
+++ b/src/forward/stop-admission.ts
@@ -1,8 +1,8 @@
 import {type GracePeriod} from '../callers/grace-period.js';
 import {makeStopProblem} from '../callers/make-stop-problem.js';
 import {type Problem} from '../requests/problem.js';
+import {RunTimes} from '../requests/run-times.js';
 import {type ForwardExchange} from './forward-exchange.js';
-import {RunTimes} from './run-times.js';
 import {stopDetail} from './stop-detail.js';
 
 type Refuse = (problem: Problem) => void;
@@ -12,8 +12,6 @@
 	private readonly runTimes = new RunTimes();
 	/** Requests whose body still arrives, and how they are refused. */
 	private readonly arriving = new Map<ForwardExchange, Refuse>();
-	/** Ends the attempts that run. */
-	private readonly running = new Set<() => void>();
 
 	constructor(private readonly grace: GracePeriod) {}
 
@@ -55,23 +53,9 @@
 		};
 	}
 
-	/** Has an attempt ended with the grace period, until the returned function is called. */
+	/** Has an attempt ended with the time for requests, until the returned function is called. */
 	watchRun(end: () => void): () => void {
-		this.running.add(end);
-		return () => {
-			this.running.delete(end);
-		};
-	}
-
-	/**
-	 * Ends all attempts, as late as their callers can still be told that their requests may have run. A connection that closes with the
-	 * process says less.
-	 */
-	end(): void {
-		this.grace.end();
-		for (const endRun of this.running) {
-			endRun();
-		}
+		return this.grace.watchRun(end);
 	}
 
 	/** Refuses the requests whose body would arrive too late; to be called at short intervals. */
--- a/src/requests/dispatcher.ts
+++ b/src/requests/dispatcher.ts
@@ -1,4 +1,6 @@
 import {err, ok, type Result} from 'neverthrow';
+import {type GracePeriod} from '../callers/grace-period.js';
+import {makeStopProblem} from '../callers/make-stop-problem.js';
 import {type TargetLink} from '../calls/target-link.js';
 import {type TargetPool} from '../calls/target-pool.js';
 import {type MessageOf} from '../link/message-of.js';
@@ -10,11 +12,14 @@
 import {followCall} from './follow-call.js';
 import {Problem} from './problem.js';
 import {type RetryBudget} from './retry-budget.js';
+import {RunTimes} from './run-times.js';
 
 type DispatcherOptions = {
 	readonly pool: TargetPool;
 	readonly budget: RetryBudget;
 	readonly maximumAttempts: number;
+	/** The time that a planned stop of this process leaves. */
+	readonly grace: GracePeriod;
 	readonly clock: () => number;
 	readonly random: () => number;
 	readonly tableVersion: () => number;
@@ -41,10 +46,13 @@
 const defaultRetryAfterMs = 1000;
 /** Targets that may refuse a request as busy before it is queued at one of them. */
 const maximumProbes = 4;
+const stopReason = 'this entry stops before the request would have its answer';
 const forwardedHeaders = ['content-type', 'accept', 'accept-language', 'traceparent', 'tracestate', 'idempotency-key'];
 
 /** Sends requests to targets. An attempt is repeated where that is safe and, after a lost answer, where the retry budget allows it. */
 export class Dispatcher {
+	private readonly runTimes = new RunTimes();
+
 	constructor(private readonly options: DispatcherOptions) {}
 
 	/** Runs a request to its end: either its answer has been relayed to the caller, or the problem is returned. */
@@ -54,6 +62,10 @@
 		};
 		this.options.budget.deposit();
 		while (progress.attempt - progress.probeAttempts < this.options.maximumAttempts) {
+			if (!this.hasTime(exchange, guard, progress)) {
+				return this.refuseLate(guard, progress);
+			}
+
 			const link = this.chooseLink(exchange, guard, progress);
 			if (!link) {
 				break;
@@ -68,6 +80,19 @@
 		return this.giveUp(exchange, guard, progress);
 	}
 
+	/* Whether an attempt that begins now ends before this process does. A caller with a key can repeat its request elsewhere if it is cut. */
+	private hasTime({deadline, service, key}: Exchange, guard: RunGuard, {lostReason}: Progress): boolean {
+		const now = this.options.clock();
+		return this.options.grace.hasTimeFor({
+			deadline, hasBegun: lostReason !== undefined, isRepeatable: guard.isRepeatable || key !== undefined, expectedMs: this.runTimes.getLongestMs(service, now),
+		}, now);
+	}
+
+	private async refuseLate(guard: RunGuard, {lostReason}: Progress): Promise<Result<void, Problem>> {
+		const keyState = await guard.abandon();
+		return err(lostReason === undefined ? makeStopProblem(stopReason, keyState) : makeUnknownProblem(`${lostReason}; not sent again: ${stopReason}`, false, guard));
+	}
+
 	private chooseLink(exchange: Exchange, guard: RunGuard, progress: Progress): TargetLink | undefined {
 		if (progress.busy.size >= maximumProbes) {
 			return this.takeLeastBusy(progress);
@@ -120,13 +145,19 @@
 
 		const {once} = permit.value;
 		exchange.noteDecision(`attempt ${progress.attempt} at ${link.vm.id}`);
+		const startedAt = this.options.clock();
 		const result = await exchange.trace('link', async span => {
 			const request = this.makeRequest(exchange, progress, timeoutMs, once);
 			writeTraceParent(span, request.headers);
 			return followCall(link.request(request), {
-				link, exchange, timeoutMs, mayCancel: once === undefined,
+				link, exchange, timeoutMs, mayCancel: once === undefined, grace: this.options.grace,
 			});
 		});
+		if (result.kind !== 'not-run') {
+			const now = this.options.clock();
+			this.runTimes.note(exchange.service, now - startedAt, now);
+		}
+
 		return this.handleResult(result, exchange, guard, link, progress);
 	}
 
@@ -146,7 +177,7 @@
 			return undefined;
 		}
 
-		const isGivenUp = exchange.callerAbort.signal.aborted || now >= exchange.deadline;
+		const isGivenUp = exchange.callerAbort.signal.aborted || now >= exchange.deadline || this.options.grace.isOver;
 		this.options.pool.noteResult(id, isGivenUp, now);
 		if (isGivenUp || !guard.isRepeatable) {
 			return err(makeUnknownProblem(result.reason, now >= exchange.deadline, guard));
@@ -200,7 +231,7 @@
 			type: 'attach', id: exchange.id, attempt, key: first.key, owner: first.owner,
 		});
 		const result = await followCall(call, {
-			link, exchange, timeoutMs, mayCancel: false,
+			link, exchange, timeoutMs, mayCancel: false, grace: this.options.grace,
 		});
 		exchange.noteDecision(`${first.target}: ${result.kind}`);
 		if (result.kind === 'answered') {
