Refuse at a target process what its planned stop would cut

What callers saw: a request that waited at a target process which was stopping began late and was cut as stopMs passed; its entry noticed only after it had waited for the link to come back (resumeMs).

Cause: the queue of a target that leaves went on as before, and its end closed the links without a word on what still ran.

Ruled out: new requests, which are refused as leaving from the order on; a longer stopMs, as any bound is too short for some engine.

Change: waiting requests that would not end by stopMs, by their deadline or by half as much again as the longest run of late, are refused as leaving, which is true and lets entries send them to other targets; 0.2 s before the end the runs that are left are aborted and told as broken. A revoked stop takes all of this back.

--- a/features/late-requests.feature
+++ b/features/late-requests.feature
@@ -102,3 +102,35 @@
       | GET /read/1     |
       | POST /release/1 |
       | POST /long/1    |
+
+  # Guards against a request that waits at a target process which stops, begins late, and is cut there instead of sent to another target.
+  Scenario Outline: A request that waits at a target which stops within <stop> ms, and whose like take <known>, <result> after <at> ms
+    Given an entry linked to a target that runs 1 request at a time
+    And requests that lately took <known> there
+    When it gets two requests, stops within <stop> ms, and <at> ms pass
+    Then the first one runs
+    And the second one <result>
+
+    Examples:
+      | stop   | known   | at   | result                     |
+      | 600000 | nothing | 0    | waits                      |
+      | 5000   | nothing | 0    | is refused for "leaving"   |
+      | 5000   | 1000 ms | 3000 | waits                      |
+      | 5000   | 1000 ms | 3500 | is refused for "leaving"   |
+      | 12000  | nothing | 9000 | waits                      |
+
+  # Guards against an entry that waits for a target process which has ended, and repeats or answers its request late.
+  Scenario: A request that still runs as a target's stop ends is given up there
+    Given an entry linked to a target that runs 1 request at a time
+    When it gets two requests, stops within 600000 ms, and 0 ms pass
+    And the stop ends
+    Then the first one is told as lost
+    And the second one is refused for "leaving"
+
+  # Guards against a stop that was revoked, and goes on to refuse requests.
+  Scenario: A target whose stop was revoked runs the requests that wait
+    Given an entry linked to a target that runs 1 request at a time
+    When its stop within 600000 ms ends, and is revoked
+    And it gets two requests
+    Then the first one runs
+    And the second one waits
--- a/features/steps/late-request-steps.ts
+++ b/features/steps/late-request-steps.ts
@@ -1,8 +1,12 @@
 import assert from 'node:assert/strict';
+import {setImmediate as yieldTurn} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {type Call} from '../../src/calls/call.js';
+import {type CallEvent} from '../../src/calls/call-event.js';
 import {type Route} from '../../src/fleet/route.js';
 import {type AttemptHarness} from '../support/attempt-harness.js';
 import {ForwardSystem} from '../support/forward-system.js';
+import {LinkPair} from '../support/link-pair.js';
 import {type RawCaller} from '../support/raw-caller.js';
 import {type SystemWorld} from '../support/system-world.js';
 
@@ -161,3 +165,94 @@
 Then('the target has run {int} request(s)', function (this: SystemWorld, count: number) {
 	assert.equal(getSystem(this).listRuns().length, count);
 });
+
+type WaitingCall = {readonly call: Call; readonly events: CallEvent[]};
+
+const getPair = (world: SystemWorld): LinkPair => world.notes.get('pair') as LinkPair;
+const settle = async (): Promise<void> => {
+	for (let turn = 0; turn < 5; turn++) {
+		await yieldTurn();
+	}
+};
+
+const sendTwo = async (world: SystemWorld): Promise<void> => {
+	const pair = getPair(world);
+	const calls = [1, 2].map((): WaitingCall => {
+		const call = pair.entry.request(pair.makeRequest());
+		const events: CallEvent[] = [];
+		void pair.readEvents(call).then(read => {
+			events.push(...read);
+		});
+		return {call, events};
+	});
+	world.notes.set('calls', calls);
+	await settle();
+};
+
+Given('an entry linked to a target that runs {int} request(s) at a time', async function (this: SystemWorld, concurrency: number) {
+	const pair = new LinkPair(100, concurrency);
+	this.notes.set('pair', pair);
+	this.onClose(() => {
+		pair.close();
+	});
+	while (!pair.entry.isReady) {
+		await yieldTurn();
+	}
+});
+
+Given('requests that lately took {} there', async function (this: SystemWorld, known: string) {
+	const pair = getPair(this);
+	for (let runs = known === 'nothing' ? 0 : enoughRuns; runs > 0; runs--) {
+		const call = pair.entry.request(pair.makeRequest());
+		pair.now += Number.parseInt(known, 10);
+		pair.entry.cancel(call);
+		await settle();
+	}
+});
+
+When('it gets two requests', async function (this: SystemWorld) {
+	const {controller, now} = getPair(this);
+	await sendTwo(this);
+	controller.tick(now);
+	await settle();
+});
+
+When('it gets two requests, stops within {int} ms, and {int} ms pass', async function (this: SystemWorld, stopMs: number, ms: number) {
+	const pair = getPair(this);
+	await sendTwo(this);
+	pair.isLeaving = true;
+	pair.grace.begin({noticedAt: Number.POSITIVE_INFINITY, endsAt: pair.now + stopMs});
+	pair.now += ms;
+	pair.controller.tick(pair.now);
+	await settle();
+});
+
+When('the stop ends', async function (this: SystemWorld) {
+	const pair = getPair(this);
+	pair.grace.end();
+	pair.controller.tick(pair.now);
+	await settle();
+});
+
+When('its stop within {int} ms ends, and is revoked', function (this: SystemWorld, stopMs: number) {
+	const {grace, now} = getPair(this);
+	grace.begin({noticedAt: Number.POSITIVE_INFINITY, endsAt: now + stopMs});
+	grace.end();
+	grace.revoke();
+});
+
+const describeCall = ({events}: WaitingCall, isRunning: boolean): string => {
+	const last = events.at(-1);
+	if (!last) {
+		return isRunning ? 'runs' : 'waits';
+	}
+
+	return last.type === 'refused' ? `is refused for "${last.reason}"` : `is told as ${last.type === 'broken' ? 'lost' : last.type}`;
+};
+
+Then(/^the (first|second) one (runs|waits|is .*)$/, function (this: SystemWorld, which: string, expected: string) { // eslint-disable-line require-unicode-regexp
+	const calls = this.notes.get('calls') as WaitingCall[];
+	const index = which === 'first' ? 0 : 1;
+	const isRunning = getPair(this).running.some(execution => execution.state === 'running' && execution.request.id === calls[index].call.id);
+	assert.equal(describeCall(calls[index], isRunning), expected);
+});
--- a/features/support/link-pair.ts
+++ b/features/support/link-pair.ts
@@ -1,6 +1,7 @@
 import {type Call} from '../../src/calls/call.js';
 import {type CallEvent} from '../../src/calls/call-event.js';
 import {TargetLink} from '../../src/calls/target-link.js';
+import {GracePeriod} from '../../src/callers/grace-period.js';
 import {AdmissionQueue} from '../../src/admission/admission-queue.js';
 import {type MessageOf} from '../../src/link/message-of.js';
 import {type Execution} from '../../src/target/execution.js';
@@ -22,6 +23,8 @@
 	/** Requests that the target has sent to its engine, in order. */
 	readonly running: Execution[] = [];
 	isLeaving = false;
+	/** The time that a planned stop of the target leaves. */
+	readonly grace = new GracePeriod();
 	incarnation = 'life-1';
 	controller: RequestController;
 	private nextId = 0;
@@ -143,6 +146,7 @@
 			resumeMs: 5000,
 			clock: () => this.now,
 			isLeaving: () => this.isLeaving,
+			grace: this.grace,
 			runOnEngine: async execution => {
 				this.running.push(execution);
 				await new Promise<void>((resolve, reject) => {
--- a/src/callers/grace-period.ts
+++ b/src/callers/grace-period.ts
@@ -52,6 +52,7 @@
 	/** Revokes the stop. */
 	revoke(): void {
 		this.times = undefined;
+		this.isEnded = false;
 	}
 
 	/** Has an attempt ended with the time for requests, until the returned function is called. */
--- a/src/target/request-controller.ts
+++ b/src/target/request-controller.ts
@@ -1,7 +1,9 @@
 import {type AdmissionQueue} from '../admission/admission-queue.js';
+import {type GracePeriod} from '../callers/grace-period.js';
 import {type LinkMessage} from '../link/link-message.js';
 import {type MessageOf} from '../link/message-of.js';
 import {type MemoryBudget} from '../memory/memory-budget.js';
+import {RunTimes} from '../requests/run-times.js';
 import {EngineRefusal} from './engine-refusal.js';
 import {Execution} from './execution.js';
 import {findRefusal} from './find-refusal.js';
@@ -22,16 +24,22 @@
 	readonly resumeMs: number;
 	readonly clock: () => number;
 	readonly isLeaving: () => boolean;
+	/** The time that a planned stop of this process leaves. */
+	readonly grace: GracePeriod;
 	/** Sends the request to the engine and adds its answer to the execution; rejects when the answer breaks off. */
 	readonly runOnEngine: (execution: Execution) => Promise<void>;
 	readonly onIdle: () => void;
 };
 
+/** The engine runs requests of one kind. */
+const runKind = 'engine';
+
 /** Handles all requests to one engine, one message at a time: decides whether each starts, waits, joins another or is refused. */
 export class RequestController {
 	private readonly waiting = new Map<string, {execution: Execution; send: Send}>();
 	/** Requests that are running, or whose answer has not been acknowledged to its end. */
 	private readonly active = new Set<Execution>();
+	private readonly runTimes = new RunTimes();
 
 	constructor(private readonly options: ControllerOptions) {}
 
@@ -259,6 +267,9 @@
 
 	private async run(execution: Execution, send: Send): Promise<void> {
 		const {request} = execution;
+		const cancelStop = this.options.grace.watchRun(() => {
+			execution.abort.abort(new Error('the target process stops'));
+		});
 		try {
 			await this.options.runOnEngine(execution);
 			this.finish(execution);
@@ -274,6 +285,8 @@
 			}
 		}
 
+		cancelStop();
+
 		this.startWaiting(this.options.clock());
 		this.notifyIdle();
 	}
@@ -283,10 +296,12 @@
 		const {id, attempt} = execution.request;
 		execution.end(now);
 		this.options.queue.finish(`${id}/${attempt}`, now - execution.startedAt);
+		this.runTimes.note(runKind, now - execution.startedAt, now);
 		this.options.records.noteEnd(execution, now);
 	}
 
 	private startWaiting(now: number): void {
+		this.refuseLate(now);
 		for (;;) {
 			const next = this.options.queue.startNext(now);
 			if (!next) {
@@ -299,6 +314,18 @@
 		}
 	}
 
+	/* Refuses the requests that a planned stop would cut, so that entries can send them to other targets. */
+	private refuseLate(now: number): void {
+		const {grace, queue} = this.options;
+		const expectedMs = this.runTimes.getLongestMs(runKind, now);
+		for (const [name, {execution}] of this.waiting) {
+			if (!grace.hasTimeFor({deadline: execution.arrivedAt + execution.request.timeoutMs, expectedMs}, now)) {
+				queue.remove(name);
+				this.refuseWaiting(name, 'leaving', now);
+			}
+		}
+	}
+
 	private refuseWaiting(name: string, reason: Reason, now: number): void {
 		const {execution, send} = this.waiting.get(name)!;
 		this.removeWaiting(execution, now);
--- a/src/target/start-target.ts
+++ b/src/target/start-target.ts
@@ -1,4 +1,5 @@
 import {AdmissionQueue} from '../admission/admission-queue.js';
+import {GracePeriod} from '../callers/grace-period.js';
 import {type TargetSettings} from '../config/target-settings.js';
 import {openStreamAgent} from '../http/open-stream-agent.js';
 import {connectLink} from '../link/connect-link.js';
@@ -61,16 +62,37 @@
 		serviceMs: queue.serviceMs,
 	});
 
-	let stopTimer: NodeJS.Timeout | undefined;
+	const grace = new GracePeriod();
+	const stopTimers: NodeJS.Timeout[] = [];
+	const cancelStopTimers = (): void => {
+		for (const timer of stopTimers.splice(0)) {
+			clearTimeout(timer);
+		}
+	};
+
+	const beginGrace = (now: number): void => {
+		// Entries learn of the stop at once, but what has arrived may go on throughout.
+		grace.begin({noticedAt: Number.POSITIVE_INFINITY, endsAt: now + settings.stopMs});
+		stopTimers.push(
+			setTimeout(() => {
+				logger.warn('stop time-out reached; requests that still run are given up');
+				grace.end();
+				requests.tick(clock());
+			}, grace.getLeftMs(now)),
+			setTimeout(() => {
+				lifecycle.noteDrained();
+				void close();
+			}, settings.stopMs),
+		);
+	};
+
 	const lifecycle = new Lifecycle(() => {
 		const isLeaving = lifecycle.state !== 'serving';
-		clearTimeout(stopTimer);
+		cancelStopTimers();
 		if (lifecycle.state === 'leaving') {
-			stopTimer = setTimeout(() => {
-				logger.warn('stop time-out reached; links are closed while requests still run');
-				lifecycle.noteDrained();
-				void close();
-			}, settings.stopMs);
+			beginGrace(clock());
+		} else if (!isLeaving) {
+			grace.revoke();
 		}
 
 		logger.info(isLeaving ? 'leaving: no new requests are accepted' : 'serving');
@@ -87,6 +109,7 @@
 		resumeMs: settings.records.resumeMs,
 		clock,
 		isLeaving: () => lifecycle.state !== 'serving',
+		grace,
 		async runOnEngine(execution) {
 			const {headers} = execution.request;
 			const span = startSpan(tracer, 'target', headers, execution.arrivedAt);
@@ -252,7 +275,7 @@
 			await stopped;
 		},
 		async kill() {
-			clearTimeout(stopTimer);
+			cancelStopTimers();
 			member?.close();
 			clearInterval(ticker);
 			clearInterval(reporter);
