Try callers who do not read answers without end, at both kinds of entries

Reported by operators of a like system: bytes without end made a machine run out of memory. Ten forms that are no answer ended before; not tried were answers that are well formed and have no end, to callers who read nothing, at all entries of a VM's memory at once, and a target process of the own interface before such an engine.

Change: three forms of the crowd's callers and answers without end at its target; they join the crowd of all forms as well.

--- a/features/callers-out-of-bounds.feature
+++ b/features/callers-out-of-bounds.feature
@@ -36,6 +36,12 @@
       | entry            | 10    | write small requests ahead                            |
       | entry            | 1000  | stop within a head of many fields                     |
       | entry            | 1000  | do not read large answers                             |
+      | forwarding entry | 200   | do not read answers without end in chunks             |
+      | forwarding entry | 200   | do not read answers without end of a stated length    |
+      | forwarding entry | 200   | do not read events without end                        |
+      | entry            | 200   | do not read answers without end in chunks             |
+      | entry            | 200   | do not read answers without end of a stated length    |
+      | entry            | 200   | do not read events without end                        |
 
   # Guards against limits on single kinds of misbehaviour that add up.
   Scenario Outline: The <program> stays within its machine while callers misbehave in all ways at once
--- a/stand-ins/callers/crowd-forms.ts
+++ b/stand-ins/callers/crowd-forms.ts
@@ -53,6 +53,13 @@
 	yield * repeat(count - missing, () => piece);
 };
 
+const readNothing = (name: string): Form => ({
+	* write(aim) {
+		yield * repeat(unreadCount, () => makeHead(aim, name, makeLength(0)));
+	},
+	isDeaf: true,
+});
+
 /** What misbehaving callers do, by its name in scenarios. */
 export const crowdForms: Readonly<Record<string, Form>> = {
 	'stop short of the end of bodies in large chunks': {write: writeLargeChunks},
@@ -95,12 +102,10 @@
 			yield makeHead(aim, 'x', chunked) + smallChunk + '0\r\n' + 'ab:cd\r\n'.repeat(Math.floor(headBytes / 7));
 		},
 	},
-	'do not read large answers': {
-		* write(aim) {
-			yield * repeat(unreadCount, () => makeHead(aim, 'large', makeLength(0)));
-		},
-		isDeaf: true,
-	},
+	'do not read large answers': readNothing('large'),
+	'do not read answers without end in chunks': readNothing('endless-chunks'),
+	'do not read answers without end of a stated length': readNothing('endless-length'),
+	'do not read events without end': readNothing('endless-events'),
 	'send nothing': {write: () => []},
 	'stop short of a short body': {
 		* write(aim) {
