--- a/features/support/crowd/start-crowd-target.ts
+++ b/features/support/crowd/start-crowd-target.ts
@@ -37,7 +37,9 @@
 		request.once('end', () => {
 			const id = request.headers['wardswitch-request-id'];
 			const name = request.url!.split('/').at(-1)!;
-			response.writeHead(200, {'content-type': 'application/json', ...answerHeaders, ...endlessHeads[name], ...(id !== undefined && {'wardswitch-request-id': id})});
+			response.writeHead(200, {
+				'content-type': 'application/json', ...answerHeaders, ...endlessHeads[name], ...(id !== undefined && {'wardswitch-request-id': id}),
+			});
 			if (endlessHeads[name]) {
 				writeEndlessly(response, name === 'endless-events' ? endlessEvents : endlessPiece);
 			} else if (name === 'hold') {
