Use no reserved attempt that is old, or whose target has left or rests

What callers and operators see: a request reaches a target seconds after its removal from the store (DRAIN), or while it asks for rest.

Cause: when a request is silent, its next attempt is reserved; where the target has a rate limit, a permit is asked for meanwhile. If the request goes on in that moment the reservation stayed with it for good, and the next silence used it, however long after, without a look at the target.

Evidence: the new scenario on the path of requests: t1, t2 where t2 has been removed 5 s after it was reserved.

Ruled out: reservations at targets without limits, which are used in the same turn; permits of ordinary attempts, which are awaited for 60 ms at most.

Change: a reservation ends after 0.5 s, is used only while its target is registered under the same start and does not rest, and counts as in flight only so long.

--- a/features/attempts.feature
+++ b/features/attempts.feature
@@ -60,3 +60,21 @@
     When 600 ms more pass
     Then "silent" has been sent 3 times, and is not ended
     And 2 retries were charged
+
+  # Guards against an attempt that was reserved while its request was silent, and is used seconds later at a target that has left meanwhile.
+  Scenario: A request that goes on before its reserved attempt is used is not sent to a target that has left since
+    Given targets t1, t2 and t3 of 8 slots, and a budget of 10 retries
+    And target t3 takes 100 requests a second
+    And target t2 takes 100 requests a second
+    And a stream "other" that makes progress throughout
+    When a request "silent" of kind stream with 2 attempts is sent, has its first event, and 0 ms pass
+    And "silent" goes on for 5000 ms as soon as its next attempt is reserved
+    And the reserved target leaves, and that of "silent" is silent for 2500 ms
+    Then "silent" has been sent to two targets, and not to the reserved one
+
+  # Guards against a reserved attempt that is given up since its own permit was the last one.
+  Scenario: A late request is sent again with the last permit of another target
+    Given targets t1 and t2 of 8 slots, and a budget of 10 retries
+    And target t2 takes 1 requests a second
+    When a request "late" of kind idempotent with 2 attempts is sent, and 5000 ms pass
+    Then "late" has been sent 2 times, and is not ended
--- a/features/steps/attempt-steps.ts
+++ b/features/steps/attempt-steps.ts
@@ -58,6 +58,27 @@
 	await getHarness(this).run(ms, others);
 });
 
+Given('target {word} takes {int} requests a second', function (this: SystemWorld, id: string, perSecond: number) {
+	getHarness(this).limit(id, perSecond);
+});
+
+When('{string} goes on for {int} ms as soon as its next attempt is reserved', async function (this: SystemWorld, id: string, ms: number) {
+	const harness = getHarness(this);
+	const {exchange} = harness.requests.get(id)!;
+	const getReserved = (): string | undefined => /no permit for (?<target>\w+) has been granted yet/v.exec(exchange.decisions.join(';'))?.groups!.target;
+	while (getReserved() === undefined) {
+		await harness.run(50, others);
+	}
+
+	this.notes.set('reserved', getReserved());
+	await harness.run(ms, [...others, id]);
+});
+
+When('the reserved target leaves, and that of {string} is silent for {int} ms', async function (this: SystemWorld, _request: string, ms: number) {
+	getHarness(this).removeTarget(this.notes.get('reserved') as string);
+	await getHarness(this).run(ms, others);
+});
+
 When('the caller of {string} leaves', async function (this: SystemWorld, id: string) {
 	getHarness(this).requests.get(id)!.exchange.disconnection.abort('caller');
 	await getHarness(this).settle();
@@ -69,6 +90,12 @@
 	assert.equal(harness.requests.get(id)!.result, undefined);
 });
 
+Then('{string} has been sent to two targets, and not to the reserved one', function (this: SystemWorld, id: string) {
+	const targets = getHarness(this).listAttempts(id).map(({target}) => target);
+	assert.equal(targets.length, 2);
+	assert.ok(!targets.includes(this.notes.get('reserved') as string), targets.join(', '));
+});
+
 Then('the attempt of {string} {}', function (this: SystemWorld, id: string, expected: string) {
 	const [{abortReason}] = getHarness(this).listAttempts(id);
 	assert.equal(abortReason === undefined ? 'goes on' : 'ends', expected);
--- a/features/support/attempt-harness.ts
+++ b/features/support/attempt-harness.ts
@@ -79,6 +79,17 @@
 		this.pipeline.tracker.directory.replace(this.targets, this.now);
 	}
 
+	/** Has a target named a limit of requests a second. */
+	limit(id: string, perSecond: number): void {
+		this.pipeline.tracker.limits.merge({id, perSecond, agoMs: 0}, this.now);
+	}
+
+	/** Removes the registration of a target. */
+	removeTarget(id: string): void {
+		this.targets.splice(this.targets.findIndex(target => target.id === id), 1);
+		this.pipeline.tracker.directory.replace(this.targets, this.now);
+	}
+
 	/** Starts a request. */
 	async request({id, deadlineMs, ...route}: RequestOptions): Promise<void> {
 		const incoming = new IncomingMessage(new Socket());
--- a/src/forward/send-progress.ts
+++ b/src/forward/send-progress.ts
@@ -3,7 +3,12 @@
 import {type StreamDelivery} from './stream-delivery.js';
 
 /** The target of the next attempt, chosen while the present one is in flight; `pending` until a rate-limited target has granted a permit. */
-type Reservation = {readonly target: Target; state: 'pending' | 'granted' | 'used'};
+type Reservation = {
+	readonly target: Target;
+	state: 'pending' | 'granted' | 'used';
+	/** Until when it may be used, milliseconds: what is known of the target, and its permit, are of the time when it was made. */
+	readonly expiresAt: number;
+};
 
 /** The state of one request across its attempts. */
 export type SendProgress = {
--- a/src/forward/target-picker.ts
+++ b/src/forward/target-picker.ts
@@ -45,6 +45,8 @@
 const maximumAttempts = 6;
 /** Requests beyond its slots that may be queued at a target, so that its engine can fill a free slot within a pass. */
 const queueLength = 2;
+/** A reserved attempt is used within this time or given up, milliseconds: its request is tried to be moved each 0.2 s as long as it is silent. */
+const reservationMs = 500;
 /** Most permits requested for one request: each takes a round trip to another entry. Targets found without permits are skipped by later requests. */
 const maximumPermitRequests = 4;
 
@@ -85,6 +87,10 @@
 	 * @returns undefined when it is reserved; otherwise why it is not possible now
 	 */
 	reserve(exchange: ForwardExchange, progress: SendProgress, {target: current, reason}: SilentAttempt): string | undefined {
+		if (progress.reservation && !this.mayUse(progress.reservation, exchange)) {
+			this.release(progress);
+		}
+
 		if (!progress.reservation) {
 			const attempt = {
 				...progress, sent: progress.sent + 1, excluded: new Set([...progress.excluded, current.id]), hasLostConnection: reason === silentConnectionReason, reason,
@@ -118,9 +124,17 @@
 		}
 	}
 
+	private mayUse({target, expiresAt}: NonNullable<SendProgress['reservation']>, {service}: ForwardExchange): boolean {
+		const {tracker, clock} = this.options;
+		const now = clock();
+		return now < expiresAt && tracker.isServing(target, service, now);
+	}
+
 	private addReservation(progress: SendProgress, target: Target): void {
 		const {limits, permits} = this.options.tracker;
-		const reservation: SendProgress['reservation'] = {target, state: limits.get(target.id) === undefined ? 'granted' : 'pending'};
+		const reservation: SendProgress['reservation'] = {
+			target, state: limits.get(target.id) === undefined ? 'granted' : 'pending', expiresAt: this.options.clock() + reservationMs,
+		};
 		progress.reservation = reservation;
 		this.reservations.add(reservation);
 		if (reservation.state === 'pending') {
@@ -153,7 +167,7 @@
 	}
 
 	private countInFlight(target: string, now: number): number {
-		const reserved = [...this.reservations].filter(reservation => reservation.target.id === target).length;
+		const reserved = [...this.reservations].filter(reservation => reservation.target.id === target && now < reservation.expiresAt).length;
 		return this.options.inFlightCounts.count(target, now) + reserved;
 	}
 
--- a/src/forward/target-tracker.ts
+++ b/src/forward/target-tracker.ts
@@ -51,6 +51,11 @@
 		return this.directory.list(service).filter(({id}) => this.findUnavailable(id, now) === undefined);
 	}
 
+	/** Whether this incarnation of a target still takes new requests of a service, and does not rest; its rate limit is left to its permits. */
+	isServing({id, bornAt}: Target, service: string, now: number): boolean {
+		return this.cooldowns.getRemainingMs(id, now) === 0 && this.directory.list(service).some(known => known.id === id && known.bornAt === bornAt);
+	}
+
 	/** Returns the targets of a service that are registered but take no requests now. */
 	listUnavailable(service: string, now: number): readonly UnavailableTarget[] {
 		return this.directory.list(service).map(({id}) => this.findUnavailable(id, now)).filter(unavailable => unavailable !== undefined);
