Write down the sums of times before the platform's bounds

The comment on reregistrationGraceMs said that 300 ms cover the check and the transit; they are for the batch of changes, and alone do not keep the bound. What keeps it is the window from the store's return.

Ruled out by the sums: another case beyond a bound where the store is stable; the longest is a reserved attempt on a connection that has gone silent, 1.9 of 2.0 s with a slow store.

No code. store-outage.feature (20 rows) and docs.feature pass.

--- a/src/fleet/target-directory.ts
+++ b/src/fleet/target-directory.ts
@@ -8,8 +8,10 @@
 /**
  * Maximum time after an outage of the store before a missing target counts as gone, milliseconds. By the platform's specification,
  * registrations that expired during an outage are written again within about two seconds of its end, which is noticed slightly later. A
- * target that left just then cannot be distinguished from those and must receive nothing 2000 ms after its notice; the remaining 300 ms cover
- * the interval between two checks of the directory (100 ms) and the transit time of a request sent just before.
+ * target that left just then cannot be distinguished from those and must receive nothing 2000 ms after its notice. The other 300 ms are for a
+ * batch of changes before the removal is seen; the check of the directory (100 ms) and the transit of a request come on top. So this alone
+ * does not keep the bound. It decides only on removals seen within 300 ms of the store's return; on later ones `mayReturnUntil` does, 2000 ms
+ * after the return was noticed, and the bound holds for removals from 3000 ms after the return on.
  */
 const reregistrationGraceMs = 1700;
 
