Remove the listeners of a write that has waited for its caller

What operators see: the memory of an entry with links grows for as long as a caller slowly reads an answer that has no end.

Cause: a write that waits listens for drain and for close, and only the one that came was removed. Each write of an answer that is read late left a listener for close and one for errors, with their promises, until the end of the response.

Ruled out: the forwarding entry, which has one listener for drain a request.

Change: what is left of the wait is aborted once either event has come.

Test: "An answer leaves nothing behind for each part that its caller reads late": 200 listeners more after 100 parts before, none now.

--- a/features/endless-answers.feature
+++ b/features/endless-answers.feature
@@ -47,6 +47,11 @@
       | ends   | part whole |
       | resets | part cut   |
 
+  # Guards against memory that grows with each write that waits for its caller, for as long as an answer without end lasts.
+  Scenario: An answer leaves nothing behind for each part that its caller reads late
+    When an answer of 100 parts is relayed to a caller who reads each one late
+    Then no more listeners wait for the end of its response than before
+
   # Guards against reading one answer for so long that the other requests of the process wait.
   Scenario: An answer that arrives faster than it is read leaves turns of the event loop to other requests
     When a target has sent an answer of 8 MB before more than its beginning is read
--- a/src/requests/relay-answer.ts
+++ b/src/requests/relay-answer.ts
@@ -8,8 +8,16 @@
 type Head = Extract<CallEvent, {type: 'head'}>;
 
 const writeChunk = async (response: ServerResponse, chunk: Uint8Array): Promise<void> => {
-	if (!response.write(chunk) && !response.destroyed) {
-		await Promise.race([once(response, 'drain'), once(response, 'close')]);
+	if (response.write(chunk) || response.destroyed) {
+		return;
+	}
+
+	// The listener for the event that does not come would stay until the end of the answer, which may have none.
+	const waiting = new AbortController();
+	try {
+		await Promise.race([once(response, 'drain', waiting), once(response, 'close', waiting)]);
+	} finally {
+		waiting.abort();
 	}
 };
 
