Work out the waits of an entry's stop once, and skip a pass at targets that do not stop

Ruled out: a fault; the clock never goes back, and the result was the same.

Change: the durations are worked out once; no pass before a stop has begun. Comments wrapped.

--- a/src/bin/run-process.ts
+++ b/src/bin/run-process.ts
@@ -18,8 +18,8 @@
 
 /**
  * Runs a process of the system: reads the settings file and starts the process. SIGTERM or SIGINT begins a planned stop, once the
- * process has started; SIGINT during it ends the process immediately, SIGTERM changes nothing, as platforms may repeat it. SIGHUP only checks the settings file. An error that nothing has
- * handled is logged, and begins a planned stop as well.
+ * process has started; SIGINT during it ends the process immediately, SIGTERM changes nothing, as platforms may repeat it. SIGHUP only
+ * checks the settings file. An error that nothing has handled is logged, and begins a planned stop as well.
  *
  * Exit codes: 0 after a planned stop, 1 if SIGINT ended it during the stop, 2 for wrong arguments, 70 after an error that nothing
  * has handled, 78 for invalid settings.
--- a/src/entry/start-entry.ts
+++ b/src/entry/start-entry.ts
@@ -276,15 +276,15 @@
 		},
 		async stop() {
 			const noticedAt = clock() + settings.stopDelayMs;
-			const endsAt = noticedAt + settings.stopMs;
-			grace.begin({noticedAt, endsAt});
+			grace.begin({noticedAt, endsAt: noticedAt + settings.stopMs});
+			const leftMs = grace.getLeftMs(noticedAt);
 			controller.startLeaving();
 			server.announceStop();
 			await delay(settings.stopDelayMs);
 			const drained = server.drain();
-			await Promise.race([drained, delay(grace.getLeftMs(clock()), undefined, {ref: false})]);
+			await Promise.race([drained, delay(leftMs, undefined, {ref: false})]);
 			grace.end();
-			await Promise.race([drained, delay(endsAt - clock(), undefined, {ref: false})]);
+			await Promise.race([drained, delay(settings.stopMs - leftMs, undefined, {ref: false})]);
 			server.close();
 			await close();
 		},
--- a/src/target/request-controller.ts
+++ b/src/target/request-controller.ts
@@ -317,6 +317,10 @@
 	/* Refuses the requests that a planned stop would cut, so that entries can send them to other targets. */
 	private refuseLate(now: number): void {
 		const {grace, queue} = this.options;
+		if (!grace.hasBegun) {
+			return;
+		}
+
 		const expectedMs = this.runTimes.getLongestMs(runKind, now);
 		for (const [name, {execution}] of this.waiting) {
 			if (!grace.hasTimeFor({deadline: execution.arrivedAt + execution.request.timeoutMs, expectedMs}, now)) {
